Let another instance pay while this one has no allotment and the platform is away

Cause: in ./measure crash-storm two of six instances start again while the platform is away. They get the configuration from peers and are ready, but no allotment, and refuse every priced request as platform-away, though four instances hold allotments for ten minutes. Look-ups name them first for the clients that are near. The refusals took milliseconds, so callers came back at once and made their share grow.

Ruled out: killed instances that are still named (not one request ended by a refused connection, and nothing but own keys was refused while the two were away), the four others' allotments (the same seconds), slots.

Change: PayingEntry stands before the entry side for callers. What its instance cannot pay for it passes to one other instance after the other, own region first, while each says that it did not run; the one that takes it charges its own allotment and never passes it on. Ledgers and what is held do not change, so no cap can be passed. Shard -1 of a Forward says it, which earlier builds decline. An instance that cannot pay either is left out for a second.

PayingEntryTest failed in six of seven examples with the passing on switched off, and passes.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/ForwardCodec.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/ForwardCodec.java
@@ -36,6 +36,15 @@
  */
 public final class ForwardCodec {
 
+    /**
+     * The shard number of a request that the receiver is asked to steer and to pay for. An instance
+     * of an earlier build cannot read it and declines the message, so nothing runs unpaid.
+     */
+    private static final int ANY_SHARD = -1;
+
+    /** The region of such a request, which the receiver chooses itself. */
+    private static final RegionId ANY_REGION = new RegionId("any");
+
     private ForwardCodec() {}
 
     /**
@@ -67,6 +76,28 @@
         return builder.build();
     }
 
+    /**
+     * Writes a request that the receiver is asked to steer and to pay for.
+     *
+     * @param request the request
+     * @param remainingNanos the time that remains, in nanoseconds
+     * @return the message
+     */
+    public static Forward toUnpaidForward(SteeredRequest request, long remainingNanos) {
+        Shard any = new Shard(request.head().service(), ANY_REGION, 0);
+        return toForward(request, any, remainingNanos).toBuilder().setShard(ANY_SHARD).build();
+    }
+
+    /**
+     * Tells whether the receiver is asked to steer a request and to pay for it.
+     *
+     * @param forward the message
+     * @return whether it is; else it is asked to admit to a shard, and the sender has paid
+     */
+    public static boolean isUnpaid(Forward forward) {
+        return forward.getShard() == ANY_SHARD;
+    }
+
     /**
      * Reads a request.
      *
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/ForwardReceiver.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/ForwardReceiver.java
@@ -8,13 +8,18 @@
 import io.masticpond.daemon.instance.InstanceLinks;
 import io.masticpond.daemon.instance.Responder;
 import io.masticpond.daemon.steering.AdmitterSteering;
+import io.masticpond.daemon.steering.EntrySteering;
 import io.masticpond.daemon.steering.RequestEnd;
 import io.masticpond.daemon.steering.SteeredRequest;
 import io.masticpond.protocol.generated.Envelope;
+import io.masticpond.protocol.generated.Forward;
 import io.masticpond.protocol.generated.ForwardAnswer;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Takes requests that other instances forward, and hands them to the admitter side.
+ * Takes requests that other instances forward, and hands them to the admitter side, or to the entry
+ * side if this instance is asked to pay for them.
  *
  * <p>When the ring of the steering duty is full, a request is declined, which says truthfully that
  * it did not run.
@@ -25,18 +30,25 @@
 
     private final Duty mDuty;
     private final AdmitterSteering mAdmitter;
+    private final EntrySteering mEntry;
     private final TimeSource mTimeSource;
 
+    /** The requests that this instance steers for others. */
+    private final Set<RequestId> mSteered = ConcurrentHashMap.newKeySet();
+
     /**
      * Makes a receiver.
      *
      * @param duty the steering duty
      * @param admitter the admitter side
+     * @param entry the entry side, which passes nothing on that it cannot pay for
      * @param timeSource the clocks
      */
-    public ForwardReceiver(Duty duty, AdmitterSteering admitter, TimeSource timeSource) {
+    public ForwardReceiver(
+            Duty duty, AdmitterSteering admitter, EntrySteering entry, TimeSource timeSource) {
         mDuty = duty;
         mAdmitter = admitter;
+        mEntry = entry;
         mTimeSource = timeSource;
     }
 
@@ -50,28 +62,54 @@
         links.handle(Envelope.BodyCase.CANCEL, this::cancel);
     }
 
+    /**
+     * Counts the requests that this instance steers for others now; safe for all threads.
+     *
+     * @return the count
+     */
+    public int steered() {
+        return mSteered.size();
+    }
+
     private void forward(InstanceId from, Envelope envelope, Responder responder) {
-        SteeredRequest request;
-        Shard shard;
+        Runnable task;
         try {
-            request = ForwardCodec.toRequest(envelope.getForward(), mTimeSource.monotonicNanos());
-            shard = ForwardCodec.toShard(envelope.getForward());
+            task = task(envelope.getForward(), responder);
         } catch (IllegalArgumentException e) {
             responder.refuse("The request cannot be read: " + e.getMessage());
             return;
         }
-        boolean taken =
-                mDuty.offer(
-                        () ->
-                                mAdmitter.offer(
-                                        shard,
-                                        request,
-                                        end -> answer(responder, shard, request, end)));
-        if (!taken) {
+        if (!mDuty.offer(task)) {
             responder.refuse("The ring of the steering duty is full.");
         }
     }
 
+    private Runnable task(Forward forward, Responder responder) {
+        SteeredRequest request = ForwardCodec.toRequest(forward, mTimeSource.monotonicNanos());
+        if (ForwardCodec.isUnpaid(forward)) {
+            return () -> steer(request, responder);
+        }
+        Shard shard = ForwardCodec.toShard(forward);
+        return () -> mAdmitter.offer(shard, request, end -> answer(responder, shard, request, end));
+    }
+
+    private void steer(SteeredRequest request, Responder responder) {
+        RequestId id = request.head().id();
+        if (!mSteered.add(id)) {
+            responder.refuse("The request id is in use.");
+            return;
+        }
+        mEntry.submit(
+                request,
+                end -> {
+                    mSteered.remove(id);
+                    responder.answer(
+                            Envelope.newBuilder()
+                                    .setForwardAnswer(ForwardCodec.toAnswer(id, end))
+                                    .build());
+                });
+    }
+
     private void answer(Responder responder, Shard shard, SteeredRequest request, RequestEnd end) {
         ForwardAnswer.Builder answer = ForwardCodec.toAnswer(request.head().id(), end);
         mAdmitter
@@ -87,6 +125,13 @@
         } catch (IllegalArgumentException e) {
             return;
         }
-        mDuty.offer(() -> mAdmitter.cancel(request));
+        mDuty.offer(() -> cancel(request));
+    }
+
+    private void cancel(RequestId request) {
+        mAdmitter.cancel(request);
+        if (mSteered.contains(request)) {
+            mEntry.cancel(request);
+        }
     }
 }
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/LinkRemoteAdmitter.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/LinkRemoteAdmitter.java
@@ -12,6 +12,7 @@
 import io.masticpond.daemon.steering.SteeredRequest;
 import io.masticpond.protocol.generated.Cancel;
 import io.masticpond.protocol.generated.Envelope;
+import io.masticpond.protocol.generated.Forward;
 import io.masticpond.protocol.generated.ForwardAnswer;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -49,13 +50,29 @@
     @Override
     public void forward(
             InstanceId to, Shard shard, SteeredRequest request, Consumer<ForwardResult> listener) {
-        long remaining = Math.max(1, request.head().deadlineNanos() - mTimeSource.monotonicNanos());
-        Envelope envelope =
-                Envelope.newBuilder()
-                        .setForward(ForwardCodec.toForward(request, shard, remaining))
-                        .build();
+        long remaining = remainingNanos(request);
+        call(to, request, ForwardCodec.toForward(request, shard, remaining), remaining, listener);
+    }
+
+    @Override
+    public void steer(InstanceId to, SteeredRequest request, Consumer<ForwardResult> listener) {
+        long remaining = remainingNanos(request);
+        call(to, request, ForwardCodec.toUnpaidForward(request, remaining), remaining, listener);
+    }
+
+    private long remainingNanos(SteeredRequest request) {
+        return Math.max(1, request.head().deadlineNanos() - mTimeSource.monotonicNanos());
+    }
+
+    private void call(
+            InstanceId to,
+            SteeredRequest request,
+            Forward forward,
+            long remainingNanos,
+            Consumer<ForwardResult> listener) {
+        Envelope envelope = Envelope.newBuilder().setForward(forward).build();
         var unused =
-                mLinks.call(to, envelope, Duration.ofNanos(remaining).plus(ANSWER_MARGIN))
+                mLinks.call(to, envelope, Duration.ofNanos(remainingNanos).plus(ANSWER_MARGIN))
                         .thenAccept(answer -> listener.accept(result(answer, request.head().id())))
                         .exceptionally(error -> logFailed(request.head().id(), error));
     }
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/DefaultShardDirectory.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/DefaultShardDirectory.java
@@ -8,11 +8,13 @@
 import io.masticpond.core.configuration.ServiceSpecification;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.Shard;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.membership.Member;
 import io.masticpond.core.membership.MembershipView;
+import io.masticpond.core.membership.Rendezvous;
 import io.masticpond.core.region.RegionSelectorKnobs;
 import io.masticpond.core.region.ShardChooser;
 import io.masticpond.core.region.ShardHeadrooms;
@@ -23,6 +25,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -140,6 +143,21 @@
         mHeadrooms.sent(shard);
     }
 
+    @Override
+    public List<InstanceId> othersFor(RequestId request) {
+        List<InstanceId> near = new ArrayList<>();
+        List<InstanceId> far = new ArrayList<>();
+        Optional<RegionId> own = mConfiguration.regionOf(mZone);
+        for (Member member : mView == null ? List.<Member>of() : mView.live()) {
+            if (!member.id().equals(mSelf)) {
+                (mConfiguration.regionOf(member.zone()).equals(own) ? near : far).add(member.id());
+            }
+        }
+        List<InstanceId> others = new ArrayList<>(Rendezvous.order(request.value(), near));
+        others.addAll(Rendezvous.order(request.value(), far));
+        return others;
+    }
+
     @Override
     public List<Shard> shardsHere() {
         return mAdmitters.keySet().stream().filter(this::admitsHere).toList();
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/RemoteAdmitter.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/RemoteAdmitter.java
@@ -9,7 +9,8 @@
 import java.util.function.Consumer;
 
 /**
- * Forwards requests to the admitters at other instances; the edge implements it.
+ * Forwards requests to the admitters at other instances, or whole to their entry sides; the edge
+ * implements it.
  *
  * @since 0.1
  */
@@ -26,6 +27,15 @@
     void forward(
             InstanceId to, Shard shard, SteeredRequest request, Consumer<ForwardResult> listener);
 
+    /**
+     * Asks an instance once to steer a request as one of its own callers', and to pay for it.
+     *
+     * @param to the instance
+     * @param request the request, which nobody has paid for
+     * @param listener takes the one result, on any thread
+     */
+    void steer(InstanceId to, SteeredRequest request, Consumer<ForwardResult> listener);
+
     /**
      * Asks an instance to give up a request; there is no answer of its own.
      *
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/ShardDirectory.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/ShardDirectory.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.configuration.BackendServerSpecification;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.Shard;
 import java.util.List;
@@ -67,6 +68,14 @@
      */
     Headroom observe(Shard shard, Headroom headroom);
 
+    /**
+     * Lists the other instances that take work, in an order that spreads requests over them.
+     *
+     * @param request the request
+     * @return the instances, those of the own region first
+     */
+    List<InstanceId> othersFor(RequestId request);
+
     /**
      * Counts a request that was forwarded to a shard, until its next counts come.
      *
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.daemon.caller.CallerServer;
 import io.masticpond.daemon.duty.Duty;
+import io.masticpond.daemon.forwarding.ForwardReceiver;
 import io.masticpond.daemon.gateway.RequestGateway;
 import io.masticpond.daemon.lifecycle.StoppableParts;
 import io.masticpond.daemon.membership.MembershipDuty;
@@ -25,6 +26,7 @@
     private final Incarnation mIncarnation;
     private final Duty mSteering;
     private final SteeringDuty mSteeringKeeper;
+    private final ForwardReceiver mForwards;
     private final MembershipDuty mMembers;
     private final CallerServer mCallers;
     private final RequestGateway mGateway;
@@ -38,6 +40,7 @@
             Incarnation incarnation,
             @SteeringThread Duty steering,
             SteeringDuty steeringKeeper,
+            ForwardReceiver forwards,
             MembershipDuty members,
             CallerServer callers,
             RequestGateway gateway,
@@ -48,6 +51,7 @@
         mIncarnation = incarnation;
         mSteering = steering;
         mSteeringKeeper = steeringKeeper;
+        mForwards = forwards;
         mMembers = members;
         mCallers = callers;
         mGateway = gateway;
@@ -64,7 +68,7 @@
 
     @Override
     public int inFlight() {
-        return mCallers.inFlight() + mSteeringKeeper.inFlight();
+        return mCallers.inFlight() + mForwards.steered() + mSteeringKeeper.inFlight();
     }
 
     @Override
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/SteeringModule.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/SteeringModule.java
@@ -29,6 +29,7 @@
 import io.masticpond.daemon.steering.EntrySteering;
 import io.masticpond.daemon.steering.MeteredAdmission;
 import io.masticpond.daemon.steering.MeteredDispatcher;
+import io.masticpond.daemon.steering.PayingEntry;
 import io.masticpond.daemon.steering.SteeringDuty;
 import java.time.Duration;
 import java.util.concurrent.Executors;
@@ -134,8 +135,22 @@
     @Provides
     @Singleton
     static ForwardReceiver forwardReceiver(
-            @SteeringThread Duty duty, AdmitterSteering admitter, TimeSource timeSource) {
-        return new ForwardReceiver(duty, admitter, timeSource);
+            @SteeringThread Duty duty,
+            AdmitterSteering admitter,
+            EntrySteering entry,
+            TimeSource timeSource) {
+        return new ForwardReceiver(duty, admitter, entry, timeSource);
+    }
+
+    @Provides
+    @Singleton
+    static PayingEntry payingEntry(
+            EntrySteering entry,
+            @SteeringThread Duty duty,
+            TimeSource timeSource,
+            DefaultShardDirectory directory,
+            LinkRemoteAdmitter remote) {
+        return new PayingEntry(entry, duty::put, timeSource, directory, remote);
     }
 
     @Provides
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/AdmitterSteeringTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/AdmitterSteeringTest.java
@@ -177,6 +177,11 @@
             return headroom;
         }
 
+        @Override
+        public List<InstanceId> othersFor(RequestId request) {
+            return List.of();
+        }
+
         @Override
         public void sent(Shard shard) {}
     }
--- /dev/null
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PayingEntryTest.java
@@ -0,0 +1,215 @@
+package io.masticpond.daemon.steering;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.configuration.Configuration;
+import io.masticpond.core.id.InstanceId;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.RequestId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.Shard;
+import io.masticpond.core.region.RetryBudget;
+import io.masticpond.core.request.OperationKind;
+import io.masticpond.core.request.Refusal;
+import io.masticpond.core.request.RefusalCause;
+import io.masticpond.core.request.RequestHead;
+import io.masticpond.core.request.Verdict;
+import io.masticpond.core.time.ManualTimeSource;
+import io.masticpond.core.timeline.Timeline;
+import io.masticpond.daemon.steering.RemoteAdmitter.ForwardResult;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+
+/** Arranges instances without an allotment and asserts who is asked to pay, and how often. */
+class PayingEntryTest {
+
+    private static final ServiceId SERVICE = new ServiceId("plate-ledger");
+    private static final InstanceId FIRST = new InstanceId("first");
+    private static final InstanceId SECOND = new InstanceId("second");
+    private static final RequestId REQUEST = new RequestId("request-1");
+    private static final RequestEnd ANSWER =
+            new RequestEnd.Answered(200, List.of(), new byte[] {1}, "server-1");
+
+    private final ManualTimeSource mTime =
+            new ManualTimeSource(Instant.parse("2026-12-02T08:00:00Z"));
+    private final Deque<ForwardResult> mResults = new ArrayDeque<>();
+    private final List<InstanceId> mAsked = new ArrayList<>();
+    private final List<InstanceId> mCancelled = new ArrayList<>();
+    private final List<RequestEnd> mEnds = new ArrayList<>();
+    private final SteeringFakes.CountingGate mGate = new SteeringFakes.CountingGate();
+    private final Remote mRemote = new Remote();
+    private final PayingEntry mEntry = entry();
+
+    @Example
+    void anotherInstancePaysWhileThisOneHasNoAllotmentAndThePlatformIsAway() {
+        mGate.mAway = true;
+        mResults.add(ended(ANSWER));
+        submit(OperationKind.ONCE_ONLY);
+        assertThat(mAsked).containsExactly(FIRST);
+        assertThat(mEnds).containsExactly(ANSWER);
+        assertThat(mGate.mCharged).isZero();
+    }
+
+    @Example
+    void instancesThatCannotPayOrCannotBeReachedArePassedOver() {
+        mGate.mAway = true;
+        mResults.add(ended(refused(Verdict.DID_NOT_RUN, RefusalCause.PLATFORM_AWAY)));
+        mResults.add(ended(ANSWER));
+        submit(OperationKind.ONCE_ONLY);
+        mResults.add(new ForwardResult.NotSent("The connection was refused."));
+        submit(OperationKind.ONCE_ONLY);
+        assertThat(mAsked).containsExactly(FIRST, SECOND, SECOND);
+        assertThat(mEnds.get(0)).isEqualTo(ANSWER);
+        assertThat(refusal(1).verdict()).isEqualTo(Verdict.DID_NOT_RUN);
+        assertThat(refusal(1).cause()).isEqualTo(RefusalCause.PLATFORM_AWAY);
+    }
+
+    @Example
+    void anInstanceThatCouldNotPayIsAskedAgainAfterOneSecond() {
+        mGate.mAway = true;
+        mResults.add(ended(refused(Verdict.DID_NOT_RUN, RefusalCause.PLATFORM_AWAY)));
+        mResults.add(ended(refused(Verdict.DID_NOT_RUN, RefusalCause.NOT_READY)));
+        submit(OperationKind.READ);
+        submit(OperationKind.READ);
+        assertThat(mAsked).containsExactly(FIRST, SECOND);
+        mTime.advance(Duration.ofSeconds(1));
+        mResults.add(ended(ANSWER));
+        submit(OperationKind.READ);
+        assertThat(mAsked).containsExactly(FIRST, SECOND, FIRST);
+        assertThat(mEnds.get(2)).isEqualTo(ANSWER);
+    }
+
+    @Example
+    void requestsLostOnTheWayToPayersMayHaveRunAndAreNotPassedOnAgain() {
+        mGate.mAway = true;
+        mResults.add(new ForwardResult.Lost(RefusalCause.INSTANCE_LOST, "The link broke."));
+        submit(OperationKind.ONCE_ONLY);
+        assertThat(mAsked).containsExactly(FIRST);
+        assertThat(refusal(0).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Example
+    void otherRefusalsOfPayersAreFinal() {
+        mGate.mAway = true;
+        mResults.add(ended(refused(Verdict.DID_NOT_RUN, RefusalCause.SPENDING_CAP)));
+        mResults.add(ended(refused(Verdict.MAY_HAVE_RUN, RefusalCause.PLATFORM_AWAY)));
+        submit(OperationKind.ONCE_ONLY);
+        submit(OperationKind.ONCE_ONLY);
+        assertThat(mAsked).containsExactly(FIRST, FIRST);
+        assertThat(refusal(0).cause()).isEqualTo(RefusalCause.SPENDING_CAP);
+        assertThat(refusal(1).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Example
+    void theSpendingCapIsNotPassedOn() {
+        mGate.mOpen = false;
+        submit(OperationKind.READ);
+        assertThat(mAsked).isEmpty();
+        assertThat(refusal(0).cause()).isEqualTo(RefusalCause.SPENDING_CAP);
+    }
+
+    @Example
+    void cancellingReachesThePayerAndNobodyElseIsAsked() {
+        mGate.mAway = true;
+        mRemote.mHolds = true;
+        submit(OperationKind.READ);
+        mEntry.cancel(REQUEST);
+        assertThat(mCancelled).containsExactly(FIRST);
+        mRemote.mHeld.accept(new ForwardResult.NotSent("The connection broke."));
+        assertThat(mAsked).containsExactly(FIRST);
+        assertThat(refusal(0).verdict()).isEqualTo(Verdict.DID_NOT_RUN);
+    }
+
+    private void submit(OperationKind kind) {
+        long deadline = mTime.monotonicNanos() + Duration.ofSeconds(1).toNanos();
+        RequestHead head = new RequestHead(REQUEST, SERVICE, deadline, 5, kind);
+        mEntry.submit(
+                new SteeredRequest(
+                        head,
+                        Optional.empty(),
+                        "POST",
+                        "/x",
+                        List.of(),
+                        new byte[0],
+                        Optional.empty()),
+                mEnds::add);
+    }
+
+    private PayingEntry entry() {
+        ShardDirectory directory =
+                new SteeringFakes.FixedDirectory(
+                        List.of(new Shard(SERVICE, new RegionId("casa"), 0)),
+                        List.of(FIRST, SECOND));
+        EntrySteering entry =
+                new EntrySteering(
+                        Runnable::run,
+                        mTime,
+                        new InstanceId("self"),
+                        () -> Configuration.EMPTY,
+                        new EntrySteering.EntryDecisions(
+                                new SteeringFakes.ListSelector(List.of(new RegionId("casa"))),
+                                mGate,
+                                new RetryBudget(0.1, 10)),
+                        directory,
+                        new AdmitterSteering(
+                                Runnable::run,
+                                directory,
+                                (request, server, listener) -> () -> {},
+                                (shard, sink) -> new SteeringFakes.HoldingAdmission(),
+                                Timeline.NONE),
+                        mRemote,
+                        Timeline.NONE);
+        return new PayingEntry(entry, Runnable::run, mTime, directory, mRemote);
+    }
+
+    private Refusal refusal(int index) {
+        return ((RequestEnd.Refused) mEnds.get(index)).refusal();
+    }
+
+    private static ForwardResult ended(RequestEnd end) {
+        return new ForwardResult.Ended(end, Optional.empty());
+    }
+
+    private static RequestEnd refused(Verdict verdict, RefusalCause cause) {
+        return new RequestEnd.Refused(
+                new Refusal(verdict, cause, "Arranged by the test.", Optional.empty()));
+    }
+
+    /** Ends what is passed on with the results of a script, or holds it. */
+    private final class Remote implements RemoteAdmitter {
+
+        private boolean mHolds;
+        private Consumer<ForwardResult> mHeld;
+
+        @Override
+        public void forward(
+                InstanceId to,
+                Shard shard,
+                SteeredRequest request,
+                Consumer<ForwardResult> listener) {
+            throw new AssertionError("Nothing was charged, so nothing may be forwarded.");
+        }
+
+        @Override
+        public void steer(InstanceId to, SteeredRequest request, Consumer<ForwardResult> listener) {
+            mAsked.add(to);
+            if (mHolds) {
+                mHeld = listener;
+                return;
+            }
+            listener.accept(mResults.remove());
+        }
+
+        @Override
+        public void cancel(InstanceId to, RequestId request) {
+            mCancelled.add(to);
+        }
+    }
+}
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/SteeringFakes.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/SteeringFakes.java
@@ -73,12 +73,16 @@
         int mCharged;
         boolean mOpen = true;
         boolean mRenewing;
+        boolean mAway;
 
         @Override
         public Either<Refusal, Charge> charge(ServiceId service, long priceMicros) {
             if (mRenewing) {
                 return Either.left(Refusal.didNotRun(RefusalCause.NOT_READY, "It is renewed."));
             }
+            if (mAway) {
+                return Either.left(Refusal.didNotRun(RefusalCause.PLATFORM_AWAY, "It is spent."));
+            }
             if (!mOpen) {
                 return Either.left(Refusal.didNotRun(RefusalCause.SPENDING_CAP, "It is reached."));
             }
@@ -126,6 +130,11 @@
             return headroom;
         }
 
+        @Override
+        public List<InstanceId> othersFor(RequestId request) {
+            return admitters;
+        }
+
         @Override
         public void sent(Shard asked) {}
     }
@@ -144,6 +153,12 @@
             listener.accept(results.remove());
         }
 
+        @Override
+        public void steer(InstanceId to, SteeredRequest request, Consumer<ForwardResult> listener) {
+            forwardedTo.add(to);
+            listener.accept(results.remove());
+        }
+
         @Override
         public void cancel(InstanceId to, RequestId request) {}
     }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/drain/DrainDirectory.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/drain/DrainDirectory.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.Shard;
 import io.masticpond.core.id.ZoneId;
@@ -64,6 +65,11 @@
         return SHARD.equals(shard);
     }
 
+    @Override
+    public List<InstanceId> othersFor(RequestId request) {
+        return List.of();
+    }
+
     @Override
     public void sent(Shard shard) {
         // Every shard is admitted to here, so nothing is forwarded.
