Trace the requests of the crash storm, and compute its bound from what was killed

crash-storm gave a share without a bound. Each request now says when it began and ended, whether it had a caller's own key and which instance was asked; the tables list what was not answered by cause, service, instance and time. Requests count as taken by the kill if they have an own key and ended after it, since the platform alone can claim keys, or were under way at it. The share may be at most these of all requests, and avoidable, the others without an answer, must be 0.

--- a/masticpond-measure/src/main/java/io/masticpond/measure/fleet/CallerLoad.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/fleet/CallerLoad.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -33,6 +34,7 @@
     private final List<FleetInstance> mInstances;
     private final LoadTally mTally;
     private final long mSeed;
+    private final Consumer<EndedRequest> mListener;
     private final AtomicInteger mNumber = new AtomicInteger();
 
     /**
@@ -43,9 +45,26 @@
      * @param seed the seed of the mix
      */
     public CallerLoad(List<FleetInstance> instances, LoadTally tally, long seed) {
+        this(instances, tally, seed, request -> {});
+    }
+
+    /**
+     * Makes callers whose requests are listened to one by one.
+     *
+     * @param instances the instances that callers may ask first
+     * @param tally takes how each request ended
+     * @param seed the seed of the mix
+     * @param listener takes each request that ended, on the threads of the callers
+     */
+    public CallerLoad(
+            List<FleetInstance> instances,
+            LoadTally tally,
+            long seed,
+            Consumer<EndedRequest> listener) {
         mInstances = List.copyOf(instances);
         mTally = tally;
         mSeed = seed;
+        mListener = listener;
     }
 
     /**
@@ -104,6 +123,9 @@
         private final Map<String, Lookup> mLookups = new HashMap<>();
         private final String mClient;
 
+        /** The instance that was asked last, or empty. */
+        private String mAsked = "";
+
         Worker(int number) {
             mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(mSeed + number);
             mClient = "10." + (1 + number % 6) + "." + number + ".1";
@@ -112,12 +134,26 @@
         void run(BooleanSupplier goOn) {
             while (goOn.getAsBoolean()) {
                 Kind kind = pick();
-                try {
-                    request(kind);
-                } catch (IOException e) {
-                    mTally.unanswered(kind.mOnceOnly, e.getMessage());
-                    mLookups.clear();
-                }
+                mAsked = "";
+                long start = System.nanoTime();
+                String end = request(kind);
+                mListener.accept(
+                        new EndedRequest(
+                                kind.mService,
+                                kind.mOwnKey,
+                                mAsked,
+                                start,
+                                System.nanoTime(),
+                                end));
+            }
+        }
+
+        private String request(Kind kind) {
+            try {
+                return ask(kind);
+            } catch (IOException e) {
+                mLookups.clear();
+                return mTally.unanswered(kind.mOnceOnly, e.getMessage());
             }
         }
 
@@ -132,7 +168,7 @@
             return draw < 90 ? Kind.RESERVATION : Kind.RELEASE;
         }
 
-        private void request(Kind kind) throws IOException {
+        private String ask(Kind kind) throws IOException {
             int number = mNumber.getAndIncrement();
             String target = kind.mPath + mSeed + "-" + number;
             byte[] body = kind.mOnceOnly ? body(number) : new byte[0];
@@ -146,7 +182,7 @@
             }
             long start = System.nanoTime();
             HttpCalls.HttpReply reply = send(kind, lookup, target, headers, body);
-            mTally.ended(reply, System.nanoTime() - start, target, sha256(body));
+            return mTally.ended(reply, System.nanoTime() - start, target, sha256(body));
         }
 
         private HttpCalls.HttpReply send(
@@ -154,6 +190,7 @@
                 throws IOException {
             IOException last = null;
             for (String address : lookup.addresses()) {
+                mAsked = address;
                 try {
                     return mCalls.call(
                             kind.mMethod,
--- a/masticpond-measure/src/main/java/io/masticpond/measure/fleet/LoadTally.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/fleet/LoadTally.java
@@ -2,8 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
@@ -16,13 +20,18 @@
  */
 public final class LoadTally {
 
+    /** How a request ended that a backend server answered. */
+    public static final String ANSWERED = "answered";
+
     private static final long HIGHEST_MICROS = TimeUnit.MINUTES.toMicros(2);
     private static final int DIGITS = 3;
+    private static final int LISTED_MISMATCHES = 10;
 
     private final LongAdder mRequests = new LongAdder();
     private final LongAdder mAnswered = new LongAdder();
     private final LongAdder mMismatched = new LongAdder();
     private final LongAdder mUnanswered = new LongAdder();
+    private final Queue<String> mMismatches = new ConcurrentLinkedQueue<>();
     private final Map<String, LongAdder> mRefusals = new ConcurrentSkipListMap<>();
     private final ConcurrentHistogram mLatency = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
 
@@ -33,20 +42,31 @@
      * @param nanos how long it took, in nanoseconds
      * @param target what the request asked for, which the backend server echoes
      * @param digest the digest of the request's body, which the backend server echoes
+     * @return {@link #ANSWERED}, or the verdict and cause
      */
-    public void ended(HttpCalls.HttpReply reply, long nanos, String target, String digest) {
+    public String ended(HttpCalls.HttpReply reply, long nanos, String target, String digest) {
         mRequests.increment();
         String type = reply.headers().get("Content-Type");
         if (type != null && type.startsWith("application/problem+json")) {
-            refused(reply);
-            return;
+            return count(refusal(reply));
         }
         mAnswered.increment();
         long micros = TimeUnit.NANOSECONDS.toMicros(nanos);
         mLatency.recordValue(Math.min(HIGHEST_MICROS, micros));
         if (!isEchoOf(reply, target, digest)) {
             mMismatched.increment();
+            if (mMismatches.size() < LISTED_MISMATCHES) {
+                mMismatches.add(
+                        target
+                                + " got "
+                                + reply.status()
+                                + " "
+                                + reply.headers().get("Masticpond-Request-Id")
+                                + ": "
+                                + new String(reply.body(), StandardCharsets.UTF_8));
+            }
         }
+        return ANSWERED;
     }
 
     /**
@@ -54,11 +74,12 @@
      *
      * @param onceOnly whether it was a once-only operation
      * @param reason why
+     * @return the kind that it was counted as
      */
-    public void unanswered(boolean onceOnly, String reason) {
+    public String unanswered(boolean onceOnly, String reason) {
         mRequests.increment();
         mUnanswered.increment();
-        count("unanswered" + (onceOnly ? " (once-only): " : ": ") + reason);
+        return count("unanswered" + (onceOnly ? " (once-only): " : ": ") + reason);
     }
 
     /**
@@ -88,6 +109,15 @@
         return mMismatched.sum();
     }
 
+    /**
+     * Lists the first answers that were to another request.
+     *
+     * @return what was asked for, the status, the request's id and the body of each
+     */
+    public List<String> mismatches() {
+        return List.copyOf(mMismatches);
+    }
+
     /**
      * Counts the requests without an HTTP answer.
      *
@@ -118,17 +148,18 @@
         return mLatency.getValueAtPercentile(percentile) / 1_000.0;
     }
 
-    private void refused(HttpCalls.HttpReply reply) {
+    private static String refusal(HttpCalls.HttpReply reply) {
         try {
             JsonNode problem = reply.json();
-            count(problem.get("verdict").asText() + ": " + problem.get("cause").asText());
+            return problem.get("verdict").asText() + ": " + problem.get("cause").asText();
         } catch (IOException e) {
-            count("unreadable refusal");
+            return "unreadable refusal";
         }
     }
 
-    private void count(String kind) {
+    private String count(String kind) {
         mRefusals.computeIfAbsent(kind, each -> new LongAdder()).increment();
+        return kind;
     }
 
     private static boolean isEchoOf(HttpCalls.HttpReply reply, String target, String digest) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/replacement/CrashStormMeasure.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/replacement/CrashStormMeasure.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 
@@ -48,6 +47,7 @@
             pause(BEFORE);
             List<FleetInstance> victims =
                     List.of(load.fleet().instances().get(0), load.fleet().instances().get(3));
+            long killed = System.nanoTime();
             load.fleet().process("platform").kill();
             victims.forEach(victim -> load.fleet().process(victim.id()).kill());
             pause(STORM);
@@ -59,43 +59,55 @@
             }
             pause(AFTER);
             load.stopCallers();
-            return report(load.tally(), load.fleet().backendCounts(), recovery);
+            StormTrace trace =
+                    new StormTrace(load.fleet().instances(), victims, load.ended(), killed);
+            return report(load.tally(), load.fleet().backendCounts(), trace, recovery);
         } catch (IOException e) {
             throw new UncheckedIOException("The fleet could not be run.", e);
         }
     }
 
-    private static MeasureReport report(LoadTally tally, JsonNode counts, double recovery) {
-        List<List<String>> rows = new ArrayList<>();
-        tally.refusals().forEach((kind, count) -> rows.add(List.of(kind, count.toString())));
-        double highestUse = 0;
-        for (JsonNode server : counts.get("servers")) {
-            highestUse =
-                    Math.max(
-                            highestUse,
-                            server.get("highestInFlight").asDouble()
-                                    / server.get("slots").asDouble());
-        }
+    private static MeasureReport report(
+            LoadTally tally, JsonNode counts, StormTrace trace, double recovery) {
         MeasureReport report =
                 new MeasureReport()
+                        .table(trace.causes())
+                        .table(trace.seconds())
                         .table(
                                 new MeasureTable(
-                                        "Not answered",
-                                        List.of("verdict and cause", "count"),
-                                        rows));
+                                        "Answers to other requests",
+                                        List.of("answer"),
+                                        tally.mismatches().stream().map(List::of).toList()));
         report.figure("requests", tally.requests());
         report.figure("answered", tally.answered());
         report.figure("mismatched", tally.mismatched(), MeasureTarget.atMost(0));
         report.figure(
                 "duplicates", counts.get("duplicateOperations").asLong(), MeasureTarget.atMost(0));
+        report.figure("needPlatform", trace.needPlatform());
+        report.figure("underWay", trace.underWay());
+        report.figure("avoidable", trace.avoidable(), MeasureTarget.atMost(0));
+        double requests = tally.requests();
         report.figure(
                 "unavailableShare",
-                (double) (tally.requests() - tally.answered()) / tally.requests());
+                (requests - tally.answered()) / requests,
+                MeasureTarget.atMost((trace.needPlatform() + trace.underWay()) / requests));
         report.figure("recoverySeconds", recovery, MeasureTarget.atMost(READY_TARGET_SECONDS));
-        report.figure("peakSlotUse", highestUse);
+        report.figure("peakSlotUse", highestUse(counts));
         return report;
     }
 
+    private static double highestUse(JsonNode counts) {
+        double highestUse = 0;
+        for (JsonNode server : counts.get("servers")) {
+            highestUse =
+                    Math.max(
+                            highestUse,
+                            server.get("highestInFlight").asDouble()
+                                    / server.get("slots").asDouble());
+        }
+        return highestUse;
+    }
+
     private static void pause(Duration duration) {
         long end = System.nanoTime() + duration.toNanos();
         while (System.nanoTime() - end < 0) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/replacement/FleetUnderLoad.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/replacement/FleetUnderLoad.java
@@ -1,6 +1,7 @@
 package io.masticpond.measure.replacement;
 
 import io.masticpond.measure.fleet.CallerLoad;
+import io.masticpond.measure.fleet.EndedRequest;
 import io.masticpond.measure.fleet.FleetInstance;
 import io.masticpond.measure.fleet.FleetSettings;
 import io.masticpond.measure.fleet.LoadTally;
@@ -9,6 +10,9 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /** A configured fleet of real processes, and callers that follow look-ups until it is closed. */
@@ -20,6 +24,7 @@
     private final LocalFleet mFleet;
     private final LoadTally mTally = new LoadTally();
     private final AtomicBoolean mRunning = new AtomicBoolean(true);
+    private final Queue<EndedRequest> mEnded = new ConcurrentLinkedQueue<>();
     private final Thread mCallers;
 
     /** Starts the fleet and the callers; returns once every instance is ready. */
@@ -35,10 +40,18 @@
         mCallers =
                 new Thread(
                         () ->
-                                new CallerLoad(mFleet.instances(), mTally, seed)
+                                new CallerLoad(mFleet.instances(), mTally, seed, mEnded::add)
                                         .run(WORKERS, mRunning::get),
                         "callers");
-        start();
+        boolean started = false;
+        try {
+            start();
+            started = true;
+        } finally {
+            if (!started) {
+                mFleet.close();
+            }
+        }
     }
 
     private void start() throws IOException {
@@ -64,6 +77,11 @@
         return mTally;
     }
 
+    /** Gives the requests that have ended so far, the earliest first for each caller. */
+    List<EndedRequest> ended() {
+        return List.copyOf(mEnded);
+    }
+
     /** Lets the callers end the requests that they have begun. */
     void stopCallers() {
         mRunning.set(false);
