Name no instance without a configuration in look-ups while others have one

Cause: an instance is live for the others with its first heartbeat, before it has taken a configuration, and refuses every request as not-ready until then. Membership tells the configuration version, but a change of it was no change that is published or spread, so the look-ups could not go by it.

Change: LookupDecider leaves such instances out while there are others; MemberRecord says that the first configuration of a run is a change, so each start is spread once more. Later versions are not, as before. When the first configuration of a system comes into force every instance spreads it once; that burst was not measured.

The measure's requests under way are those that overlap the time from the first kill to the end of the last process, since the two instances die some milliseconds after the platform.

LookupDeciderTest and MembershipTableTest each failed in the new example before the change, and pass; MembershipFleetTest, MembershipDutyTest and MembershipMessagesProperties pass.

--- a/masticpond-core/src/main/java/io/masticpond/core/lookup/LookupDecider.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/lookup/LookupDecider.java
@@ -21,9 +21,10 @@
  *
  * <p>Immutable, and so safe for all threads; make a new one when configuration or members change.
  * All instances with the same picture give the same answer to the same client. Instances that are
- * leaving, suspect or dead are not named. Clients spread over regions that are equally near. If
- * there are live instances in two availability zones, the answer holds instances of at least two,
- * and of two regions if there is room.
+ * leaving, suspect or dead are not named, nor those without a configuration while others have one.
+ * Clients spread over regions that are equally near. If there are live instances in two
+ * availability zones, the answer holds instances of at least two, and of two regions if there is
+ * room.
  *
  * @since 0.1
  */
@@ -56,8 +57,7 @@
         mBlocks = Assert.notNull(blocks, "A table of client blocks");
         mOwnZone = Assert.notNull(ownZone, "An availability zone id");
         mKnobs = Assert.notNull(knobs, "The knobs of look-ups");
-        members.stream()
-                .filter(member -> member.state().admits())
+        nameable(members).stream()
                 .collect(Collectors.groupingBy(Member::zone))
                 .forEach((zone, found) -> mMembers.put(zone, new ClientSpread(found)));
         for (SiteSpecification site : configuration.content().sites()) {
@@ -67,6 +67,15 @@
         mQuotas.computeIfAbsent(ownZone, this::quotas);
     }
 
+    /**
+     * Leaves out instances that refuse every request, for want of a configuration, if others don't.
+     */
+    private static List<Member> nameable(Collection<Member> members) {
+        List<Member> live = members.stream().filter(member -> member.state().admits()).toList();
+        List<Member> configured = live.stream().filter(Member::isConfigured).toList();
+        return configured.isEmpty() ? live : configured;
+    }
+
     /** Makes one order for each other region, so that clients spread over those equally near. */
     private List<List<ZoneQuota>> quotas(ZoneId nearest) {
         int turns = Math.max(1, mConfiguration.content().regions().size() - 1);
--- a/masticpond-core/src/main/java/io/masticpond/core/membership/Member.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/membership/Member.java
@@ -46,4 +46,13 @@
     public InstanceId id() {
         return incarnation.instance();
     }
+
+    /**
+     * Tells whether the instance said that it has a configuration in force.
+     *
+     * @return whether it can take requests
+     */
+    public boolean isConfigured() {
+        return configuration.isAfter(ConfigurationVersion.NONE);
+    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/membership/MemberRecord.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/membership/MemberRecord.java
@@ -115,7 +115,8 @@
     }
 
     /**
-     * Takes newer news; returns whether the run, the state or an address is another than before.
+     * Takes newer news; returns whether the run, the state or an address is another than before, or
+     * the run got its first configuration.
      */
     boolean take(MemberNews news, long now) {
         Member before = member();
@@ -135,6 +136,7 @@
         mNews = news;
         Member after = member();
         return before.state() != after.state()
+                || before.isConfigured() != after.isConfigured()
                 || !before.incarnation().equals(after.incarnation())
                 || !before.linkAddress().equals(after.linkAddress())
                 || !before.callerAddress().equals(after.callerAddress());
--- a/masticpond-core/src/test/java/io/masticpond/core/lookup/LookupDeciderTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/lookup/LookupDeciderTest.java
@@ -50,6 +50,21 @@
         assertThat(decide(members(MemberState.DEAD), "10.1.2.3").instances()).isEmpty();
     }
 
+    @Example
+    void leavesOutInstancesWithoutConfigurationWhileOthersHaveOne() {
+        List<Member> members = members(MemberState.LIVE);
+        members.replaceAll(
+                member ->
+                        member.zone().value().equals("casa-2")
+                                ? withoutConfiguration(member)
+                                : member);
+        assertThat(zones(decide(members, "10.1.2.3")))
+                .containsExactly("casa-1", "casa-1", "casa-1", "fes-1");
+        members.replaceAll(LookupDeciderTest::withoutConfiguration);
+        assertThat(zones(decide(members, "10.1.2.3")))
+                .containsExactly("casa-2", "casa-2", "casa-1", "fes-1");
+    }
+
     @Example
     void givesTheSameAnswerWhateverTheOrderOfTheMembers() {
         List<Member> members = members(MemberState.LIVE);
@@ -172,6 +187,17 @@
                 new ConfigurationVersion(3));
     }
 
+    private static Member withoutConfiguration(Member member) {
+        return new Member(
+                member.incarnation(),
+                member.zone(),
+                member.linkAddress(),
+                member.callerAddress(),
+                member.operatorAddress(),
+                member.state(),
+                ConfigurationVersion.NONE);
+    }
+
     private static Member in(Member member, MemberState state) {
         return member(member.id().value(), member.zone().value(), state);
     }
--- a/masticpond-core/src/test/java/io/masticpond/core/membership/MembershipTableTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/membership/MembershipTableTest.java
@@ -3,6 +3,7 @@
 import static io.masticpond.core.membership.MembershipFixture.id;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.masticpond.core.id.ConfigurationVersion;
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
@@ -44,6 +45,22 @@
         assertThat(mFixture.state(A, B)).isEqualTo(MemberState.LIVE);
     }
 
+    @Example
+    void anInstanceThatGetsItsFirstConfigurationIsToldAndLaterVersionsAreNot() {
+        settle();
+        mFixture.mChanged.clear();
+        mFixture.mTables.get(B).configuration(new ConfigurationVersion(1));
+        mFixture.run(NOTICED);
+        assertThat(mFixture.mChanged).extracting(Member::id).containsOnly(B);
+        assertThat(mFixture.mChanged)
+                .extracting(member -> member.configuration().number())
+                .containsOnly(1L);
+        mFixture.mChanged.clear();
+        mFixture.mTables.get(B).configuration(new ConfigurationVersion(2));
+        mFixture.run(NOTICED);
+        assertThat(mFixture.mChanged).isEmpty();
+    }
+
     @Example
     void aKilledProcessIsGoneAtOnceWhereItsAddressRefuses() {
         settle();
--- a/masticpond-measure/src/main/java/io/masticpond/measure/replacement/CrashStormMeasure.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/replacement/CrashStormMeasure.java
@@ -50,6 +50,7 @@
             long killed = System.nanoTime();
             load.fleet().process("platform").kill();
             victims.forEach(victim -> load.fleet().process(victim.id()).kill());
+            long ended = System.nanoTime();
             pause(STORM);
             double recovery = 0;
             for (FleetInstance victim : victims) {
@@ -60,7 +61,7 @@
             pause(AFTER);
             load.stopCallers();
             StormTrace trace =
-                    new StormTrace(load.fleet().instances(), victims, load.ended(), killed);
+                    new StormTrace(load.fleet().instances(), victims, load.ended(), killed, ended);
             return report(load.tally(), load.fleet().backendCounts(), trace, recovery);
         } catch (IOException e) {
             throw new UncheckedIOException("The fleet could not be run.", e);
