Make the entry sides and admitters of the new steering tests in one place

The same parts in FurtherAttemptsTest are left as they are. The five steering tests pass (33 examples).

--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PaidForwardTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PaidForwardTest.java
@@ -3,21 +3,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import io.masticpond.core.configuration.Configuration;
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.Shard;
-import io.masticpond.core.region.RetryBudget;
 import io.masticpond.core.request.OperationKind;
 import io.masticpond.core.request.Refusal;
 import io.masticpond.core.request.RefusalCause;
 import io.masticpond.core.request.RequestHead;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.time.ManualTimeSource;
-import io.masticpond.core.timeline.Timeline;
 import io.masticpond.daemon.duty.Duty;
 import io.masticpond.daemon.forwarding.ForwardCodec;
 import io.masticpond.daemon.forwarding.ForwardReceiver;
@@ -153,24 +150,16 @@
     }
 
     private EntrySteering entry() {
-        ShardDirectory directory = directory();
-        return new EntrySteering(
-                Runnable::run,
+        return SteeringFakes.entry(
                 mTime,
-                new InstanceId("self"),
-                () -> Configuration.EMPTY,
-                new EntrySteering.EntryDecisions(
-                        new SteeringFakes.ListSelector(List.of(new RegionId("casa"))),
-                        mGate,
-                        new RetryBudget(0.1, 10)),
-                directory,
-                admitter(directory),
-                new SteeringFakes.ScriptedRemote(mResults, mForwardedTo),
-                Timeline.NONE);
+                mGate,
+                directory(),
+                new SteeringFakes.ScriptedRemote(mResults, mForwardedTo));
     }
 
     private ForwardReceiver receiver() {
-        ForwardReceiver receiver = new ForwardReceiver(mDuty, admitter(directory()), mEntry, mTime);
+        ForwardReceiver receiver =
+                new ForwardReceiver(mDuty, SteeringFakes.admitter(directory()), mEntry, mTime);
         receiver.register(
                 (InstanceLinks)
                         Proxy.newProxyInstance(
@@ -189,15 +178,6 @@
                 List.of(new InstanceId("first")));
     }
 
-    private static AdmitterSteering admitter(ShardDirectory directory) {
-        return new AdmitterSteering(
-                Runnable::run,
-                directory,
-                (request, server, listener) -> () -> {},
-                (shard, sink) -> new SteeringFakes.HoldingAdmission(),
-                Timeline.NONE);
-    }
-
     /** Keeps the answers. */
     private final class Answers implements Responder {
 
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PayingEntryTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PayingEntryTest.java
@@ -2,20 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticpond.core.configuration.Configuration;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.Shard;
-import io.masticpond.core.region.RetryBudget;
 import io.masticpond.core.request.OperationKind;
 import io.masticpond.core.request.Refusal;
 import io.masticpond.core.request.RefusalCause;
 import io.masticpond.core.request.RequestHead;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.time.ManualTimeSource;
-import io.masticpond.core.timeline.Timeline;
 import io.masticpond.daemon.steering.RemoteAdmitter.ForwardResult;
 import java.time.Duration;
 import java.time.Instant;
@@ -147,25 +144,7 @@
                 new SteeringFakes.FixedDirectory(
                         List.of(new Shard(SERVICE, new RegionId("casa"), 0)),
                         List.of(FIRST, SECOND));
-        EntrySteering entry =
-                new EntrySteering(
-                        Runnable::run,
-                        mTime,
-                        new InstanceId("self"),
-                        () -> Configuration.EMPTY,
-                        new EntrySteering.EntryDecisions(
-                                new SteeringFakes.ListSelector(List.of(new RegionId("casa"))),
-                                mGate,
-                                new RetryBudget(0.1, 10)),
-                        directory,
-                        new AdmitterSteering(
-                                Runnable::run,
-                                directory,
-                                (request, server, listener) -> () -> {},
-                                (shard, sink) -> new SteeringFakes.HoldingAdmission(),
-                                Timeline.NONE),
-                        mRemote,
-                        Timeline.NONE);
+        EntrySteering entry = SteeringFakes.entry(mTime, mGate, directory, mRemote);
         return new PayingEntry(entry, Runnable::run, mTime, directory, mRemote);
     }
 
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/SteeringFakes.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/SteeringFakes.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.admission.Headroom;
 import io.masticpond.core.admission.SlotShare;
 import io.masticpond.core.configuration.BackendServerSpecification;
+import io.masticpond.core.configuration.Configuration;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
@@ -15,11 +16,14 @@
 import io.masticpond.core.id.ShiftId;
 import io.masticpond.core.region.RegionAttemptEnd;
 import io.masticpond.core.region.RegionSelector;
+import io.masticpond.core.region.RetryBudget;
 import io.masticpond.core.request.Refusal;
 import io.masticpond.core.request.RefusalCause;
 import io.masticpond.core.request.RequestHead;
 import io.masticpond.core.spending.Charge;
 import io.masticpond.core.spending.SpendingGate;
+import io.masticpond.core.time.TimeSource;
+import io.masticpond.core.timeline.Timeline;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -32,6 +36,37 @@
 
     private SteeringFakes() {}
 
+    /** Makes an admitter side that holds what it is offered. */
+    static AdmitterSteering admitter(ShardDirectory directory) {
+        return new AdmitterSteering(
+                Runnable::run,
+                directory,
+                (request, server, listener) -> () -> {},
+                (shard, sink) -> new HoldingAdmission(),
+                Timeline.NONE);
+    }
+
+    /** Makes the entry side of an instance that admits to no shard. */
+    static EntrySteering entry(
+            TimeSource timeSource,
+            SpendingGate gate,
+            ShardDirectory directory,
+            RemoteAdmitter remote) {
+        return new EntrySteering(
+                Runnable::run,
+                timeSource,
+                new InstanceId("self"),
+                () -> Configuration.EMPTY,
+                new EntrySteering.EntryDecisions(
+                        new ListSelector(List.of(new RegionId("casa"))),
+                        gate,
+                        new RetryBudget(0.1, 10)),
+                directory,
+                admitter(directory),
+                remote,
+                Timeline.NONE);
+    }
+
     /** Chooses the first region of a list that was not tried. */
     static final class ListSelector implements RegionSelector {
 
