Know a repeat's answer from another request's in the callers' check

The caller had sent it to an instance that was killed and again, under the same operation key, to the next; the repeat got the end of the attempt that ran, as it must, and that echoes the id of that attempt. The check wanted the id of the last.

Change: the id must still be the request's own, save where the caller sent it more than once and the echo names an operation; target, which no other request has, and digest must match always. Attempts are counted by the caller, so nothing that is sent once is checked less.

LoadTallyTest's example of the repeat failed with the former check and passes; the four others hold either way: a foreign id of a request sent once, a repeat without an operation, another target or body are still counted. StormTraceTest and MeasureCommandTest pass.

--- a/masticpond-measure/src/main/java/io/masticpond/measure/fleet/CallerLoad.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/fleet/CallerLoad.java
@@ -126,6 +126,9 @@
         /** The instance that was asked last, or empty. */
         private String mAsked = "";
 
+        /** How often the request was sent. */
+        private int mAttempts;
+
         Worker(int number) {
             mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(mSeed + number);
             mClient = "10." + (1 + number % 6) + "." + number + ".1";
@@ -135,6 +138,7 @@
             while (goOn.getAsBoolean()) {
                 Kind kind = pick();
                 mAsked = "";
+                mAttempts = 0;
                 long start = System.nanoTime();
                 String end = request(kind);
                 mListener.accept(
@@ -182,7 +186,10 @@
             }
             long start = System.nanoTime();
             HttpCalls.HttpReply reply = send(kind, lookup, target, headers, body);
-            return mTally.ended(reply, System.nanoTime() - start, target, sha256(body));
+            return mTally.ended(
+                    reply,
+                    System.nanoTime() - start,
+                    new LoadTally.SentRequest(target, sha256(body), mAttempts));
         }
 
         private HttpCalls.HttpReply send(
@@ -191,6 +198,7 @@
             IOException last = null;
             for (String address : lookup.addresses()) {
                 mAsked = address;
+                mAttempts++;
                 try {
                     return mCalls.call(
                             kind.mMethod,
