Ask another instance to pay for reads that are lost on the way to one

The entry side tries reads again after a lost link; PayingEntry ended them. Which link was lost is not traced.

Change: PayingEntry shares the retry budget of the entry side and asks the next instance if the kind may be repeated; what ends in a refusal then says that it may have run. Once-only requests are never asked again.

The new example of PayingEntryTest failed with the retry switched off and passes, with the other steering tests and OnceOnlyGuardTest.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/PayingEntry.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/PayingEntry.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.region.RetryBudget;
 import io.masticpond.core.request.Refusal;
 import io.masticpond.core.request.RefusalCause;
 import io.masticpond.core.request.Verdict;
@@ -24,9 +25,10 @@
  *
  * <p>An instance that starts while the platform is away has no allotment and gets none, though the
  * others still have theirs. A request is asked of one other instance after the other, and only
- * while the one before says that it did not run; the one that takes it charges its own allotment
- * and never passes it on. An instance that cannot pay either is not asked again for a second, so
- * that an outage that outlasts all allotments does not multiply the load.
+ * while the one before says that it did not run, or the kind of request may be repeated; the one
+ * that takes it charges its own allotment and never passes it on. An instance that cannot pay
+ * either is not asked again for a second, so that an outage that outlasts all allotments does not
+ * multiply the load.
  *
  * <p>Belongs to the steering duty.
  *
@@ -43,6 +45,7 @@
     private final TimeSource mTimeSource;
     private final ShardDirectory mDirectory;
     private final RemoteAdmitter mRemote;
+    private final RetryBudget mRetries;
     private final Map<RequestId, Search> mSearches = new HashMap<>();
     private final Map<Purse, Long> mEmptySince = new HashMap<>();
 
@@ -54,18 +57,21 @@
      * @param timeSource the clocks
      * @param directory tells who else takes work
      * @param remote passes requests on
+     * @param retries the budget of retries, which the entry side shares
      */
     public PayingEntry(
             EntrySteering entry,
             Executor duty,
             TimeSource timeSource,
             ShardDirectory directory,
-            RemoteAdmitter remote) {
+            RemoteAdmitter remote,
+            RetryBudget retries) {
         mEntry = Assert.notNull(entry, "An entry side");
         mDuty = Assert.notNull(duty, "An executor");
         mTimeSource = Assert.notNull(timeSource, "A time source");
         mDirectory = Assert.notNull(directory, "A directory");
         mRemote = Assert.notNull(remote, "A forwarder");
+        mRetries = Assert.notNull(retries, "A budget of retries");
     }
 
     /**
@@ -120,6 +126,7 @@
         private final Consumer<RequestEnd> mListener;
         private final Queue<InstanceId> mLeft = new ArrayDeque<>();
         private InstanceId mAsked;
+        private boolean mMayHaveRun;
         private boolean mCancelled;
 
         Search(SteeredRequest request, RequestEnd.Refused ownEnd, Consumer<RequestEnd> listener) {
@@ -156,12 +163,21 @@
                 }
                 finish(ended.end());
             } else if (result instanceof RemoteAdmitter.ForwardResult.Lost lost) {
-                finish(new RequestEnd.Refused(Refusal.mayHaveRun(lost.cause(), lost.reason())));
+                lost(lost);
             } else {
                 askNext();
             }
         }
 
+        private void lost(RemoteAdmitter.ForwardResult.Lost lost) {
+            mMayHaveRun = true;
+            if (mRetries.tryRetry(Verdict.MAY_HAVE_RUN, mRequest.head().kind())) {
+                askNext();
+                return;
+            }
+            finish(new RequestEnd.Refused(Refusal.mayHaveRun(lost.cause(), lost.reason())));
+        }
+
         private boolean isEmpty(Purse purse) {
             Long since = mEmptySince.get(purse);
             return since != null && mTimeSource.monotonicNanos() - since < FORGET_NANOS;
@@ -173,7 +189,7 @@
 
         private void finish(RequestEnd end) {
             mSearches.remove(mRequest.head().id());
-            mListener.accept(end);
+            mListener.accept(mMayHaveRun ? end.withDoubt() : end);
         }
     }
 }
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/SteeringModule.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/SteeringModule.java
@@ -149,8 +149,15 @@
             @SteeringThread Duty duty,
             TimeSource timeSource,
             DefaultShardDirectory directory,
-            LinkRemoteAdmitter remote) {
-        return new PayingEntry(entry, duty::put, timeSource, directory, remote);
+            LinkRemoteAdmitter remote,
+            RetryBudget retries) {
+        return new PayingEntry(entry, duty::put, timeSource, directory, remote, retries);
+    }
+
+    @Provides
+    @Singleton
+    static RetryBudget retryBudget() {
+        return new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_BURST);
     }
 
     @Provides
@@ -165,6 +172,7 @@
             DefaultShardDirectory directory,
             AdmitterSteering admitter,
             LinkRemoteAdmitter remote,
+            RetryBudget retries,
             DaemonMetrics metrics,
             Timeline timeline) {
         EntrySteering entry =
@@ -173,11 +181,7 @@
                         timeSource,
                         settings.instance().id(),
                         configuration::current,
-                        new EntrySteering.EntryDecisions(
-                                selector,
-                                spending.gate(),
-                                new RetryBudget(
-                                        RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_BURST)),
+                        new EntrySteering.EntryDecisions(selector, spending.gate(), retries),
                         directory,
                         admitter,
                         remote,
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PayingEntryTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PayingEntryTest.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.id.RequestId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.Shard;
+import io.masticpond.core.region.RetryBudget;
 import io.masticpond.core.request.OperationKind;
 import io.masticpond.core.request.Refusal;
 import io.masticpond.core.request.RefusalCause;
@@ -92,6 +93,20 @@
         assertThat(refusal(0).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
     }
 
+    @Example
+    void readsLostOnTheWayToOnePayerAreAskedOfTheNextAndStayInDoubt() {
+        mGate.mAway = true;
+        mResults.add(new ForwardResult.Lost(RefusalCause.INSTANCE_LOST, "The link broke."));
+        mResults.add(ended(ANSWER));
+        submit(OperationKind.READ);
+        assertThat(mAsked).containsExactly(FIRST, SECOND);
+        assertThat(mEnds).containsExactly(ANSWER);
+        mResults.add(new ForwardResult.Lost(RefusalCause.INSTANCE_LOST, "The link broke."));
+        mResults.add(ended(refused(Verdict.DID_NOT_RUN, RefusalCause.PLATFORM_AWAY)));
+        submit(OperationKind.READ);
+        assertThat(refusal(1).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
     @Example
     void otherRefusalsOfPayersAreFinal() {
         mGate.mAway = true;
@@ -145,7 +160,8 @@
                         List.of(new Shard(SERVICE, new RegionId("casa"), 0)),
                         List.of(FIRST, SECOND));
         EntrySteering entry = SteeringFakes.entry(mTime, mGate, directory, mRemote);
-        return new PayingEntry(entry, Runnable::run, mTime, directory, mRemote);
+        return new PayingEntry(
+                entry, Runnable::run, mTime, directory, mRemote, new RetryBudget(0.1, 10));
     }
 
     private Refusal refusal(int index) {
