Remove what nothing used: health calls, two names of headers, a setting without effect

Cause: HealthProbe, HealthProbeHeaders and HealthReport had no caller since the entry believes the store and what answers tell; two names of headers served them alone. A request without an id is answered before it is sent, so BackendRequest now demands one and two branches for none go. PlannedStop.mayTakeRequests was asked by its test alone; the test now asks for the phase, which says more. steering.hedging had no effect; a settings file that names it is now refused as unknown. ServiceSplit mixed its hash by hand beside HashMixer.

Ruled out: keeping the health calls for servers whose entry lies. They are priced, take a slot each and may lie as well; failures and loads in answers already tell.

Tests: CallEndTest.aProbeTellsHealthFromFullnessAndSilence went with what it tested; no other test lost an assertion but mayTakeRequests and hedging.

After: the tests of core.routing, entry.backend, lifecycle, request and wiring and NamesTest pass.

--- a/masticpond-core/src/main/java/io/masticpond/core/routing/ServiceSplit.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/routing/ServiceSplit.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.support.Assert;
+import io.masticpond.core.support.HashMixer;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,9 +25,6 @@
     /** The most steps that a sequence is moved on at its start. */
     private static final long MAXIMUM_OFFSET = 1_024;
 
-    private static final long HASH_FACTOR = 0x9e3779b97f4a7c15L;
-    private static final int HASH_SHIFT = 33;
-
     private final long mSeed;
     private final Map<RouteId, Sequence> mSequences = new HashMap<>();
 
@@ -74,8 +72,8 @@
     }
 
     private long offset(RouteId route) {
-        long mixed = (mSeed * HASH_FACTOR + route.hashCode()) * HASH_FACTOR;
-        return (mixed >>> HASH_SHIFT) % MAXIMUM_OFFSET;
+        double fraction = HashMixer.fraction(mSeed, HashMixer.hash(route.toString()));
+        return (long) (fraction * MAXIMUM_OFFSET);
     }
 
     /** The sequence of one route. */
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/settings/DaemonSettings.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/settings/DaemonSettings.java
@@ -29,7 +29,7 @@
 
     /** Fills in the parts that may be left out. */
     public DaemonSettings {
-        steering = steering == null ? new SteeringSettings(null, null, null) : steering;
+        steering = steering == null ? new SteeringSettings(null, null) : steering;
         log = log == null ? new LogSettings(null, null) : log;
     }
 
@@ -159,10 +159,9 @@
      * The request path.
      *
      * @param ringCapacity how many tasks may wait for the steering thread
-     * @param hedging whether reads may be hedged
      * @param drainMillis the longest time a planned stop takes, in milliseconds
      */
-    public record SteeringSettings(Integer ringCapacity, Boolean hedging, Integer drainMillis) {
+    public record SteeringSettings(Integer ringCapacity, Integer drainMillis) {
 
         private static final int RING_CAPACITY = 16_384;
         private static final int DRAIN_MILLIS = 30_000;
@@ -170,7 +169,6 @@
         /** Fills in what may be left out. */
         public SteeringSettings {
             ringCapacity = orDefault(ringCapacity, RING_CAPACITY);
-            hedging = orDefault(hedging, false);
             drainMillis = orDefault(drainMillis, DRAIN_MILLIS);
         }
     }
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/settings/SettingsReaderTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/settings/SettingsReaderTest.java
@@ -28,7 +28,6 @@
     void goodSettingsFillInWhatIsLeftOut() {
         DaemonSettings settings = mReader.parse("good.json", GOOD).get();
         assertThat(settings.caller().maximumBodyBytes()).isEqualTo(1 << 20);
-        assertThat(settings.steering().hedging()).isFalse();
         assertThat(settings.log().format()).isEqualTo("text");
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerMatch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerMatch.java
@@ -43,8 +43,7 @@
     }
 
     private boolean mayOmitId(HttpResponse response) {
-        return mRequest.requestId().isEmpty()
-                || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+        return response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
                 || response.headers().contains(mOptions.notExecutedHeader());
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -52,7 +52,7 @@
     }
 
     boolean lastServed(String requestId) {
-        return !requestId.isEmpty() && mLastRequestId.equals(requestId);
+        return mLastRequestId.equals(requestId);
     }
 
     /** Tells when this idle connection must not be used any more. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendRequest.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendRequest.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.backend;
 
+import io.masticpond.core.support.Assert;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -7,8 +8,7 @@
 /**
  * One send of a request to a backend server.
  *
- * @param requestId the id that the server's answer must echo, or {@link #NO_ID} if the request
- *     bears none, so that only an answer without an id belongs to it
+ * @param requestId the id that the server's answer must echo
  * @param method the method
  * @param target path and query, unchanged
  * @param headers the headers to send, without those that concern one connection only; the pool adds
@@ -28,6 +28,8 @@
         long timeoutNanos,
         boolean repeatable) {
 
-    /** Stands for no id. */
-    public static final String NO_ID = "";
+    /** Checks that there is an id to match the answer by. */
+    public BackendRequest {
+        Assert.hasText(requestId, "The id of a request");
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -99,16 +99,6 @@
         return mPhase != Phase.SERVING;
     }
 
-    /**
-     * Tells whether a request that was just read may be passed on; else it is refused as not run.
-     *
-     * @return whether it may
-     */
-    public boolean mayTakeRequests() {
-        Phase phase = mPhase;
-        return phase == Phase.SERVING || phase == Phase.LEAVING;
-    }
-
     private void finish() {
         mPhase = Phase.FINISHING;
         mActions.stopAccepting();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
@@ -13,8 +13,6 @@
  * @param serverLoad running requests, waiting requests and slots of a backend server
  * @param notExecuted says that the backend server did not run the request
  * @param retryAfter after how many seconds the client may come back
- * @param serverId the id of the backend server that answers a health check
- * @param coldMillis how many milliseconds the backend server stays cold
  * @since 0.2
  */
 public record HeaderNames(
@@ -25,9 +23,7 @@
         String expectedServer,
         String serverLoad,
         String notExecuted,
-        String retryAfter,
-        String serverId,
-        String coldMillis) {
+        String retryAfter) {
 
     /** Checks that all names are given. */
     public HeaderNames {
@@ -39,7 +35,5 @@
         Assert.hasText(serverLoad, "The header of the server's load");
         Assert.hasText(notExecuted, "The header of what was not executed");
         Assert.hasText(retryAfter, "The header of the time to come back");
-        Assert.hasText(serverId, "The header of the server's id");
-        Assert.hasText(coldMillis, "The header of the time to stay cold");
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/CallEndTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/CallEndTest.java
@@ -3,18 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.request.Verdict;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
-import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 
-/** Calls end by limits, cancellation and timeouts; probes report health. */
+/** Calls end by limits, cancellation and timeouts. */
 class CallEndTest {
 
     private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
@@ -181,47 +178,4 @@
             }
         }
     }
-
-    @Example
-    void aProbeTellsHealthFromFullnessAndSilence() throws Exception {
-        String told = "X-Id: server-1\r\nX-Cold: 1500\r\nX-Load: 3,0,8\r\nContent-Length: 0\r\n";
-        HealthReport healthy = probe("HTTP/1.1 200 OK\r\n" + told + "\r\n");
-        assertThat(healthy.health()).isEqualTo(HealthReport.Health.HEALTHY);
-        assertThat(healthy.serverId()).contains("server-1");
-        assertThat(healthy.coldMillis()).isEqualTo(OptionalLong.of(1500));
-        assertThat(healthy.load()).contains(new ReportedLoad(3, 0, 8));
-        HealthReport leaving = probe("HTTP/1.1 503 No\r\n" + told + "\r\n");
-        assertThat(leaving.health()).isEqualTo(HealthReport.Health.NOT_HEALTHY);
-        HealthReport full = probe("HTTP/1.1 503 No\r\nX-Not-Executed: full\r\n" + told + "\r\n");
-        assertThat(full.health()).isEqualTo(HealthReport.Health.BUSY);
-        HealthReport silent = probe("");
-        assertThat(silent.health()).isEqualTo(HealthReport.Health.NO_ANSWER);
-    }
-
-    private static HealthReport probe(String answer) throws Exception {
-        try (Backends backends = new Backends()) {
-            HealthProbe probe =
-                    new HealthProbe(
-                            backends.mConnections,
-                            new HealthProbeHeaders(
-                                    "X-Id", "X-Cold", "X-Load", Backends.NOT_EXECUTED));
-            CompletableFuture<HealthReport> report = new CompletableFuture<>();
-            backends.onLoop(
-                    () ->
-                            probe.ask(
-                                    backends.mTarget,
-                                    1,
-                                    "/health",
-                                    Backends.LONG_NANOS,
-                                    report::complete));
-            RawServer.Connection connection = backends.mServer.accept();
-            assertThat(connection.readHead()).startsWith("GET /health HTTP/1.1\r\n");
-            if (answer.isEmpty()) {
-                connection.close();
-            } else {
-                connection.send(answer);
-            }
-            return report.get(60, TimeUnit.SECONDS);
-        }
-    }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
@@ -107,13 +107,12 @@
         mStop.begin();
         mStop.begin();
         assertThat(mStop.isStopping()).isTrue();
-        assertThat(mStop.mayTakeRequests()).isTrue();
+        assertThat(mStop.phase()).isEqualTo(PlannedStop.Phase.LEAVING);
         pass(GRACE);
         assertThat(mDone)
                 .containsExactly(
                         "0 announce", "0 withdraw", "2250 refuse", "2250 close", "2250 exit");
         assertThat(mStop.phase()).isEqualTo(PlannedStop.Phase.ENDED);
-        assertThat(mStop.mayTakeRequests()).isFalse();
     }
 
     @Example
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -50,17 +50,7 @@
 class RequestFlowTest {
 
     private static final HeaderNames NAMES =
-            new HeaderNames(
-                    "Id",
-                    "Wait",
-                    "Key",
-                    "Seal",
-                    "For",
-                    "Load",
-                    "Not-Run",
-                    "Retry-After",
-                    "Server",
-                    "Cold");
+            new HeaderNames("Id", "Wait", "Key", "Seal", "For", "Load", "Not-Run", "Retry-After");
     private static final ServiceId SERVICE = new ServiceId("reader");
     private static final ZoneId ZONE = new ZoneId("a");
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -188,16 +188,7 @@
         @Override
         public HeaderNames headerNames() {
             return new HeaderNames(
-                    "Id",
-                    "Left",
-                    "Key",
-                    "Seal",
-                    "For",
-                    "Load",
-                    "Not-Run",
-                    "Come-Back",
-                    "Server",
-                    "Cold");
+                    "Id", "Left", "Key", "Seal", "For", "Load", "Not-Run", "Come-Back");
         }
 
         @Override
