Rank servers alike in a region, and make second homes cost what learning costs

The zones of a region ranked servers by different weights, so each key had up to four homes there, each of which had to learn its object, and forgot another one for it.

Change: other zones no longer weigh in the rank, so all instances of a region rank alike; the zone decides only between a key's two homes. The second home costs twice what learning is measured to cost (time of answers that did not wait, against the quick ones); before answers tell, it is taken for costly, so after a start each key keeps to one server.

Three new tests of ServerChooser failed before the change.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/PlacementSettings.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/PlacementSettings.java
@@ -4,11 +4,11 @@
 
 /**
  * How much each thing counts in the choice of a backend server. A number drawn by hash for each
- * pair of key and server ranks the servers; the penalty of its distance makes a server the first of
- * fewer keys, by a factor. The other penalties are compared among the ranks.
+ * pair of key and server ranks the servers; the penalty of another region makes a server the first
+ * of fewer keys, by a factor. The other penalties are compared among the ranks.
  *
- * @param otherZone the penalty of a server in another zone of the region
- * @param otherRegion the penalty of a server in another region
+ * @param otherZone the penalty of a server in another zone, in this region or not
+ * @param otherRegion the penalty of a server in another region, as a weight of the ranks
  * @param homes how many servers know a key's object
  * @param perHome the penalty of each rank among the servers that a key prefers
  * @param stranger the penalty of a server that does not know the object, in times of a request
@@ -32,7 +32,7 @@
 
     /** The penalties that measured best; docs/bench/ROUNDS.md has the runs. */
     public static final PlacementSettings DEFAULT =
-            new PlacementSettings(0.1, 0.35, 2, 0.2, 1.5, 1.0, 0.1, 2.0);
+            new PlacementSettings(0.2, 0.35, 2, 0.1, 1.5, 1.0, 0.1, 2.0);
 
     /** Checks that no penalty is negative. */
     public PlacementSettings {
@@ -49,16 +49,25 @@
     }
 
     /**
-     * Gives how likely a server is to be a key's first, compared with one of the own zone.
+     * Gives how likely a server is to be a key's first, compared with one of the own region.
      *
      * @param distance the distance
      * @return a factor above 0, at most 1
      */
     public double weight(Distance distance) {
         return switch (distance) {
-            case SAME_ZONE -> 1;
-            case SAME_REGION -> Math.exp(-DISTANCE_SCALE * otherZone);
+            case SAME_ZONE, SAME_REGION -> 1;
             case OTHER_REGION -> Math.exp(-DISTANCE_SCALE * otherRegion);
         };
     }
+
+    /**
+     * Gives what is held against a server of another zone when ranks are compared.
+     *
+     * @param distance the distance
+     * @return the penalty
+     */
+    public double zonePenalty(Distance distance) {
+        return distance == Distance.SAME_ZONE ? 0 : otherZone;
+    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -1,27 +1,38 @@
 package io.masticpond.core.placement;
 
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.OutlierJudge;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.support.HashMixer;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
  * Chooses a backend server: each key has a few homes, its first servers by weighted rendezvous
- * hashing, and among these the load decides. A far server weighs less than a near one by the same
- * factor however many servers there are, so that a region with few servers keeps few keys. All
- * instances draw the same preferences, so a key meets a server that had it lately, whichever
- * instance asks; a server that would be new to it is chosen only if all its homes are much longer.
+ * hashing, and among these the load and the zone decide. A server of another region weighs less by
+ * the same factor however many servers there are, so that a region with few servers keeps few keys.
+ * All instances of a region draw the same preferences, so a key meets a server that had it lately,
+ * whichever instance asks; a server that would be new to it is chosen only if all its homes are
+ * much longer. Homes after the first cost what it costs to learn an object, as long as many answers
+ * show that servers do not know theirs: where objects are many, each key keeps to one server.
  *
  * @since 0.2
  */
 public final class ServerChooser {
 
+    /**
+     * A server that learns an object works longer, and forgets another one that it learns again.
+     */
+    private static final double LEARNT_AND_FORGOTTEN = 2;
+
     private PlacementSettings mSettings;
     private final OutlierJudge mJudge;
+    private final Map<ServiceId, LearningCost> mLearningCosts = new HashMap<>();
 
     /**
      * Makes a chooser.
@@ -43,6 +54,18 @@
         mSettings = Assert.notNull(settings, "Placement settings");
     }
 
+    /**
+     * Takes the time of an answer that did not wait for a slot.
+     *
+     * @param service the service
+     * @param nanos the time from the sending to the answer
+     */
+    public void answeredIn(ServiceId service, long nanos) {
+        mLearningCosts
+                .computeIfAbsent(service, id -> new LearningCost(mSettings.stranger()))
+                .answeredIn(nanos);
+    }
+
     /**
      * Gives the judge, who must hear of each send and its end.
      *
@@ -115,7 +138,9 @@
     }
 
     private double score(ServerLoad server, int rank, long nowNanos) {
-        return -rankPenalty(rank) - loadPenalty(server, nowNanos);
+        return -rankPenalty(rank, learningCost(server.server().service()))
+                - mSettings.zonePenalty(server.distance())
+                - loadPenalty(server, nowNanos);
     }
 
     /**
@@ -130,12 +155,18 @@
         return drawn / mSettings.weight(load.distance());
     }
 
-    /** A key's first servers know its object; others would have to learn it. */
-    private double rankPenalty(int rank) {
+    /** A key's first servers know its object, if objects are few; others would have to learn it. */
+    private double rankPenalty(int rank, double learningCost) {
+        double perHome = Math.max(mSettings.perHome(), LEARNT_AND_FORGOTTEN * learningCost);
         if (rank < mSettings.homes()) {
-            return rank * mSettings.perHome();
+            return rank * perHome;
         }
-        return mSettings.stranger() + rank * mSettings.perHome();
+        return Math.max(mSettings.stranger(), perHome) + rank * mSettings.perHome();
+    }
+
+    private double learningCost(ServiceId service) {
+        LearningCost cost = mLearningCosts.get(service);
+        return cost == null ? mSettings.stranger() : cost.value();
     }
 
     private double loadPenalty(ServerLoad load, long nowNanos) {
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
@@ -11,7 +11,9 @@
 import io.masticpond.core.limit.OutlierJudgeSettings;
 import io.masticpond.core.support.HashMixer;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 
 /** Keys are spread over near and far servers alike, however many servers there are. */
@@ -37,6 +39,108 @@
         assertThat(farShare(80, 90)).isLessThan(0.3);
     }
 
+    @Example
+    void zonesOfOneRegionAgreeOnTheServerOfEachKeyWhileObjectsMustBeLearned() {
+        List<ServerLoad> one = region(0);
+        List<ServerLoad> other = region(1);
+        for (int key = 0; key < KEYS; key++) {
+            assertThat(chosen(mChooser, one, key)).isEqualTo(chosen(mChooser, other, key));
+        }
+    }
+
+    @Example
+    void keysHaveTwoServersPerRegionAndPreferTheNearOneWhereAllKnowTheirObjects() {
+        answers(64, 0);
+        assertThat(nearShare(region(0))).isBetween(0.7, 0.8);
+        assertThat(nearShare(region(1))).isBetween(0.7, 0.8);
+        for (int key = 0; key < KEYS; key++) {
+            String first = chosen(mChooser, region(0), key);
+            String second = chosen(mChooser, region(1), key);
+            assertThat(homes(key)).contains(first, second);
+        }
+    }
+
+    @Example
+    void shortQueuesSendKeysToTheirOtherServerOnlyIfThatKnowsTheObject() {
+        answers(64, 0);
+        assertThat(leavingShare()).isGreaterThan(0.9);
+        answers(32, 32);
+        assertThat(leavingShare()).isLessThan(0.1);
+    }
+
+    /** Gives how many keys leave their first server if its slots and two places are taken. */
+    private double leavingShare() {
+        int left = 0;
+        for (int key = 0; key < KEYS; key++) {
+            List<ServerLoad> servers = nearServers();
+            String first = chosen(mChooser, servers, key);
+            ServerLoad load = find(servers, first);
+            for (int each = 0; each < 6; each++) {
+                load.began();
+            }
+            left += chosen(mChooser, servers, key).equals(first) ? 0 : 1;
+        }
+        return (double) left / KEYS;
+    }
+
+    private void answers(int quick, int slow) {
+        for (int each = 0; each < quick + slow; each++) {
+            mChooser.answeredIn(new ServiceId("service"), each < quick ? 100 + each % 20 : 400);
+        }
+    }
+
+    private double nearShare(List<ServerLoad> servers) {
+        int near = 0;
+        for (int key = 0; key < KEYS; key++) {
+            ServerLoad load = find(servers, chosen(mChooser, servers, key));
+            near += load.distance() == Distance.SAME_ZONE ? 1 : 0;
+        }
+        return (double) near / KEYS;
+    }
+
+    private List<String> homes(int key) {
+        return nearServers().stream()
+                .sorted(
+                        Comparator.comparingDouble(
+                                load -> -mChooser.preference(load, HashMixer.hash("key-" + key))))
+                .limit(2)
+                .map(load -> load.server().id().value())
+                .toList();
+    }
+
+    private static ServerLoad find(List<ServerLoad> servers, String id) {
+        return servers.stream()
+                .filter(load -> load.server().id().value().equals(id))
+                .findAny()
+                .orElseThrow();
+    }
+
+    private static String chosen(ServerChooser chooser, List<ServerLoad> servers, int key) {
+        return chooser.choose(servers, s -> true, HashMixer.hash("key-" + key), 0)
+                .orElseThrow()
+                .load()
+                .server()
+                .id()
+                .value();
+    }
+
+    private static List<ServerLoad> nearServers() {
+        return IntStream.range(0, 20).mapToObj(n -> server(n, Distance.SAME_ZONE)).toList();
+    }
+
+    /** Gives twenty servers in two zones, as an instance of one of the zones sees them. */
+    private static List<ServerLoad> region(int ownZone) {
+        return IntStream.range(0, 20)
+                .mapToObj(
+                        n ->
+                                server(
+                                        n,
+                                        n % 2 == ownZone
+                                                ? Distance.SAME_ZONE
+                                                : Distance.SAME_REGION))
+                .toList();
+    }
+
     private double farShare(int near, int far) {
         List<ServerLoad> servers = new ArrayList<>();
         for (int each = 0; each < near + far; each++) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -163,8 +163,9 @@
     private void answered(ServerLoad server, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         attemptOver(server);
-        ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()))
-                .ifPresent(load -> server.reported(load, now));
+        Optional<ReportedLoad> reported =
+                ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()));
+        reported.ifPresent(load -> server.reported(load, now));
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
@@ -183,6 +184,9 @@
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
         judgeAnswer(server, failed, now);
+        if (!failed && reported.map(load -> load.waiting() == 0).orElse(true)) {
+            mFlow.chooser().answeredIn(mService, now - mSentNanos);
+        }
         if (failed && mRoute.idempotent() && mayTryAgain(now)) {
             answer.body().release();
             mMayHaveRun = true;
