--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -142,6 +142,28 @@
         assertThat(line.path("excluded").path("cold").asInt()).isEqualTo(1);
     }
 
+    @Example
+    void quickAnswersThatDidNotWaitLetKeysUseTheirOtherServer() {
+        assertThat(leavesBusyServerAfterAnswers("1,5,2")).as("they waited").isFalse();
+        assertThat(leavesBusyServerAfterAnswers("1,0,2")).as("they did not wait").isTrue();
+    }
+
+    private boolean leavesBusyServerAfterAnswers(String load) {
+        RequestFlow flow = flow(true, 2);
+        for (int each = 0; each < 64; each++) {
+            handle(flow);
+            passTime(Duration.ofMillis(10));
+            mConnections.last().answer(200, "Seal", "s", "Load", load);
+        }
+        passTime(Duration.ofMinutes(1));
+        BackendServerId home = mConnections.last().mServer.id();
+        flow.servers().of(SERVICE).stream()
+                .filter(each -> each.server().id().equals(home))
+                .forEach(each -> List.of(1, 2, 3).forEach(ignored -> each.began()));
+        handle(flow);
+        return !mConnections.last().mServer.id().equals(home);
+    }
+
     @Example
     void noMoreSendsThanTheRouteAllows() {
         handle(flow(true, 1));
