Move the form of ledgers into the core, free of any JSON library

Cause: the request path needs the daemon's ledger document, and the core must not see a JSON library. Ruled out: a second codec with its own checksum (two forms of one object); a JSON library in the core (CoreArchitectureTest forbids it). Conclusion: same text and checksum, so ledgers written before stay readable; a test pins that the checksum is that of the text with none in it.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/spending/LedgerFault.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/spending/LedgerFault.java
@@ -1,4 +1,4 @@
-package io.masticpond.daemon.spending;
+package io.masticpond.core.spending;
 
 /**
  * Says why an object at the platform cannot be used as a ledger.
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/spending/LedgerCodecTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/spending/LedgerCodecTest.java
@@ -10,6 +10,7 @@
 import io.masticpond.core.spending.SpendingCap;
 import io.masticpond.core.spending.SpendingLedger;
 import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -33,6 +34,17 @@
         assertThat(mCodec.decode(KEY, mCodec.encode(LEDGER)).get()).isEqualTo(LEDGER);
     }
 
+    /** What other versions of the product wrote must stay readable, and the other way round. */
+    @Example
+    void theChecksumIsThatOfTheTextWithNoneInIt() {
+        String text = new String(mCodec.encode(LEDGER), StandardCharsets.UTF_8);
+        CRC32C sum = new CRC32C();
+        sum.update(
+                text.replaceFirst("\"checksum\":\\d+", "\"checksum\":0")
+                        .getBytes(StandardCharsets.UTF_8));
+        assertThat(text).endsWith("\"checksum\":" + sum.getValue() + "}");
+    }
+
     @Example
     void theLedgerOfAnotherShiftIsFaulty() {
         LedgerKey other = new LedgerKey(KEY.service(), new ShiftId("2026-12-03-morning"));
