Keep spending caps on the request path

Cause: a spending cap was kept by the daemon's path only, not by the one that runs. Ruled out: one counter in the store (a call for each attempt); shares by heartbeats (split views and restarts spend twice); a thread for ledgers; caps in the routing configuration, whose words are the platform's. Change: entry.spending joins core.spending as it is to the traffic thread, which owns the accounts, and to the store. ConditionalStore is the role that platform/ translates. Each attempt is paid for before it is sent, what did not run is taken back, a refusal is final and logged with its inputs. The settings take an optional part, checked at the start. A planned stop returns what is left. Conclusion: without the part of the settings nothing of it is made and the store is not asked for it.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -12,6 +12,7 @@
 import io.masticpond.entry.replica.CategoryStatus;
 import io.masticpond.entry.replica.ReplicaStatus;
 import io.vavr.control.Either;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -141,9 +142,32 @@
         mTraffic.servers().stream()
                 .filter(ServerPicture::cold)
                 .forEach(each -> ServerDocument.writeCold(each, cold.addObject(), mNowNanos));
+        if (!mTraffic.spendings().isEmpty()) {
+            writeSpendings(document.putArray("spendings"));
+        }
         return document;
     }
 
+    /** Writes the shifts that run now; amounts are in millionths of the unit of money. */
+    private void writeSpendings(ArrayNode spendings) {
+        Instant now = mSources.timeSource().instant();
+        mTraffic.spendings().stream()
+                .filter(view -> view.shift().contains(now))
+                .forEach(
+                        view ->
+                                spendings
+                                        .addObject()
+                                        .put("service", view.key().service().value())
+                                        .put("shift", view.key().shift().value())
+                                        .put("end", view.shift().end().toString())
+                                        .put("capMicros", view.capMicros())
+                                        .put("allottedMicros", view.allottedMicros())
+                                        .put("heldMicros", view.availableMicros())
+                                        .put("spentMicros", view.spentMicros())
+                                        .put("fleetSpentMicros", view.fleetSpentMicros())
+                                        .put("state", view.state().text()));
+    }
+
     Either<ControlProblem, ObjectNode> timeline(ControlQuestion question) {
         return question.number(ControlView.BELIEFS, USUAL_BELIEFS, RecentDecisions.KEPT_BELIEFS)
                 .map(beliefs -> timeline(question.parameter(ControlView.REQUEST), beliefs));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
@@ -7,7 +7,9 @@
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.spending.SpendingView;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.SpendingCheck;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -21,9 +23,13 @@
  * @param takenNanos the monotonic time of that moment
  * @param servers the backend servers, by service and id
  * @param budgets the retry budgets
+ * @param spendings how spending stands in each shift that is open
  */
 record TrafficPicture(
-        long takenNanos, List<ServerPicture> servers, Map<ServiceId, RetryBudgetUse> budgets) {
+        long takenNanos,
+        List<ServerPicture> servers,
+        Map<ServiceId, RetryBudgetUse> budgets,
+        List<SpendingView> spendings) {
 
     private static final Comparator<ServerPicture> ORDER =
             Comparator.<ServerPicture, String>comparing(each -> each.server().service().value())
@@ -32,6 +38,7 @@
     TrafficPicture {
         servers = List.copyOf(servers);
         budgets = Map.copyOf(budgets);
+        spendings = List.copyOf(spendings);
     }
 
     /** Takes the picture, on the traffic thread. */
@@ -47,7 +54,11 @@
             }
         }
         servers.sort(ORDER);
-        return new TrafficPicture(nowNanos, servers, limits.budgets(nowNanos));
+        return new TrafficPicture(
+                nowNanos,
+                servers,
+                limits.budgets(nowNanos),
+                flow.spending().map(SpendingCheck::views).orElse(List.of()));
     }
 
     private static ServerPicture picture(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -32,6 +32,9 @@
             line.writeNumberField("waitMillis", millis(request.mWaitNanos));
             line.writeNumberField("longestWaitMillis", millis(request.mLongestWaitNanos));
         }
+        if (request.mSpending != null) {
+            writeSpending(line, request.mSpending);
+        }
         writeAttempts(line);
         writeChoice(line);
         if (request.mRetryBudget >= 0) {
@@ -69,6 +72,19 @@
         return Math.round(value * SCORE_STEPS) / SCORE_STEPS;
     }
 
+    private static void writeSpending(JsonGenerator line, SpendingInputs inputs)
+            throws IOException {
+        line.writeObjectFieldStart("spending");
+        line.writeStringField("shift", inputs.shift());
+        line.writeStringField("state", inputs.state());
+        line.writeNumberField("priceMicros", inputs.priceMicros());
+        line.writeNumberField("capMicros", inputs.capMicros());
+        line.writeNumberField("allottedMicros", inputs.allottedMicros());
+        line.writeNumberField("heldMicros", inputs.heldMicros());
+        line.writeNumberField("spentMicros", inputs.spentMicros());
+        line.writeEndObject();
+    }
+
     private void writeAttempts(JsonGenerator line) throws IOException {
         line.writeArrayFieldStart("attempts");
         for (int index = 0; index < request.mAttemptCount; index++) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -51,6 +51,7 @@
     double mRetryBudget = UNKNOWN;
     long mWaitNanos = UNKNOWN;
     long mLongestWaitNanos;
+    SpendingInputs mSpending;
     RequestOutcome mOutcome = RequestOutcome.OPEN;
     String mCause;
     int mStatus;
@@ -208,6 +209,15 @@
         mLongestWaitNanos = longestNanos;
     }
 
+    /**
+     * Notes why an attempt was not paid for.
+     *
+     * @param inputs what decided it
+     */
+    public void notPaid(SpendingInputs inputs) {
+        mSpending = inputs;
+    }
+
     /**
      * Notes that the request is sent to a backend server.
      *
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingConditionalStore.java
@@ -0,0 +1,47 @@
+package io.masticpond.entry.metrics;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.masticpond.entry.metrics.StoreCallCounts.Kind;
+import io.masticpond.entry.replica.ConditionalStore;
+import io.masticpond.entry.replica.FeedError;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Counts the calls about ledgers as their results are heard. Control thread only. */
+final class CountingConditionalStore implements ConditionalStore {
+
+    private final ConditionalStore mNext;
+    private final StoreCallCounts mCounts;
+
+    CountingConditionalStore(ConditionalStore next, StoreCallCounts counts) {
+        mNext = next;
+        mCounts = counts;
+    }
+
+    @Override
+    public void read(String name, Consumer<Either<FeedError, Optional<Versioned>>> result) {
+        mNext.read(
+                name,
+                outcome -> {
+                    mCounts.ended(Kind.READ, outcome);
+                    result.accept(outcome);
+                });
+    }
+
+    @Override
+    public void write(
+            String name,
+            long expectedRevision,
+            JsonNode content,
+            Consumer<Either<FeedError, Long>> result) {
+        mNext.write(
+                name,
+                expectedRevision,
+                content,
+                outcome -> {
+                    mCounts.ended(Kind.UPDATE, outcome);
+                    result.accept(outcome);
+                });
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.support.Assert;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LineCounts;
+import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.StoreFeed;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
@@ -54,6 +55,16 @@
         return new CountingStoreFeed(Assert.notNull(next, "A feed"), mStoreCalls);
     }
 
+    /**
+     * Puts a count before a store of conditional updates.
+     *
+     * @param next the store
+     * @return a store that counts calls and passes all on
+     */
+    public ConditionalStore counting(ConditionalStore next) {
+        return new CountingConditionalStore(Assert.notNull(next, "A store"), mStoreCalls);
+    }
+
     /**
      * Spells all metrics for a scraper, as {@link #CONTENT_TYPE} says. The first call loads the
      * library for it and takes tens of milliseconds.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -54,7 +54,15 @@
     /** Heartbeats sent. */
     HEARTBEATS_SENT("heartbeats_sent", "Heartbeats sent to other instances.", true),
     /** Heartbeats heard. */
-    HEARTBEATS_HEARD("heartbeats_heard", "Heartbeats heard from other instances.", true);
+    HEARTBEATS_HEARD("heartbeats_heard", "Heartbeats heard from other instances.", true),
+    /** The caps of the shifts that run now, in millionths. */
+    SPENDING_CAP("spending_cap_micros", "Caps of the shifts that run now.", false),
+    /** What all instances hold or have spent of them, as last read. */
+    SPENDING_ALLOTTED("spending_allotted_micros", "What all hold or spent of these caps.", false),
+    /** What this instance holds of them and has not spent. */
+    SPENDING_HELD("spending_held_micros", "What this instance still holds of them.", false),
+    /** What this instance has spent of them. */
+    SPENDING_SPENT("spending_spent_micros", "What this instance has spent of them.", false);
 
     private final String mName;
     private final String mHelp;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/StoreCallCounts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/StoreCallCounts.java
@@ -19,7 +19,9 @@
         LIST,
         WATCH,
         PUT,
-        DELETE
+        DELETE,
+        READ,
+        UPDATE
     }
 
     StoreCallCounts() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -49,6 +49,7 @@
     private final LoadGate mLoadGate;
     private final Function<Route, ServiceId> mSplit;
     private final IntSupplier mShareholders;
+    private final Optional<SpendingCheck> mSpending;
     private final DecisionLog mLog;
     private final EntryAnswers mAnswers;
     private EntryState mState = EntryState.EMPTY;
@@ -70,6 +71,7 @@
      * @param loadGate refuses what would be late
      * @param split picks a service of a route
      * @param shareholders among how many instances common limits are divided
+     * @param spending pays for attempts, if spending has a cap
      * @param log takes what was decided
      */
     public RequestFlow(
@@ -84,6 +86,7 @@
             LoadGate loadGate,
             Function<Route, ServiceId> split,
             IntSupplier shareholders,
+            Optional<SpendingCheck> spending,
             DecisionLog log) {
         mEventLoop = Assert.notNull(eventLoop, "An event loop");
         mTimeSource = Assert.notNull(timeSource, "A time source");
@@ -96,6 +99,7 @@
         mLoadGate = Assert.notNull(loadGate, "A load gate");
         mSplit = Assert.notNull(split, "A split among services");
         mShareholders = Assert.notNull(shareholders, "A count of shareholders");
+        mSpending = Assert.notNull(spending, "A check of spending");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
     }
@@ -289,6 +293,15 @@
         return mLoadGate;
     }
 
+    /**
+     * Gives what pays for attempts.
+     *
+     * @return the check, or empty if spending has no cap
+     */
+    public Optional<SpendingCheck> spending() {
+        return mSpending;
+    }
+
     DecisionLog log() {
         return mLog;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -9,6 +9,7 @@
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.spending.Charge;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
 import io.masticpond.entry.backend.BackendCallListener;
@@ -20,6 +21,7 @@
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.RequestRecord;
 import io.netty.util.concurrent.Future;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -60,6 +62,7 @@
     private Future<?> mTimeout;
     private BackendCall mCall;
     private ServerLoad mServer;
+    private Charge mCharge;
     private long mSentNanos;
     private int mSends;
     private int mConnects;
@@ -129,7 +132,33 @@
                 return;
             }
         }
-        send(chosen, now);
+        if (mFlow.spending().isEmpty() || isPaid(mFlow.spending().get(), chosen)) {
+            send(chosen, now);
+        }
+    }
+
+    private boolean isPaid(SpendingCheck spending, ServerLoad chosen) {
+        Either<SpendingRefusal, Charge> charge = spending.charge(mService, chosen.server().zone());
+        if (charge.isRight()) {
+            mCharge = charge.get();
+            return true;
+        }
+        SpendingRefusal refusal = charge.getLeft();
+        mFacts.notPaid(refusal.inputs());
+        if (mMayHaveRun) {
+            end(refusal.cause());
+        } else {
+            refuse(refusal.cause(), refusal.comeBack());
+        }
+        return false;
+    }
+
+    /** Takes the price back of an attempt that did not run. */
+    private void refund() {
+        if (mCharge != null) {
+            mFlow.spending().orElseThrow().refund(mCharge);
+            mCharge = null;
+        }
     }
 
     private void send(ServerLoad chosen, long now) {
@@ -168,6 +197,7 @@
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
+            refund();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
             turnedAway(server, answer.status(), now);
             return;
@@ -230,6 +260,7 @@
             judgeFailed(server, now);
         }
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
+            refund();
             connectAgain();
             return;
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
@@ -28,6 +28,7 @@
  * @param resources what the process may use
  * @param placement how much each thing counts in the choice of a backend server
  * @param log how much is logged
+ * @param spending what may be spent; without it spending has no cap
  * @since 0.2
  */
 public record EntrySettings(
@@ -43,7 +44,8 @@
         Tolerance tolerance,
         Resources resources,
         PlacementSettings placement,
-        Log log) {
+        Log log,
+        Optional<SpendingSettings> spending) {
 
     /** Checks that the zone is one of the zones and lies in the region; copies the collections. */
     public EntrySettings {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -136,7 +136,18 @@
                 resources(root.object("resources")),
                 placement(root.optionalObject("placement")),
                 new EntrySettings.Log(
-                        root.optionalObject("log").whole("linesPerSecond", DEFAULT_LINES)));
+                        root.optionalObject("log").whole("linesPerSecond", DEFAULT_LINES)),
+                spending(root, zones));
+    }
+
+    /** What reads the part is loaded only where the part is given. */
+    private static Optional<SpendingSettings> spending(
+            SettingsFields root, Map<ZoneId, RegionId> zones) {
+        JsonNode given = root.known("spending");
+        if (given.isMissingNode() || given.isNull()) {
+            return Optional.empty();
+        }
+        return new SpendingSettingsReader(root.object("spending"), zones.values()).read();
     }
 
     private static Map<ZoneId, RegionId> zones(SettingsFields fields) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsFields.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsFields.java
@@ -43,6 +43,29 @@
         return fields;
     }
 
+    /** Gives the objects of a list, which must be given and hold some. */
+    List<SettingsFields> objects(String field) {
+        List<SettingsFields> objects = new ArrayList<>();
+        JsonNode list = known(field);
+        for (JsonNode element : list) {
+            String path = path(field) + "[" + objects.size() + "]";
+            if (!element.isObject()) {
+                mErrors.add(String.format("%s must be an object.", path));
+            }
+            objects.add(new SettingsFields(element, path + ".", mErrors));
+        }
+        if (!list.isArray() || objects.isEmpty()) {
+            mErrors.add(String.format("%s must be given and be a list with entries.", path(field)));
+        }
+        mObjects.addAll(objects);
+        return objects;
+    }
+
+    /** Notes that a field is wrong; the sentence goes on after its name. */
+    void refuse(String field, String sentence, Object value) {
+        mErrors.add(path(field) + " " + String.format(sentence, value) + ".");
+    }
+
     /** Gives a field as it is. */
     JsonNode known(String field) {
         mKnown.add(field);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
@@ -30,6 +30,8 @@
     RETRY_WINDOW("bounds.retryWindow", false, settings -> settings.bounds().retryWindow()),
     /** The other bounds. */
     BOUNDS("bounds", true, settings -> settings.bounds().withRetryWindow(Duration.ZERO)),
+    /** What may be spent. */
+    SPENDING("spending", false, EntrySettings::spending),
     /** Instances that may be asked first. */
     SEEDS("seeds", true, EntrySettings::seeds),
     /** How much may be lost at one time. */
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/spending/SpendingDesk.java
@@ -0,0 +1,228 @@
+package io.masticpond.entry.spending;
+
+import io.masticpond.core.configuration.Configuration;
+import io.masticpond.core.configuration.ConfigurationContent;
+import io.masticpond.core.configuration.PriceSpecification;
+import io.masticpond.core.configuration.ServiceSpecification;
+import io.masticpond.core.id.ConfigurationVersion;
+import io.masticpond.core.id.Incarnation;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.request.Refusal;
+import io.masticpond.core.request.RefusalCause;
+import io.masticpond.core.spending.AllotmentPolicy;
+import io.masticpond.core.spending.Charge;
+import io.masticpond.core.spending.DefaultSpendingGate;
+import io.masticpond.core.spending.LedgerAnswer;
+import io.masticpond.core.spending.LedgerKey;
+import io.masticpond.core.spending.SpendingView;
+import io.masticpond.core.support.Assert;
+import io.masticpond.core.time.TimeSource;
+import io.masticpond.core.timeline.TimelinePart;
+import io.masticpond.entry.log.SpendingInputs;
+import io.masticpond.entry.replica.ConditionalStore;
+import io.masticpond.entry.replica.Scheduler;
+import io.masticpond.entry.request.SpendingCheck;
+import io.masticpond.entry.request.SpendingRefusal;
+import io.masticpond.entry.settings.SpendingSettings;
+import io.masticpond.entry.settings.SpendingSettings.ServiceSpending;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.IntSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Pays for attempts from the allotments that this instance holds, and joins the state machines of
+ * the core to the traffic thread, which owns them, and to the store, which the control thread asks.
+ *
+ * @since 0.3
+ */
+public final class SpendingDesk implements SpendingCheck {
+
+    /** How often time acts on the accounts. */
+    public static final Duration PERIOD = Duration.ofMillis(100);
+
+    private static final Logger sLogger = LoggerFactory.getLogger(SpendingDesk.class);
+    private static final long DEFAULT_DEADLINE_MILLIS = 1_000;
+    private static final Duration SOON = Duration.ofSeconds(1);
+
+    /** How long a client is sent away if no shift with a cap comes within a week. */
+    private static final Duration LONG = Duration.ofDays(1);
+
+    private final SpendingPrices mPrices;
+    private final TimeSource mTimeSource;
+    private final Scheduler mTraffic;
+    private final IntSupplier mHolders;
+    private final DefaultSpendingGate mGate;
+    private final Configuration mCaps;
+    private int mToldHolders;
+    private boolean mStarted;
+    private volatile boolean mStopped;
+
+    /**
+     * Makes a desk that holds nothing yet.
+     *
+     * @param settings caps and prices
+     * @param regions the region of each zone
+     * @param self this run of the instance
+     * @param store keeps the ledgers
+     * @param writesPerSecond how often all instances together may change a ledger
+     * @param holders among how many instances the caps are divided
+     * @param traffic runs tasks on the traffic thread
+     * @param control runs tasks on the control thread
+     * @param timeSource the clocks
+     */
+    public SpendingDesk(
+            SpendingSettings settings,
+            Map<ZoneId, RegionId> regions,
+            Incarnation self,
+            ConditionalStore store,
+            int writesPerSecond,
+            IntSupplier holders,
+            Scheduler traffic,
+            Executor control,
+            TimeSource timeSource) {
+        mPrices = new SpendingPrices(settings, regions);
+        mTimeSource = Assert.notNull(timeSource, "A time source");
+        mTraffic = Assert.notNull(traffic, "A scheduler of the traffic thread");
+        mHolders = Assert.notNull(holders, "A count of holders");
+        AllotmentPolicy usual = AllotmentPolicy.DEFAULT;
+        mGate =
+                new DefaultSpendingGate(
+                        self,
+                        new AllotmentPolicy(
+                                settings.cover(), usual.shareDivisor(), writesPerSecond),
+                        settings.clockError(),
+                        new StoreLedgers(store, settings.ledgers(), control, this::answered),
+                        timeSource,
+                        SpendingDesk::log,
+                        self.hashCode());
+        mCaps = configuration(settings);
+    }
+
+    @Override
+    public void start() {
+        if (!mStarted) {
+            mStarted = true;
+            tellHolders();
+            mGate.configure(mCaps);
+            mTraffic.schedule(PERIOD, this::tick);
+        }
+    }
+
+    @Override
+    public Either<SpendingRefusal, Charge> charge(ServiceId service, ZoneId zone) {
+        start();
+        long price = mPrices.micros(service, zone);
+        Either<Refusal, Charge> charge = mGate.charge(service, price);
+        return charge.mapLeft(refusal -> refusal(refusal, service, price));
+    }
+
+    @Override
+    public void refund(Charge charge) {
+        mGate.refund(charge);
+    }
+
+    @Override
+    public List<SpendingView> views() {
+        return mGate.views();
+    }
+
+    @Override
+    public void stop() {
+        mGate.stop();
+        mStopped = mGate.isStopped();
+    }
+
+    @Override
+    public boolean isStopped() {
+        return mStopped;
+    }
+
+    private void tick() {
+        tellHolders();
+        mGate.advance();
+        mStopped = mGate.isStopped();
+        mTraffic.schedule(PERIOD, this::tick);
+    }
+
+    private void tellHolders() {
+        int holders = Math.max(1, mHolders.getAsInt());
+        if (holders != mToldHolders) {
+            mToldHolders = holders;
+            mGate.holders(holders);
+        }
+    }
+
+    private void answered(LedgerKey key, LedgerAnswer answer) {
+        mTraffic.schedule(Duration.ZERO, () -> mGate.answer(key, answer));
+    }
+
+    private SpendingRefusal refusal(Refusal refusal, ServiceId service, long price) {
+        boolean forNow = refusal.cause() != RefusalCause.SPENDING_CAP;
+        String cause = forNow ? "no-allotment" : refusal.cause().text();
+        return new SpendingRefusal(
+                cause,
+                refusal.retryAfter().orElse(forNow ? SOON : LONG),
+                inputs(refusal, service, price));
+    }
+
+    private SpendingInputs inputs(Refusal refusal, ServiceId service, long price) {
+        Instant now = mTimeSource.instant();
+        Optional<SpendingView> running =
+                mGate.views().stream()
+                        .filter(view -> view.key().service().equals(service))
+                        .filter(view -> view.shift().contains(now))
+                        .findFirst();
+        return running.map(view -> inputs(view, price))
+                .orElseGet(
+                        () ->
+                                new SpendingInputs(
+                                        "none", refusal.cause().text(), price, 0, 0, 0, 0));
+    }
+
+    private static SpendingInputs inputs(SpendingView view, long price) {
+        return new SpendingInputs(
+                view.key().shift().value(),
+                view.state().text(),
+                price,
+                view.capMicros(),
+                view.allottedMicros(),
+                view.availableMicros(),
+                view.spentMicros());
+    }
+
+    private static void log(
+            TimelinePart part, String event, String service, String object, String detail) {
+        sLogger.warn("SPEND  {} of {}: {} {}", event, service, object, detail);
+    }
+
+    /** States the caps as the core takes them, whose other parts have no say here. */
+    private static Configuration configuration(SpendingSettings settings) {
+        List<ServiceSpecification> services =
+                settings.services().stream().map(SpendingDesk::specification).toList();
+        return new Configuration(
+                new ConfigurationVersion(settings.version()),
+                Optional.empty(),
+                new ConfigurationContent(List.of(), List.of(), services, List.of(), List.of()));
+    }
+
+    private static ServiceSpecification specification(ServiceSpending spending) {
+        return new ServiceSpecification(
+                spending.service(),
+                DEFAULT_DEADLINE_MILLIS,
+                List.of(),
+                List.of(),
+                spending.prices().entrySet().stream()
+                        .map(price -> new PriceSpecification(price.getKey(), price.getValue()))
+                        .toList(),
+                Optional.of(spending.shifts()));
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.routing.RoutingConfiguration;
+import io.masticpond.core.spending.SpendingView;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionCounts;
 import io.masticpond.entry.backend.NettyBackendConnections;
@@ -14,11 +15,15 @@
 import io.masticpond.entry.replica.CategoryStatus;
 import io.masticpond.entry.replica.ReplicaStatus;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.SpendingCheck;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -34,11 +39,16 @@
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
-    private volatile Traffic mTraffic = new Traffic(0, 0, 0, 0, List.of());
+    private volatile Traffic mTraffic = new Traffic(0, 0, 0, 0, List.of(), Optional.empty());
 
     /** The figures of the traffic thread. */
     private record Traffic(
-            int open, long connections, long idle, long opened, List<RetryBudgetUse> retries) {
+            int open,
+            long connections,
+            long idle,
+            long opened,
+            List<RetryBudgetUse> retries,
+            Optional<List<SpendingView>> spendings) {
 
         double sum(ToDoubleFunction<RetryBudgetUse> figure) {
             return retries.stream().mapToDouble(figure).sum();
@@ -69,7 +79,8 @@
                         mConnections.open(),
                         mConnections.idle(),
                         mConnections.opened(),
-                        List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()));
+                        List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
+                        mFlow.spending().map(SpendingCheck::views));
     }
 
     /** Sets all figures, on the control thread. */
@@ -104,6 +115,26 @@
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUse::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUse::bound));
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUse::used));
+        traffic.spendings().ifPresent(spendings -> setSpending(values, spendings));
+    }
+
+    /** Sets the sums over the shifts that run now. */
+    private void setSpending(EntryValues values, List<SpendingView> spendings) {
+        Instant now = mTimeSource.instant();
+        List<SpendingView> running =
+                spendings.stream().filter(view -> view.shift().contains(now)).toList();
+        set(values, EntryValue.SPENDING_CAP, running, SpendingView::capMicros);
+        set(values, EntryValue.SPENDING_ALLOTTED, running, SpendingView::allottedMicros);
+        set(values, EntryValue.SPENDING_HELD, running, SpendingView::availableMicros);
+        set(values, EntryValue.SPENDING_SPENT, running, SpendingView::spentMicros);
+    }
+
+    private static void set(
+            EntryValues values,
+            EntryValue value,
+            List<SpendingView> running,
+            ToLongFunction<SpendingView> micros) {
+        values.set(value, running.stream().mapToLong(micros).sum());
     }
 
     private void setFleet(EntryValues values, FleetPicture picture) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.wiring;
 
 import io.masticpond.entry.log.ProcessChange;
+import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -18,8 +19,10 @@
 
     private static final long STATUS_PERIOD_MILLIS = 100;
 
+    private final EventLoop mTraffic;
     private final EventLoop mControl;
     private final ControlSide mControlSide;
+    private final RequestFlow mFlow;
     private final EntryListeners mListeners;
     private final PictureUpdates mUpdates;
     private final StopSwitch mStop;
@@ -29,15 +32,19 @@
     @Inject
     EntryInstance(
             ProcessNews news,
+            @TrafficThread EventLoop traffic,
             @ControlThread EventLoop control,
             ControlSide controlSide,
+            RequestFlow flow,
             EntryListeners listeners,
             PictureUpdates updates,
             StopSwitch stop,
             SettingsInForce settings) {
         mNews = news;
+        mTraffic = traffic;
         mControl = control;
         mControlSide = controlSide;
+        mFlow = flow;
         mListeners = listeners;
         mUpdates = updates;
         mStop = stop;
@@ -47,6 +54,9 @@
     /** Starts all parts; readiness follows once routes and backend servers are known. */
     public void start() {
         mNews.tell(ProcessChange.Kind.STARTED);
+        if (mFlow.spending().isPresent()) {
+            mTraffic.execute(mFlow.spending().get()::start);
+        }
         mControl.execute(
                 () -> {
                     mControlSide.start();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -7,6 +7,7 @@
 import io.masticpond.entry.replica.FleetReplica;
 import io.masticpond.entry.replica.InstanceRegistration;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.SpendingCheck;
 import io.netty.channel.EventLoop;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -92,6 +93,17 @@
 
     @Override
     public boolean isWithdrawalPending() {
-        return mWithdrawalPending;
+        return mWithdrawalPending || mFlow.spending().filter(this::mustReturn).isPresent();
+    }
+
+    /** Once no request is open, what is left of allotments goes back. */
+    private boolean mustReturn(SpendingCheck spending) {
+        if (spending.isStopped()) {
+            return false;
+        }
+        if (requests() == 0) {
+            mTraffic.execute(spending::stop);
+        }
+        return true;
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PlatformAdapter.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PlatformAdapter.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.directory.DirectoryDecider;
 import io.masticpond.entry.http.RequestHandler;
+import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.DocumentTranslator;
 import io.masticpond.entry.replica.StoreFeed;
 import io.masticpond.entry.replica.StoreProbe;
@@ -35,6 +36,15 @@
      */
     StoreFeed storeFeed(EventLoop control, EntrySettings settings, TimeSource timeSource);
 
+    /**
+     * Gives access to the ledgers in the store; asked only if spending has a cap.
+     *
+     * @param control the control thread
+     * @param settings the settings of this instance
+     * @return the store of the ledgers
+     */
+    ConditionalStore ledgerStore(EventLoop control, EntrySettings settings);
+
     /**
      * Gives the call that looks whether the store answers.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -13,13 +13,17 @@
 import io.masticpond.entry.backend.ConnectionOptions;
 import io.masticpond.entry.backend.NettyBackendConnections;
 import io.masticpond.entry.log.DecisionLog;
+import io.masticpond.entry.metrics.EntryMetrics;
 import io.masticpond.entry.peer.PeerInstance;
 import io.masticpond.entry.peer.PeerView;
+import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.request.PriorityLoadGate;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.settings.EntrySettings;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Singleton;
 import org.apache.commons.rng.simple.RandomSource;
@@ -96,7 +100,19 @@
             PriorityLoadGate loadGate,
             ServiceSplit split,
             PeerView peers,
+            PlatformAdapter platform,
+            PeerInstance self,
+            EntryMetrics metrics,
+            @ControlThread EventLoop control,
             DecisionLog log) {
+        Optional<SpendingCheck> spending = Optional.empty();
+        if (settings.spending().isPresent()) {
+            ConditionalStore store = metrics.counting(platform.ledgerStore(control, settings));
+            spending =
+                    Optional.of(
+                            SpendingWiring.desk(
+                                    settings, store, self, peers, traffic, control, timeSource));
+        }
         return new RequestFlow(
                 traffic,
                 timeSource,
@@ -109,6 +125,7 @@
                 loadGate,
                 route -> split.choose(route).orElse(route.services().get(0).service()),
                 peers::shareholders,
+                spending,
                 log);
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/EntryArchitectureTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/EntryArchitectureTest.java
@@ -29,6 +29,7 @@
                     Map.entry("directory", List.of("peer")),
                     Map.entry("log", List.of("backend")),
                     Map.entry("metrics", List.of("log", "replica")),
+                    Map.entry("spending", List.of("log", "replica", "request", "settings")),
                     Map.entry("request", List.of("backend", "http", "log", "settings")),
                     Map.entry("control", List.of("http", "log", "peer", "replica", "request")));
 
@@ -113,6 +114,7 @@
                 "settings",
                 "log",
                 "metrics",
+                "spending",
                 "control",
                 "wiring");
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -10,6 +10,7 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ShiftId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.limit.OutlierJudge;
@@ -24,17 +25,22 @@
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.routing.WeightedService;
+import io.masticpond.core.spending.Charge;
+import io.masticpond.core.spending.SpendingView;
 import io.masticpond.core.time.ManualTimeSource;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.RecentDecisions;
+import io.masticpond.entry.log.SpendingInputs;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -72,6 +78,7 @@
     private LoadGate mLoadGate = LoadGate.OPEN;
     private Set<BackendServerId> mCold = Set.of();
     private boolean mBudget = true;
+    private Optional<SpendingCheck> mSpending = Optional.empty();
 
     @Example
     void answerOfTheServerIsPassedOnUnchanged() {
@@ -235,6 +242,47 @@
         assertThat(late.status()).isEqualTo(503);
     }
 
+    @Example
+    void attemptThatWouldPassTheCapIsRefusedBeforeAnythingIsSent() {
+        mSpending = Optional.of(new Purse(0));
+        handle(flow(true, 2));
+        assertThat(mConnections.mCalls).isEmpty();
+        assertThat(mResponder.status()).isEqualTo(503);
+        assertThat(mResponder.mAnswers.get(0).headers().get("Retry-After")).isEqualTo("60.000");
+        assertThat(mResponder.mAnswers.get(0).body().toString(StandardCharsets.UTF_8))
+                .contains("did not run: spending-cap");
+        JsonNode line = mDecisions.ofRequest("one").get(0);
+        assertThat(line.path("cause").asText()).isEqualTo("spending-cap");
+        assertThat(line.path("spending").path("capMicros").asInt()).isEqualTo(7);
+        assertThat(line.path("spending").path("state").asText()).isEqualTo("exhausted");
+    }
+
+    @Example
+    void eachRetryIsPaidForAndNotPromisedToHaveNotRun() {
+        Purse purse = new Purse(1);
+        mSpending = Optional.of(purse);
+        handle(flow(true, 2));
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mConnections.mCalls).hasSize(1);
+        assertThat(mResponder.status()).isEqualTo(502);
+        assertThat(mResponder.mAnswers.get(0).body().toString(StandardCharsets.UTF_8))
+                .contains("may have run: spending-cap");
+        assertThat(purse.mLeft).as("what may have run is not taken back").isZero();
+    }
+
+    @Example
+    void whatDidNotRunIsTakenBackAndPaysForTheNextServer() {
+        Purse purse = new Purse(1);
+        mSpending = Optional.of(purse);
+        handle(flow(false, 2));
+        mConnections.last().fail(Verdict.DID_NOT_RUN, CallFailure.Kind.NOT_CONNECTED);
+        mConnections.last().answer(503, "Not-Run", "1");
+        assertThat(mConnections.mCalls).hasSize(3);
+        mConnections.last().answer(200, "Seal", "s");
+        assertThat(mResponder.status()).isEqualTo(200);
+        assertThat(purse.mLeft).isZero();
+    }
+
     private void passTime(Duration time) {
         mTime.advance(time);
         mChannel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
@@ -261,6 +309,7 @@
                         mLoadGate,
                         route -> SERVICE,
                         () -> 1,
+                        mSpending,
                         mDecisions);
         flow.update(
                 EntryState.of(picture(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
@@ -324,6 +373,48 @@
         }
     }
 
+    /** Pays for so many attempts. */
+    private static final class Purse implements SpendingCheck {
+
+        private int mLeft;
+
+        Purse(int attempts) {
+            mLeft = attempts;
+        }
+
+        @Override
+        public Either<SpendingRefusal, Charge> charge(ServiceId service, ZoneId zone) {
+            if (mLeft == 0) {
+                SpendingInputs inputs = new SpendingInputs("morning", "exhausted", 1, 7, 7, 0, 7);
+                return Either.left(
+                        new SpendingRefusal("spending-cap", Duration.ofMinutes(1), inputs));
+            }
+            mLeft--;
+            return Either.right(new Charge(service, new ShiftId("morning"), 1));
+        }
+
+        @Override
+        public void refund(Charge charge) {
+            mLeft++;
+        }
+
+        @Override
+        public List<SpendingView> views() {
+            return List.of();
+        }
+
+        @Override
+        public void start() {}
+
+        @Override
+        public void stop() {}
+
+        @Override
+        public boolean isStopped() {
+            return true;
+        }
+    }
+
     /** A budget that is either there or not. */
     private final class FixedBudget implements RetryAllowance {
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/settings/EntrySettingsReaderTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/settings/EntrySettingsReaderTest.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.core.read.ListAppender;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -76,6 +77,67 @@
                         "bounds.retryRatio must be a number from 0, but was '-1'.");
     }
 
+    private static final String SPENDING =
+            """
+            "spending": {
+              // Raised with each change.
+              "version": 4, "cover": "600s",
+              "services": [{"service": "orders", "timeZone": "Africa/Casablanca",
+                "shifts": [
+                  {"name": "day", "start": "06:00", "end": "18:00", "capMicros": 5000000},
+                  {"name": "night", "start": "18:00", "end": "06:00", "capMicros": 0}],
+                "prices": [
+                  {"region": "a", "attemptMicros": 250}, {"region": "b", "attemptMicros": 300}]}]},
+            "seeds\"\
+            """;
+
+    @Example
+    void spendingWithoutPartHasNoCapAndWithOneIsReadWhole() {
+        assertThat(mReader.read(SETTINGS).get().spending()).isEmpty();
+        SpendingSettings spending = read(SPENDING).get().spending().orElseThrow();
+        assertThat(spending.version()).isEqualTo(4);
+        assertThat(spending.ledgers()).isEqualTo("spending");
+        assertThat(spending.cover()).isEqualTo(Duration.ofMinutes(10));
+        assertThat(spending.clockError()).isEqualTo(Duration.ofMillis(500));
+        SpendingSettings.ServiceSpending orders = spending.services().get(0);
+        assertThat(orders.prices()).containsEntry(new RegionId("b"), 300L);
+        assertThat(orders.shifts().timeZone()).isEqualTo("Africa/Casablanca");
+        assertThat(orders.shifts().shifts())
+                .extracting("capMicros")
+                .containsExactly(5_000_000L, 0L);
+    }
+
+    @Example
+    void allThatIsWrongWithSpendingIsToldAtOnce() {
+        String wrong =
+                SPENDING.replace("\"version\": 4", "\"version\": 0")
+                        .replace("Africa/Casablanca", "Nowhere")
+                        .replace("\"end\": \"18:00\"", "\"end\": \"19:00\"")
+                        .replace("5000000", "-1")
+                        .replace("\"region\": \"b\"", "\"region\": \"c\"");
+        assertThat(read(wrong).getLeft())
+                .containsExactlyInAnyOrder(
+                        "spending.version must be a whole number from 1, but was '0'.",
+                        "spending.services[0].shifts cannot be used: "
+                                + "The time zone 'Nowhere' is not known.",
+                        "spending.services[0].shifts cannot be used: "
+                                + "The shifts 'day' and 'night' overlap.",
+                        "spending.services[0].shifts[0].capMicros must be a whole number from 0 to "
+                                + "9007199254740992, but was '-1'.",
+                        "spending.services[0].prices[1].region must be a region of zones, "
+                                + "but was 'c'.",
+                        "spending.services[0].prices must state the price of an attempt in each "
+                                + "region, but b is missing.");
+        assertThat(read("\"spending\": {\"version\": 1}, \"seeds\"").getLeft())
+                .containsExactly("spending.services must be given and be a list with entries.");
+        assertThat(read("\"spending\": 3, \"seeds\"").getLeft())
+                .contains("spending must be given and be an object.");
+    }
+
+    private Either<List<String>, EntrySettings> read(String spending) {
+        return mReader.read(SETTINGS.replace("\"seeds\"", spending));
+    }
+
     @Example
     void checkTellsOfEachFieldThatNothingReadsBesideWhatIsWrong() throws IOException {
         String text =
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -13,6 +13,7 @@
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LineCounts;
 import io.masticpond.entry.replica.Category;
+import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.DocumentTranslator;
 import io.masticpond.entry.replica.FeedError;
 import io.masticpond.entry.replica.FeedResult;
@@ -206,6 +207,11 @@
             return new AbsentStore(control);
         }
 
+        @Override
+        public ConditionalStore ledgerStore(EventLoop control, EntrySettings settings) {
+            throw new IllegalStateException("Nobody asks for ledgers where spending has no cap.");
+        }
+
         @Override
         public StoreProbe storeProbe(EventLoop control, EntrySettings settings) {
             return new AbsentProbe(control);
