--- a/masticpond-command/src/main/java/io/masticpond/command/view/EntryDocument.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/view/EntryDocument.java
@@ -71,9 +71,10 @@
     EVACUATIONS(
             "Show the evacuated zones.",
             List.of(Field.words("ZONE", "zone"), Field.numbers("SERVERS", "servers"))),
-    /** The retry budgets and the cold servers. */
+    /** The retry budgets, the cold servers and the spending caps. */
     BUDGET(
-            "Show the instance's part of the retry budgets, and who paces cold backend servers.",
+            "Show the instance's part of the retry budgets and spending caps, and who paces"
+                    + " servers.",
             List.of(
                     Field.words("SERVICE", "service"),
                     Field.numbers("REQUESTS", "requests"),
@@ -92,6 +93,10 @@
                 page.gap();
                 page.table(Field.table(COLD_SERVERS, document.path("coldServers")));
             }
+            if (!document.path("spendings").isEmpty()) {
+                page.gap();
+                page.table(Field.table(SPENDINGS, document.path("spendings")));
+            }
         }
     };
 
@@ -103,6 +108,18 @@
                     Field.numbers("COLD MS", "coldMillis"),
                     Field.words("PACED BY", "owners"));
 
+    private static final List<Field> SPENDINGS =
+            List.of(
+                    Field.words("SPENDING OF", "service"),
+                    Field.words("SHIFT", "shift"),
+                    Field.words("END", "end"),
+                    Field.numbers("CAP", "capMicros"),
+                    Field.numbers("ALLOTTED", "allottedMicros"),
+                    Field.numbers("SPENT BY ALL", "fleetSpentMicros"),
+                    Field.numbers("IN HAND", "heldMicros"),
+                    Field.numbers("SPENT", "spentMicros"),
+                    Field.words("STATE", "state"));
+
     private final String mDescription;
     private final List<Field> mFields;
 
