--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendAnswer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendAnswer.java
@@ -11,4 +11,17 @@
  * @param body the whole body; owned by the receiver, who releases it
  * @since 0.2
  */
-public record BackendAnswer(int status, HttpHeaders headers, ByteBuf body) {}
+public record BackendAnswer(int status, HttpHeaders headers, ByteBuf body) {
+
+    private static final int FIRST_SUCCESS = 200;
+    private static final int LAST_SUCCESS = 299;
+
+    /**
+     * Tells whether the backend server says that it did what was asked.
+     *
+     * @return whether it does
+     */
+    public boolean isSuccess() {
+        return status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
+    }
+}
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
@@ -0,0 +1,24 @@
+package io.masticpond.entry.log;
+
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.ZoneId;
+
+/** One send to a backend server. */
+final class Attempt {
+
+    final BackendServerId mServer;
+    final ZoneId mZone;
+    final boolean mCold;
+    final long mSentNanos;
+    AttemptResult mResult = AttemptResult.OPEN;
+    int mStatus;
+    long mEndNanos;
+
+    Attempt(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
+        mServer = server;
+        mZone = zone;
+        mCold = cold;
+        mSentNanos = sentNanos;
+        mEndNanos = sentNanos;
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -88,7 +88,7 @@
     private void writeAttempts(JsonGenerator line) throws IOException {
         line.writeArrayFieldStart("attempts");
         for (int index = 0; index < request.mAttemptCount; index++) {
-            RequestRecord.Attempt attempt = request.mAttempts[index];
+            Attempt attempt = request.mAttempts[index];
             line.writeStartObject();
             line.writeStringField("server", attempt.mServer.value());
             line.writeStringField("zone", attempt.mZone.value());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -383,24 +383,4 @@
         mStatus = status;
         mEndNanos = nowNanos;
     }
-
-    /** One send to a backend server. */
-    static final class Attempt {
-
-        final BackendServerId mServer;
-        final ZoneId mZone;
-        final boolean mCold;
-        final long mSentNanos;
-        AttemptResult mResult = AttemptResult.OPEN;
-        int mStatus;
-        long mEndNanos;
-
-        Attempt(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
-            mServer = server;
-            mZone = zone;
-            mCold = cold;
-            mSentNanos = sentNanos;
-            mEndNanos = sentNanos;
-        }
-    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RetryLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RetryLine.java
@@ -8,7 +8,7 @@
 
     private final RequestRecord mRequest;
     private final int mAttempts;
-    private final RequestRecord.Attempt mFailed;
+    private final Attempt mFailed;
     private final double mRetryBudget;
 
     RetryLine(RequestRecord request) {
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptPayment.java
@@ -0,0 +1,39 @@
+package io.masticpond.entry.request;
+
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.spending.Charge;
+import io.masticpond.entry.log.RequestRecord;
+import io.vavr.control.Either;
+import java.util.Optional;
+
+/** Pays for the attempts of one request, one after the other. */
+final class AttemptPayment {
+
+    private final SpendingCheck mSpending;
+    private final RequestRecord mFacts;
+    private final ServiceId mService;
+    private Charge mCharge;
+
+    AttemptPayment(SpendingCheck spending, RequestRecord facts, ServiceId service) {
+        mSpending = spending;
+        mFacts = facts;
+        mService = service;
+    }
+
+    /** Pays for an attempt, or tells why it must not be made. */
+    Optional<SpendingRefusal> pay(ZoneId zone) {
+        Either<SpendingRefusal, Charge> charge = mSpending.charge(mService, zone);
+        if (charge.isRight()) {
+            mCharge = charge.get();
+            return Optional.empty();
+        }
+        mFacts.notPaid(charge.getLeft().inputs());
+        return Optional.of(charge.getLeft());
+    }
+
+    /** Takes back the price of the attempt, which did not run. */
+    void takeBack() {
+        mSpending.refund(mCharge);
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -9,10 +9,8 @@
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.ServiceRules;
-import io.masticpond.core.spending.Charge;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
-import io.masticpond.entry.backend.BackendCallListener;
 import io.masticpond.entry.backend.BackendRequest;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.http.IncomingRequest;
@@ -21,7 +19,6 @@
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.RequestRecord;
 import io.netty.util.concurrent.Future;
-import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -38,8 +35,6 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final int FIRST_SUCCESS = 200;
-    private static final int LAST_SUCCESS = 299;
 
     /** Connections that fail are no sends; still, no request tries more servers than this. */
     private static final int MOST_CONNECTS = 4;
@@ -59,10 +54,13 @@
     private final String mRequestId;
     private final ForwardedHeaders mHeaders;
     private final ServerSearch mSearch;
+
+    /** Null where spending has no cap. */
+    private final AttemptPayment mPayment;
+
     private Future<?> mTimeout;
     private BackendCall mCall;
     private ServerLoad mServer;
-    private Charge mCharge;
     private long mSentNanos;
     private int mSends;
     private int mConnects;
@@ -90,6 +88,10 @@
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
         mSearch = new ServerSearch(flow, facts, route, service, key);
+        mPayment =
+                flow.spending().isEmpty()
+                        ? null
+                        : new AttemptPayment(flow.spending().get(), facts, service);
     }
 
     void begin() {
@@ -132,35 +134,26 @@
                 return;
             }
         }
-        if (mFlow.spending().isEmpty() || isPaid(mFlow.spending().get(), chosen)) {
+        if (isPaid(chosen)) {
             send(chosen, now);
         }
     }
 
-    private boolean isPaid(SpendingCheck spending, ServerLoad chosen) {
-        Either<SpendingRefusal, Charge> charge = spending.charge(mService, chosen.server().zone());
-        if (charge.isRight()) {
-            mCharge = charge.get();
+    /** Pays for the next attempt, or ends the request with what is true of it. */
+    private boolean isPaid(ServerLoad chosen) {
+        Optional<SpendingRefusal> refusal =
+                mPayment == null ? Optional.empty() : mPayment.pay(chosen.server().zone());
+        if (refusal.isEmpty()) {
             return true;
         }
-        SpendingRefusal refusal = charge.getLeft();
-        mFacts.notPaid(refusal.inputs());
         if (mMayHaveRun) {
-            end(refusal.cause());
+            end(refusal.get().cause());
         } else {
-            refuse(refusal.cause(), refusal.comeBack());
+            refuse(refusal.get().cause(), refusal.get().comeBack());
         }
         return false;
     }
 
-    /** Takes the price back of an attempt that did not run. */
-    private void refund() {
-        if (mCharge != null) {
-            mFlow.spending().orElseThrow().refund(mCharge);
-            mCharge = null;
-        }
-    }
-
     private void send(ServerLoad chosen, long now) {
         mServer = chosen;
         mSentNanos = now;
@@ -181,7 +174,11 @@
                         mRoute.idempotent());
         mCall =
                 mFlow.connections()
-                        .send(chosen.server(), mostConnections(), request, new Listener(chosen));
+                        .send(
+                                chosen.server(),
+                                mostConnections(),
+                                request,
+                                new AttemptListener(this, chosen));
     }
 
     private int mostConnections() {
@@ -189,7 +186,7 @@
         return Math.max(2, all / mFlow.shareholders());
     }
 
-    private void answered(ServerLoad server, BackendAnswer answer) {
+    void answered(ServerLoad server, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         attemptOver(server);
         ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()))
@@ -197,12 +194,12 @@
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
-            refund();
+            takeBack();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
             turnedAway(server, answer.status(), now);
             return;
         }
-        if (isSuccess(answer) && !answer.headers().contains(mFlow.names().seal())) {
+        if (answer.isSuccess() && !answer.headers().contains(mFlow.names().seal())) {
             answer.body().release();
             mFacts.attemptEnded(AttemptResult.BAD_ANSWER, answer.status(), now);
             judgeFailed(server, now);
@@ -236,10 +233,6 @@
         mFlow.chooser().judge().failed(mService, server.server().id(), now);
     }
 
-    private static boolean isSuccess(BackendAnswer answer) {
-        return answer.status() >= FIRST_SUCCESS && answer.status() <= LAST_SUCCESS;
-    }
-
     private void turnedAway(ServerLoad server, int status, long now) {
         if (status == MISDIRECTED) {
             server.avoidUntil(now + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
@@ -249,7 +242,7 @@
         tryAgainOrEnd("turned-away");
     }
 
-    private void failed(ServerLoad server, CallFailure failure) {
+    void failed(ServerLoad server, CallFailure failure) {
         long now = mFlow.nowNanos();
         attemptOver(server);
         mFacts.attemptEnded(AttemptResult.of(failure), 0, now);
@@ -260,7 +253,7 @@
             judgeFailed(server, now);
         }
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
-            refund();
+            takeBack();
             connectAgain();
             return;
         }
@@ -304,6 +297,12 @@
         attempt();
     }
 
+    private void takeBack() {
+        if (mPayment != null) {
+            mPayment.takeBack();
+        }
+    }
+
     private void attemptOver(ServerLoad server) {
         server.ended();
         mCall = null;
@@ -395,29 +394,7 @@
         mRequest.body().release();
     }
 
-    /** Hears the end of one attempt. */
-    private final class Listener implements BackendCallListener {
-
-        private final ServerLoad mAttempted;
-
-        Listener(ServerLoad attempted) {
-            mAttempted = attempted;
-        }
-
-        @Override
-        public void answered(BackendAnswer answer) {
-            if (mDone) {
-                answer.body().release();
-                return;
-            }
-            RequestRun.this.answered(mAttempted, answer);
-        }
-
-        @Override
-        public void failed(CallFailure failure) {
-            if (!mDone) {
-                RequestRun.this.failed(mAttempted, failure);
-            }
-        }
+    boolean isDone() {
+        return mDone;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -10,7 +10,6 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
-import io.masticpond.core.id.ShiftId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.limit.OutlierJudge;
@@ -25,21 +24,17 @@
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.routing.WeightedService;
-import io.masticpond.core.spending.Charge;
-import io.masticpond.core.spending.SpendingView;
 import io.masticpond.core.time.ManualTimeSource;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.RecentDecisions;
-import io.masticpond.entry.log.SpendingInputs;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -373,48 +368,6 @@
         }
     }
 
-    /** Pays for so many attempts. */
-    private static final class Purse implements SpendingCheck {
-
-        private int mLeft;
-
-        Purse(int attempts) {
-            mLeft = attempts;
-        }
-
-        @Override
-        public Either<SpendingRefusal, Charge> charge(ServiceId service, ZoneId zone) {
-            if (mLeft == 0) {
-                SpendingInputs inputs = new SpendingInputs("morning", "exhausted", 1, 7, 7, 0, 7);
-                return Either.left(
-                        new SpendingRefusal("spending-cap", Duration.ofMinutes(1), inputs));
-            }
-            mLeft--;
-            return Either.right(new Charge(service, new ShiftId("morning"), 1));
-        }
-
-        @Override
-        public void refund(Charge charge) {
-            mLeft++;
-        }
-
-        @Override
-        public List<SpendingView> views() {
-            return List.of();
-        }
-
-        @Override
-        public void start() {}
-
-        @Override
-        public void stop() {}
-
-        @Override
-        public boolean isStopped() {
-            return true;
-        }
-    }
-
     /** A budget that is either there or not. */
     private final class FixedBudget implements RetryAllowance {
 
