--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -35,6 +35,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -53,6 +54,9 @@
     private static final String HOST = host(ProcessHandle.current().pid());
 
     private final HttpClient mClient = HttpClient.newHttpClient();
+    private final LedgersInMemory mLedgers = new LedgersInMemory();
+    private final CompletableFuture<Void> mEnded = new CompletableFuture<>();
+    private EntryInstance mInstance;
     private int mEntryPort;
 
     @Example
@@ -108,6 +112,40 @@
         assertThat(wrong.body()).contains("no-such-service", "'none'");
     }
 
+    @Example
+    void instanceWithCapTakesAnAllotmentBeforeTheFirstRequestAndReturnsItAtItsEnd()
+            throws Exception {
+        String shift =
+                "{\"name\": \"%s\", \"start\": \"%s\", \"end\": \"%s\", \"capMicros\": 9000}";
+        String shifts =
+                String.format(shift, "early", "00:00", "12:00")
+                        + ", "
+                        + String.format(shift, "late", "12:00", "00:00");
+        int metrics =
+                start(
+                        """
+                        , "spending": {"version": 1, "services": [{"service": "orders",
+                        "timeZone": "UTC", "shifts": [SHIFTS],
+                        "prices": [{"region": "r", "attemptMicros": 10}]}]}}
+                        """
+                                .replace("SHIFTS", shifts));
+        Pattern held = Pattern.compile("\"heldMicros\":[1-9].*\"state\":\"open\"");
+        JsonNode spending =
+                new ObjectMapper()
+                        .readTree(getWith(metrics, "/v1/budget", held).body())
+                        .path("spendings")
+                        .get(0);
+        assertThat(spending.path("service").asText()).isEqualTo("orders");
+        assertThat(spending.path("capMicros").asInt()).isEqualTo(9_000);
+        assertThat(spending.path("heldMicros")).isEqualTo(spending.path("allottedMicros"));
+        assertThat(get(metrics, "/metrics").body())
+                .contains("masticpond_entry_spending_cap_micros 9000.0");
+        assertThat(mLedgers.mAllotted.get()).isPositive();
+        mInstance.stop();
+        mEnded.get(PATIENCE_NANOS, TimeUnit.NANOSECONDS);
+        assertThat(mLedgers.mAllotted.get()).as("all is given back").isZero();
+    }
+
     private JsonNode document(int port, String path) throws IOException, InterruptedException {
         HttpResponse<String> answer = get(port, path);
         assertThat(answer.statusCode()).as(path).isEqualTo(200);
@@ -115,6 +153,10 @@
     }
 
     private int start() throws IOException {
+        return start("}");
+    }
+
+    private int start(String further) throws IOException {
         List<Integer> ports = freePorts();
         mEntryPort = ports.get(0);
         int metrics = ports.get(1);
@@ -127,19 +169,21 @@
                         "directory": "HOST:%d", "internal": "HOST:%d",
                         "metrics": "HOST:%d"},
                         "seeds": [], "store": {"address": "127.0.0.1:1"}, "bounds": {},
-                        "tolerance": {}, "resources": {}}
+                        "tolerance": {}, "resources": {}
                         """,
                         mEntryPort, ports.get(2), ports.get(3), ports.get(4), metrics);
-        DaggerEntryComponent.factory()
-                .create(
-                        new EntrySettingsReader().read(settings.replace("HOST", HOST)).get(),
-                        new AbsentPlatform(),
-                        new SystemTimeSource(),
-                        DecisionLog.NONE,
-                        new LineCounts(),
-                        () -> {})
-                .instance()
-                .start();
+        String whole = settings.replace("HOST", HOST) + further;
+        mInstance =
+                DaggerEntryComponent.factory()
+                        .create(
+                                new EntrySettingsReader().read(whole).get(),
+                                new AbsentPlatform(),
+                                new SystemTimeSource(),
+                                DecisionLog.NONE,
+                                new LineCounts(),
+                                () -> mEnded.complete(null))
+                        .instance();
+        mInstance.start();
         return metrics;
     }
 
@@ -184,7 +228,7 @@
     }
 
     /** A platform whose store nobody reaches. */
-    private static final class AbsentPlatform implements PlatformAdapter {
+    private final class AbsentPlatform implements PlatformAdapter {
 
         @Override
         public HeaderNames headerNames() {
@@ -209,7 +253,10 @@
 
         @Override
         public ConditionalStore ledgerStore(EventLoop control, EntrySettings settings) {
-            throw new IllegalStateException("Nobody asks for ledgers where spending has no cap.");
+            if (settings.spending().isEmpty()) {
+                throw new IllegalStateException("Nobody asks for ledgers without a cap.");
+            }
+            return mLedgers;
         }
 
         @Override
