--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -35,6 +35,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -62,6 +63,7 @@
     private LoadGate mLoadGate = LoadGate.OPEN;
     private Set<BackendServerId> mCold = Set.of();
     private boolean mBudget = true;
+    private Optional<SpendingCheck> mSpending = Optional.empty();
 
     @Example
     void answerOfTheServerIsPassedOnUnchanged() {
@@ -225,6 +227,47 @@
         assertThat(late.status()).isEqualTo(503);
     }
 
+    @Example
+    void attemptThatWouldPassTheCapIsRefusedBeforeAnythingIsSent() {
+        mSpending = Optional.of(new Purse(0));
+        handle(flow(true, 2));
+        assertThat(mConnections.mCalls).isEmpty();
+        assertThat(mResponder.status()).isEqualTo(503);
+        assertThat(mResponder.mAnswers.get(0).headers().get("Retry-After")).isEqualTo("60.000");
+        assertThat(mResponder.mAnswers.get(0).body().toString(StandardCharsets.UTF_8))
+                .contains("did not run: spending-cap");
+        JsonNode line = mDecisions.ofRequest("one").get(0);
+        assertThat(line.path("cause").asText()).isEqualTo("spending-cap");
+        assertThat(line.path("spending").path("capMicros").asInt()).isEqualTo(7);
+        assertThat(line.path("spending").path("state").asText()).isEqualTo("exhausted");
+    }
+
+    @Example
+    void eachRetryIsPaidForAndNotPromisedToHaveNotRun() {
+        Purse purse = new Purse(1);
+        mSpending = Optional.of(purse);
+        handle(flow(true, 2));
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mConnections.mCalls).hasSize(1);
+        assertThat(mResponder.status()).isEqualTo(502);
+        assertThat(mResponder.mAnswers.get(0).body().toString(StandardCharsets.UTF_8))
+                .contains("may have run: spending-cap");
+        assertThat(purse.mLeft).as("what may have run is not taken back").isZero();
+    }
+
+    @Example
+    void whatDidNotRunIsTakenBackAndPaysForTheNextServer() {
+        Purse purse = new Purse(1);
+        mSpending = Optional.of(purse);
+        handle(flow(false, 2));
+        mConnections.last().fail(Verdict.DID_NOT_RUN, CallFailure.Kind.NOT_CONNECTED);
+        mConnections.last().answer(503, "Not-Run", "1");
+        assertThat(mConnections.mCalls).hasSize(3);
+        mConnections.last().answer(200, "Seal", "s");
+        assertThat(mResponder.status()).isEqualTo(200);
+        assertThat(purse.mLeft).isZero();
+    }
+
     private void passTime(Duration time) {
         mTime.advance(time);
         mChannel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
@@ -251,6 +294,7 @@
                         mLoadGate,
                         route -> SERVICE,
                         () -> 1,
+                        mSpending,
                         mDecisions);
         flow.update(
                 EntryState.of(picture(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
