--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -51,6 +51,7 @@
     double mRetryBudget = UNKNOWN;
     long mWaitNanos = UNKNOWN;
     long mLongestWaitNanos;
+    SpendingInputs mSpending;
     RequestOutcome mOutcome = RequestOutcome.OPEN;
     String mCause;
     int mStatus;
@@ -208,6 +209,15 @@
         mLongestWaitNanos = longestNanos;
     }
 
+    /**
+     * Notes why an attempt was not paid for.
+     *
+     * @param inputs what decided it
+     */
+    public void notPaid(SpendingInputs inputs) {
+        mSpending = inputs;
+    }
+
     /**
      * Notes that the request is sent to a backend server.
      *
@@ -373,24 +383,4 @@
         mStatus = status;
         mEndNanos = nowNanos;
     }
-
-    /** One send to a backend server. */
-    static final class Attempt {
-
-        final BackendServerId mServer;
-        final ZoneId mZone;
-        final boolean mCold;
-        final long mSentNanos;
-        AttemptResult mResult = AttemptResult.OPEN;
-        int mStatus;
-        long mEndNanos;
-
-        Attempt(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
-            mServer = server;
-            mZone = zone;
-            mCold = cold;
-            mSentNanos = sentNanos;
-            mEndNanos = sentNanos;
-        }
-    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -11,7 +11,6 @@
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
-import io.masticpond.entry.backend.BackendCallListener;
 import io.masticpond.entry.backend.BackendRequest;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.http.IncomingRequest;
@@ -36,8 +35,6 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final int FIRST_SUCCESS = 200;
-    private static final int LAST_SUCCESS = 299;
 
     /** Connections that fail are no sends; still, no request tries more servers than this. */
     private static final int MOST_CONNECTS = 4;
@@ -57,6 +54,10 @@
     private final String mRequestId;
     private final ForwardedHeaders mHeaders;
     private final ServerSearch mSearch;
+
+    /** Null where spending has no cap. */
+    private final AttemptPayment mPayment;
+
     private Future<?> mTimeout;
     private BackendCall mCall;
     private ServerLoad mServer;
@@ -87,6 +88,10 @@
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
         mSearch = new ServerSearch(flow, facts, route, service, key);
+        mPayment =
+                flow.spending().isEmpty()
+                        ? null
+                        : new AttemptPayment(flow.spending().get(), facts, service);
     }
 
     void begin() {
@@ -129,7 +134,24 @@
                 return;
             }
         }
-        send(chosen, now);
+        if (isPaid(chosen)) {
+            send(chosen, now);
+        }
+    }
+
+    /** Pays for the next attempt, or ends the request with what is true of it. */
+    private boolean isPaid(ServerLoad chosen) {
+        Optional<SpendingRefusal> refusal =
+                mPayment == null ? Optional.empty() : mPayment.pay(chosen.server().zone());
+        if (refusal.isEmpty()) {
+            return true;
+        }
+        if (mMayHaveRun) {
+            end(refusal.get().cause());
+        } else {
+            refuse(refusal.get().cause(), refusal.get().comeBack());
+        }
+        return false;
     }
 
     private void send(ServerLoad chosen, long now) {
@@ -152,7 +174,11 @@
                         mRoute.idempotent());
         mCall =
                 mFlow.connections()
-                        .send(chosen.server(), mostConnections(), request, new Listener(chosen));
+                        .send(
+                                chosen.server(),
+                                mostConnections(),
+                                request,
+                                new AttemptListener(this, chosen));
     }
 
     private int mostConnections() {
@@ -160,7 +186,7 @@
         return Math.max(2, all / mFlow.shareholders());
     }
 
-    private void answered(ServerLoad server, BackendAnswer answer) {
+    void answered(ServerLoad server, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         attemptOver(server);
         Optional<ReportedLoad> reported =
@@ -169,11 +195,12 @@
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
+            takeBack();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
             turnedAway(server, answer.status(), now);
             return;
         }
-        if (isSuccess(answer) && !answer.headers().contains(mFlow.names().seal())) {
+        if (answer.isSuccess() && !answer.headers().contains(mFlow.names().seal())) {
             answer.body().release();
             mFacts.attemptEnded(AttemptResult.BAD_ANSWER, answer.status(), now);
             judgeFailed(server, now);
@@ -210,10 +237,6 @@
         mFlow.chooser().judge().failed(mService, server.server().id(), now);
     }
 
-    private static boolean isSuccess(BackendAnswer answer) {
-        return answer.status() >= FIRST_SUCCESS && answer.status() <= LAST_SUCCESS;
-    }
-
     private void turnedAway(ServerLoad server, int status, long now) {
         if (status == MISDIRECTED) {
             server.avoidUntil(now + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
@@ -223,7 +246,7 @@
         tryAgainOrEnd("turned-away");
     }
 
-    private void failed(ServerLoad server, CallFailure failure) {
+    void failed(ServerLoad server, CallFailure failure) {
         long now = mFlow.nowNanos();
         attemptOver(server);
         mFacts.attemptEnded(AttemptResult.of(failure), 0, now);
@@ -234,6 +257,7 @@
             judgeFailed(server, now);
         }
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
+            takeBack();
             connectAgain();
             return;
         }
@@ -277,6 +301,12 @@
         attempt();
     }
 
+    private void takeBack() {
+        if (mPayment != null) {
+            mPayment.takeBack();
+        }
+    }
+
     private void attemptOver(ServerLoad server) {
         server.ended();
         mCall = null;
@@ -368,29 +398,7 @@
         mRequest.body().release();
     }
 
-    /** Hears the end of one attempt. */
-    private final class Listener implements BackendCallListener {
-
-        private final ServerLoad mAttempted;
-
-        Listener(ServerLoad attempted) {
-            mAttempted = attempted;
-        }
-
-        @Override
-        public void answered(BackendAnswer answer) {
-            if (mDone) {
-                answer.body().release();
-                return;
-            }
-            RequestRun.this.answered(mAttempted, answer);
-        }
-
-        @Override
-        public void failed(CallFailure failure) {
-            if (!mDone) {
-                RequestRun.this.failed(mAttempted, failure);
-            }
-        }
+    boolean isDone() {
+        return mDone;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -13,6 +13,7 @@
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LineCounts;
 import io.masticpond.entry.replica.Category;
+import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.DocumentTranslator;
 import io.masticpond.entry.replica.FeedError;
 import io.masticpond.entry.replica.FeedResult;
@@ -34,6 +35,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -52,6 +54,9 @@
     private static final String HOST = host(ProcessHandle.current().pid());
 
     private final HttpClient mClient = HttpClient.newHttpClient();
+    private final LedgersInMemory mLedgers = new LedgersInMemory();
+    private final CompletableFuture<Void> mEnded = new CompletableFuture<>();
+    private EntryInstance mInstance;
     private int mEntryPort;
 
     @Example
@@ -107,6 +112,40 @@
         assertThat(wrong.body()).contains("no-such-service", "'none'");
     }
 
+    @Example
+    void instanceWithCapTakesAnAllotmentBeforeTheFirstRequestAndReturnsItAtItsEnd()
+            throws Exception {
+        String shift =
+                "{\"name\": \"%s\", \"start\": \"%s\", \"end\": \"%s\", \"capMicros\": 9000}";
+        String shifts =
+                String.format(shift, "early", "00:00", "12:00")
+                        + ", "
+                        + String.format(shift, "late", "12:00", "00:00");
+        int metrics =
+                start(
+                        """
+                        , "spending": {"version": 1, "services": [{"service": "orders",
+                        "timeZone": "UTC", "shifts": [SHIFTS],
+                        "prices": [{"region": "r", "attemptMicros": 10}]}]}}
+                        """
+                                .replace("SHIFTS", shifts));
+        Pattern held = Pattern.compile("\"heldMicros\":[1-9].*\"state\":\"open\"");
+        JsonNode spending =
+                new ObjectMapper()
+                        .readTree(getWith(metrics, "/v1/budget", held).body())
+                        .path("spendings")
+                        .get(0);
+        assertThat(spending.path("service").asText()).isEqualTo("orders");
+        assertThat(spending.path("capMicros").asInt()).isEqualTo(9_000);
+        assertThat(spending.path("heldMicros")).isEqualTo(spending.path("allottedMicros"));
+        assertThat(get(metrics, "/metrics").body())
+                .contains("masticpond_entry_spending_cap_micros 9000.0");
+        assertThat(mLedgers.mAllotted.get()).isPositive();
+        mInstance.stop();
+        mEnded.get(PATIENCE_NANOS, TimeUnit.NANOSECONDS);
+        assertThat(mLedgers.mAllotted.get()).as("all is given back").isZero();
+    }
+
     private JsonNode document(int port, String path) throws IOException, InterruptedException {
         HttpResponse<String> answer = get(port, path);
         assertThat(answer.statusCode()).as(path).isEqualTo(200);
@@ -114,6 +153,10 @@
     }
 
     private int start() throws IOException {
+        return start("}");
+    }
+
+    private int start(String further) throws IOException {
         List<Integer> ports = freePorts();
         mEntryPort = ports.get(0);
         int metrics = ports.get(1);
@@ -126,19 +169,21 @@
                         "directory": "HOST:%d", "internal": "HOST:%d",
                         "metrics": "HOST:%d"},
                         "seeds": [], "store": {"address": "127.0.0.1:1"}, "bounds": {},
-                        "tolerance": {}, "resources": {}}
+                        "tolerance": {}, "resources": {}
                         """,
                         mEntryPort, ports.get(2), ports.get(3), ports.get(4), metrics);
-        DaggerEntryComponent.factory()
-                .create(
-                        new EntrySettingsReader().read(settings.replace("HOST", HOST)).get(),
-                        new AbsentPlatform(),
-                        new SystemTimeSource(),
-                        DecisionLog.NONE,
-                        new LineCounts(),
-                        () -> {})
-                .instance()
-                .start();
+        String whole = settings.replace("HOST", HOST) + further;
+        mInstance =
+                DaggerEntryComponent.factory()
+                        .create(
+                                new EntrySettingsReader().read(whole).get(),
+                                new AbsentPlatform(),
+                                new SystemTimeSource(),
+                                DecisionLog.NONE,
+                                new LineCounts(),
+                                () -> mEnded.complete(null))
+                        .instance();
+        mInstance.start();
         return metrics;
     }
 
@@ -183,7 +228,7 @@
     }
 
     /** A platform whose store nobody reaches. */
-    private static final class AbsentPlatform implements PlatformAdapter {
+    private final class AbsentPlatform implements PlatformAdapter {
 
         @Override
         public HeaderNames headerNames() {
@@ -197,6 +242,14 @@
             return new AbsentStore(control);
         }
 
+        @Override
+        public ConditionalStore ledgerStore(EventLoop control, EntrySettings settings) {
+            if (settings.spending().isEmpty()) {
+                throw new IllegalStateException("Nobody asks for ledgers without a cap.");
+            }
+            return mLedgers;
+        }
+
         @Override
         public StoreProbe storeProbe(EventLoop control, EntrySettings settings) {
             return new AbsentProbe(control);
