Log who told the news that a picture holds

The log said `store` for news that the zone's watchers had told: the source was guessed from whether the store is lost, and an instance that relies on watchers has not lost it. The copies' followers know who told; the picture now comes with that (`PictureListener`). What this instance's own clock changes (a server that is warm at last, servers given up after an outage) says `self`.

Ruled out: reading the source of each copy, since three copies may differ at the moment of a picture.

`eachPictureSaysWhoToldIt` failed with the source as it was guessed before. Existing tests: only the lambdas of listeners in `ReplicaFixture` and `HostileStoreTest` take the second argument.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CopySource.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CopySource.java
@@ -6,7 +6,7 @@
  * @since 0.2
  */
 public enum CopySource {
-    /** Nobody yet. */
+    /** Nobody: nothing is known yet, or this instance's own clock changed what it knows. */
     NONE,
     /** The platform's store. */
     STORE,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,7 +30,7 @@
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final ReplicaSettings.Outage mSettings;
-    private final Consumer<FleetPicture> mListener;
+    private final PictureListener mListener;
     private final StoreHealth mHealth;
     private final StoreScout mScout;
     private final RoutingTable mRouting;
@@ -66,7 +65,7 @@
             ReplicaContext context,
             StoreProbe probe,
             DocumentTranslator translator,
-            Consumer<FleetPicture> listener) {
+            PictureListener listener) {
         mContext = context;
         mScheduler = context.scheduler();
         mTime = context.time();
@@ -89,7 +88,7 @@
         CategoryCopy copy = new CategoryCopy(category, table);
         mCopies.put(category, copy);
         SettleTimes settle = SettleTimes.of(category, context.settings().calls(), this::isUrgent);
-        mFollowers.add(new CategoryFollower(context, copy, settle, mHealth, this::publish));
+        mFollowers.add(new CategoryFollower(context, copy, settle, mHealth, this::storeTold));
     }
 
     /** A new server's report follows its entry, and must not wait for a burst to settle. */
@@ -123,7 +122,7 @@
     void usePeers(PeerRevisions peers, RelayLink link, RelayFallback.Place place) {
         mFallback =
                 Optional.of(
-                        new RelayFallback(mContext, peers, link, mRelayed, place, this::publish));
+                        new RelayFallback(mContext, peers, link, mRelayed, place, this::peerTold));
         mLag = Optional.of(new PeerLag(peers));
     }
 
@@ -148,7 +147,7 @@
                                     link,
                                     mRelayed,
                                     () -> mUsable && !mHealth.isFailing() && !mLeaving,
-                                    this::publish,
+                                    this::peerTold,
                                     this::relayTurned));
         }
     }
@@ -308,11 +307,19 @@
         if (gone > 0) {
             sLogger.info("STORE  {} servers have not come back after the outage", gone);
             mServers.dropUnconfirmed();
-            publish();
+            publish(CopySource.NONE);
         }
     }
 
-    private void publish() {
+    private void storeTold() {
+        publish(CopySource.STORE);
+    }
+
+    private void peerTold() {
+        publish(CopySource.PEER);
+    }
+
+    private void publish(CopySource source) {
         long nowNanos = mTime.monotonicNanos();
         long revision = mRevision;
         for (CategoryCopy copy : mCopies.values()) {
@@ -326,12 +333,12 @@
         isChanged |= mServers.takeChanged();
         isChanged |= mEvacuations.takeChanged();
         if (isChanged) {
-            tell(nowNanos);
+            tell(source, nowNanos);
         }
         mRelayService.changed();
     }
 
-    private void tell(long nowNanos) {
+    private void tell(CopySource source, long nowNanos) {
         mPicture =
                 new FleetPicture(
                         mRevision,
@@ -341,12 +348,12 @@
         mWarmTimer.run();
         mServers.untilNextWarm(mRouting::warmUp, nowNanos)
                 .ifPresent(left -> mWarmTimer = mScheduler.schedule(left, this::tellWarm));
-        mListener.accept(mPicture);
+        mListener.changed(mPicture, source);
     }
 
     private void tellWarm() {
         if (!mStopped) {
-            tell(mTime.monotonicNanos());
+            tell(CopySource.NONE, mTime.monotonicNanos());
         }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
@@ -97,7 +97,7 @@
                         context,
                         platform.storeProbe(control, settings),
                         platform.translator(),
-                        picture -> updates.get().pictureChanged(picture));
+                        (picture, source) -> updates.get().pictureChanged(picture, source));
         replica.addStoreListener(new StoreNewsLog(log));
         HeardRevisions heard = new HeardRevisions(heartbeats, self.id());
         RelayClient client = new RelayClient(control);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
@@ -8,6 +8,7 @@
 import io.masticpond.entry.log.FleetPictureLog;
 import io.masticpond.entry.log.NewsSource;
 import io.masticpond.entry.log.ProcessChange;
+import io.masticpond.entry.replica.CopySource;
 import io.masticpond.entry.request.EntryState;
 import io.masticpond.entry.request.PriorityLoadGate;
 import io.masticpond.entry.request.RequestFlow;
@@ -58,16 +59,22 @@
         mNews = news;
     }
 
-    /** Takes a new picture, on the control thread. */
-    void pictureChanged(FleetPicture picture) {
+    /** Takes a new picture and who told it, on the control thread. */
+    void pictureChanged(FleetPicture picture, CopySource told) {
         picture.routing().map(RoutingConfiguration::limits).ifPresent(mListeners::limit);
         mTraffic.execute(() -> follow(picture));
-        NewsSource source =
-                mControlSide.replica().status().storeLost() ? NewsSource.PEER : NewsSource.STORE;
-        mLog.changed(picture, source, mTimeSource.monotonicNanos());
+        mLog.changed(picture, source(told), mTimeSource.monotonicNanos());
         tellStatus();
     }
 
+    private static NewsSource source(CopySource told) {
+        return switch (told) {
+            case STORE -> NewsSource.STORE;
+            case PEER -> NewsSource.PEER;
+            case NONE -> NewsSource.SELF;
+        };
+    }
+
     private void follow(FleetPicture picture) {
         mFlow.update(EntryState.of(picture, mFlow.state()));
         mLimits.update(picture, mTimeSource.monotonicNanos());
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/HostileStoreTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/HostileStoreTest.java
@@ -51,7 +51,10 @@
         mDelay = Duration.ofMillis(900);
         FleetReplica replica =
                 new FleetReplica(
-                        context(), new ListProbe(this), new FakeTranslator(), picture -> {});
+                        context(),
+                        new ListProbe(this),
+                        new FakeTranslator(),
+                        (picture, source) -> {});
         replica.start();
         mScheduler.pass(Duration.ofMillis(1_700));
         // One for each category, and one that looks whether the store is there.
@@ -90,7 +93,10 @@
     private void run() {
         FleetReplica replica =
                 new FleetReplica(
-                        context(), new ListProbe(this), new FakeTranslator(), picture -> {});
+                        context(),
+                        new ListProbe(this),
+                        new FakeTranslator(),
+                        (picture, source) -> {});
         replica.start();
         mScheduler.pass(Duration.ofSeconds(10));
         replica.stop();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/ReplicaFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/ReplicaFixture.java
@@ -79,6 +79,7 @@
         final Feed mFeed = mStore.feed();
         final FleetReplica mReplica;
         final List<FleetPicture> mPictures = new ArrayList<>();
+        final List<CopySource> mSources = new ArrayList<>();
         final List<String> mOutages = new ArrayList<>();
         final List<ServerAddress> mAsked = new ArrayList<>();
         private final InstanceId mId;
@@ -101,7 +102,7 @@
                             ReplicaSettings.DEFAULT.withWatchersInZone(watchers));
             mReplica =
                     new FleetReplica(
-                            context, probe(isProbeCheap), new FakeTranslator(), mPictures::add);
+                            context, probe(isProbeCheap), new FakeTranslator(), this::changed);
             mReplica.addStoreListener(this);
             mReplica.usePeers(
                     () -> peers(own),
@@ -109,6 +110,16 @@
                     new RelayFallback.Place(new ZoneId("zone-a"), new RegionId("north")));
         }
 
+        private void changed(FleetPicture picture, CopySource source) {
+            mPictures.add(picture);
+            mSources.add(source);
+        }
+
+        /** Tells who told the newest picture. */
+        CopySource newestSource() {
+            return mSources.get(mSources.size() - 1);
+        }
+
         void share() {
             mReplica.shareWatching(
                     new RelayZone(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreRelayTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreRelayTest.java
@@ -84,6 +84,18 @@
         assertThat(calls() - before).isLessThanOrEqualTo(WATCHERS * 4);
     }
 
+    @Example
+    void eachPictureSaysWhoToldIt() {
+        startZone();
+        assertAllHearThatItLeaves("s1", mAll);
+        assertThat(watchers())
+                .hasSize(WATCHERS)
+                .allMatch(instance -> instance.newestSource() == CopySource.STORE);
+        assertThat(others())
+                .hasSize(COUNT - WATCHERS)
+                .allMatch(instance -> instance.newestSource() == CopySource.PEER);
+    }
+
     @Example
     void aQuietHourCostsTheOthersNoCall() {
         startZone();
