Tell other instances of readiness once clients can connect

The readiness page answers from the listener at once, while the directory heard of it with the next status, up to 100 ms later. No test: the order of the two is a matter of one task handed to the control thread, and a test of it would have to wait for the timer that stays.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -67,7 +67,7 @@
                             TimeUnit.MILLISECONDS);
                     mListeners.serveOperators();
                 });
-        mListeners.start();
+        mListeners.start(() -> mControl.execute(mUpdates::tellStatus));
     }
 
     /** Begins a planned stop, which ends with the exit given. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -65,11 +65,20 @@
                 HttpEntryOptions.DEFAULT);
     }
 
-    /** Takes clients, and those who ask whether and where they may come. */
-    void start() {
+    /**
+     * Takes clients, and those who ask whether and where they may come.
+     *
+     * @param listening is run once clients can connect, on the traffic thread
+     */
+    void start(Runnable listening) {
         mReadiness.start();
         mDirectory.start();
-        mEntry.start().addListener(bound -> mListening = bound.isSuccess());
+        mEntry.start()
+                .addListener(
+                        bound -> {
+                            mListening = bound.isSuccess();
+                            listening.run();
+                        });
     }
 
     /** Takes scrapers and operators, if the settings say where; on the control thread. */
