Load no role of spending at the start of an instance without a cap

Change: factories on the implementations. After: the store's role is not loaded; EntryInstanceTest, EntryMetricsTest, PlatformLedgerStoreTest and the architecture tests pass.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingConditionalStore.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingConditionalStore.java
@@ -14,11 +14,16 @@
     private final ConditionalStore mNext;
     private final StoreCallCounts mCounts;
 
-    CountingConditionalStore(ConditionalStore next, StoreCallCounts counts) {
+    private CountingConditionalStore(ConditionalStore next, StoreCallCounts counts) {
         mNext = next;
         mCounts = counts;
     }
 
+    /** Made here, since a caller that makes it would load the role at each start. */
+    static ConditionalStore of(ConditionalStore next, StoreCallCounts counts) {
+        return new CountingConditionalStore(next, counts);
+    }
+
     @Override
     public void read(String name, Consumer<Either<FeedError, Optional<Versioned>>> result) {
         mNext.read(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
@@ -62,7 +62,7 @@
      * @return a store that counts calls and passes all on
      */
     public ConditionalStore counting(ConditionalStore next) {
-        return new CountingConditionalStore(Assert.notNull(next, "A store"), mStoreCalls);
+        return CountingConditionalStore.of(Assert.notNull(next, "A store"), mStoreCalls);
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -93,7 +93,8 @@
 
     @Override
     public boolean isWithdrawalPending() {
-        return mWithdrawalPending || mFlow.spending().filter(this::mustReturn).isPresent();
+        return mWithdrawalPending
+                || (mFlow.spending().isPresent() && mustReturn(mFlow.spending().get()));
     }
 
     /** Once no request is open, what is left of allotments goes back. */
