--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestEnd.java
@@ -0,0 +1,44 @@
+package io.masticpond.entry.request;
+
+import io.masticpond.entry.backend.BackendAnswer;
+import io.masticpond.entry.http.OutgoingAnswer;
+import io.masticpond.entry.log.RequestRecord;
+import java.time.Duration;
+
+/** Words the one answer that a request ends with, and notes it among the facts of the request. */
+final class RequestEnd {
+
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final EntryAnswers mAnswers;
+    private final RequestRecord mFacts;
+    private final String mRequestId;
+
+    RequestEnd(EntryAnswers answers, RequestRecord facts, String requestId) {
+        mAnswers = answers;
+        mFacts = facts;
+        mRequestId = requestId;
+    }
+
+    /** The backend server's answer, as it is. */
+    OutgoingAnswer passedOn(BackendAnswer answer, long nowNanos) {
+        mFacts.answered(answer.status(), nowNanos);
+        return new OutgoingAnswer(answer.status(), answer.headers(), answer.body());
+    }
+
+    /** A promise that the request did not run, and when to come back. */
+    OutgoingAnswer notRun(String cause, Duration comeBack, long nowNanos) {
+        mFacts.refused(cause, UNAVAILABLE, comeBack.toMillis(), nowNanos);
+        String text = "The request did not run: " + cause + ".";
+        return mAnswers.refusal(UNAVAILABLE, mRequestId, text, comeBack);
+    }
+
+    /** An end without promise. */
+    OutgoingAnswer inDoubt(String cause, boolean late, long nowNanos) {
+        int status = late ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+        mFacts.gaveUp(cause, status, nowNanos);
+        return mAnswers.plain(status, mRequestId, "The request may have run: " + cause + ".");
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -30,9 +30,6 @@
  */
 final class RequestRun {
 
-    private static final int UNAVAILABLE = 503;
-    private static final int BAD_GATEWAY = 502;
-    private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
 
@@ -54,6 +51,7 @@
     private final String mRequestId;
     private final ForwardedHeaders mHeaders;
     private final ServerSearch mSearch;
+    private final RequestEnd mEnd;
 
     /** Null where spending has no cap. */
     private final AttemptPayment mPayment;
@@ -88,6 +86,7 @@
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
         mSearch = new ServerSearch(flow, facts, route, service, key);
+        mEnd = new RequestEnd(flow.answers(), facts, mRequestId);
         mPayment =
                 flow.spending().isEmpty()
                         ? null
@@ -220,7 +219,7 @@
             retry();
             return;
         }
-        pass(answer, now);
+        respond(mEnd.passedOn(answer, now));
     }
 
     private void judgeAnswer(ServerLoad server, boolean failed, long now) {
@@ -356,12 +355,8 @@
             refuse(cause);
             return;
         }
-        boolean late = mTimes.leftNanos(mFlow.nowNanos()) <= 0;
-        int status = late ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-        mFacts.gaveUp(cause, status, mFlow.nowNanos());
-        respond(
-                mFlow.answers()
-                        .plain(status, mRequestId, "The request may have run: " + cause + "."));
+        long now = mFlow.nowNanos();
+        respond(mEnd.inDoubt(cause, mTimes.leftNanos(now) <= 0, now));
     }
 
     private void refuse(String cause) {
@@ -369,19 +364,7 @@
     }
 
     private void refuse(String cause, Duration comeBack) {
-        mFacts.refused(cause, UNAVAILABLE, comeBack.toMillis(), mFlow.nowNanos());
-        respond(
-                mFlow.answers()
-                        .refusal(
-                                UNAVAILABLE,
-                                mRequestId,
-                                "The request did not run: " + cause + ".",
-                                comeBack));
-    }
-
-    private void pass(BackendAnswer answer, long now) {
-        mFacts.answered(answer.status(), now);
-        respond(new OutgoingAnswer(answer.status(), answer.headers(), answer.body()));
+        respond(mEnd.notRun(cause, comeBack, mFlow.nowNanos()));
     }
 
     private void respond(OutgoingAnswer answer) {
