--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -11,7 +11,6 @@
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
-import io.masticpond.entry.backend.BackendCallListener;
 import io.masticpond.entry.backend.BackendRequest;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.http.IncomingRequest;
@@ -31,13 +30,8 @@
  */
 final class RequestRun {
 
-    private static final int UNAVAILABLE = 503;
-    private static final int BAD_GATEWAY = 502;
-    private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final int FIRST_SUCCESS = 200;
-    private static final int LAST_SUCCESS = 299;
 
     /** Connections that fail are no sends; still, no request tries more servers than this. */
     private static final int MOST_CONNECTS = 4;
@@ -57,6 +51,11 @@
     private final String mRequestId;
     private final ForwardedHeaders mHeaders;
     private final ServerSearch mSearch;
+    private final RequestEnd mEnd;
+
+    /** Null where spending has no cap. */
+    private final AttemptPayment mPayment;
+
     private Future<?> mTimeout;
     private BackendCall mCall;
     private ServerLoad mServer;
@@ -87,6 +86,11 @@
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
         mSearch = new ServerSearch(flow, facts, route, service, key);
+        mEnd = new RequestEnd(flow.answers(), facts, mRequestId);
+        mPayment =
+                flow.spending().isEmpty()
+                        ? null
+                        : new AttemptPayment(flow.spending().get(), facts, service);
     }
 
     void begin() {
@@ -129,7 +133,24 @@
                 return;
             }
         }
-        send(chosen, now);
+        if (isPaid(chosen)) {
+            send(chosen, now);
+        }
+    }
+
+    /** Pays for the next attempt, or ends the request with what is true of it. */
+    private boolean isPaid(ServerLoad chosen) {
+        Optional<SpendingRefusal> refusal =
+                mPayment == null ? Optional.empty() : mPayment.pay(chosen.server().zone());
+        if (refusal.isEmpty()) {
+            return true;
+        }
+        if (mMayHaveRun) {
+            end(refusal.get().cause());
+        } else {
+            refuse(refusal.get().cause(), refusal.get().comeBack());
+        }
+        return false;
     }
 
     private void send(ServerLoad chosen, long now) {
@@ -152,7 +173,11 @@
                         mRoute.idempotent());
         mCall =
                 mFlow.connections()
-                        .send(chosen.server(), mostConnections(), request, new Listener(chosen));
+                        .send(
+                                chosen.server(),
+                                mostConnections(),
+                                request,
+                                new AttemptListener(this, chosen));
     }
 
     private int mostConnections() {
@@ -160,19 +185,21 @@
         return Math.max(2, all / mFlow.shareholders());
     }
 
-    private void answered(ServerLoad server, BackendAnswer answer) {
+    void answered(ServerLoad server, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         attemptOver(server);
-        ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()))
-                .ifPresent(load -> server.reported(load, now));
+        Optional<ReportedLoad> reported =
+                ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()));
+        reported.ifPresent(load -> server.reported(load, now));
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
+            takeBack();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
             turnedAway(server, answer.status(), now);
             return;
         }
-        if (isSuccess(answer) && !answer.headers().contains(mFlow.names().seal())) {
+        if (answer.isSuccess() && !answer.headers().contains(mFlow.names().seal())) {
             answer.body().release();
             mFacts.attemptEnded(AttemptResult.BAD_ANSWER, answer.status(), now);
             judgeFailed(server, now);
@@ -183,13 +210,16 @@
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
         judgeAnswer(server, failed, now);
+        if (!failed && reported.map(load -> load.waiting() == 0).orElse(true)) {
+            mFlow.chooser().answeredIn(mService, now - mSentNanos);
+        }
         if (failed && mRoute.idempotent() && mayTryAgain(now)) {
             answer.body().release();
             mMayHaveRun = true;
             retry();
             return;
         }
-        pass(answer, now);
+        respond(mEnd.passedOn(answer, now));
     }
 
     private void judgeAnswer(ServerLoad server, boolean failed, long now) {
@@ -206,10 +236,6 @@
         mFlow.chooser().judge().failed(mService, server.server().id(), now);
     }
 
-    private static boolean isSuccess(BackendAnswer answer) {
-        return answer.status() >= FIRST_SUCCESS && answer.status() <= LAST_SUCCESS;
-    }
-
     private void turnedAway(ServerLoad server, int status, long now) {
         if (status == MISDIRECTED) {
             server.avoidUntil(now + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
@@ -219,7 +245,7 @@
         tryAgainOrEnd("turned-away");
     }
 
-    private void failed(ServerLoad server, CallFailure failure) {
+    void failed(ServerLoad server, CallFailure failure) {
         long now = mFlow.nowNanos();
         attemptOver(server);
         mFacts.attemptEnded(AttemptResult.of(failure), 0, now);
@@ -230,6 +256,7 @@
             judgeFailed(server, now);
         }
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
+            takeBack();
             connectAgain();
             return;
         }
@@ -273,6 +300,12 @@
         attempt();
     }
 
+    private void takeBack() {
+        if (mPayment != null) {
+            mPayment.takeBack();
+        }
+    }
+
     private void attemptOver(ServerLoad server) {
         server.ended();
         mCall = null;
@@ -322,12 +355,8 @@
             refuse(cause);
             return;
         }
-        boolean late = mTimes.leftNanos(mFlow.nowNanos()) <= 0;
-        int status = late ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-        mFacts.gaveUp(cause, status, mFlow.nowNanos());
-        respond(
-                mFlow.answers()
-                        .plain(status, mRequestId, "The request may have run: " + cause + "."));
+        long now = mFlow.nowNanos();
+        respond(mEnd.inDoubt(cause, mTimes.leftNanos(now) <= 0, now));
     }
 
     private void refuse(String cause) {
@@ -335,19 +364,7 @@
     }
 
     private void refuse(String cause, Duration comeBack) {
-        mFacts.refused(cause, UNAVAILABLE, comeBack.toMillis(), mFlow.nowNanos());
-        respond(
-                mFlow.answers()
-                        .refusal(
-                                UNAVAILABLE,
-                                mRequestId,
-                                "The request did not run: " + cause + ".",
-                                comeBack));
-    }
-
-    private void pass(BackendAnswer answer, long now) {
-        mFacts.answered(answer.status(), now);
-        respond(new OutgoingAnswer(answer.status(), answer.headers(), answer.body()));
+        respond(mEnd.notRun(cause, comeBack, mFlow.nowNanos()));
     }
 
     private void respond(OutgoingAnswer answer) {
@@ -364,29 +381,7 @@
         mRequest.body().release();
     }
 
-    /** Hears the end of one attempt. */
-    private final class Listener implements BackendCallListener {
-
-        private final ServerLoad mAttempted;
-
-        Listener(ServerLoad attempted) {
-            mAttempted = attempted;
-        }
-
-        @Override
-        public void answered(BackendAnswer answer) {
-            if (mDone) {
-                answer.body().release();
-                return;
-            }
-            RequestRun.this.answered(mAttempted, answer);
-        }
-
-        @Override
-        public void failed(CallFailure failure) {
-            if (!mDone) {
-                RequestRun.this.failed(mAttempted, failure);
-            }
-        }
+    boolean isDone() {
+        return mDone;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -35,6 +35,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -50,17 +51,7 @@
 class RequestFlowTest {
 
     private static final HeaderNames NAMES =
-            new HeaderNames(
-                    "Id",
-                    "Wait",
-                    "Key",
-                    "Seal",
-                    "For",
-                    "Load",
-                    "Not-Run",
-                    "Retry-After",
-                    "Server",
-                    "Cold");
+            new HeaderNames("Id", "Wait", "Key", "Seal", "For", "Load", "Not-Run", "Retry-After");
     private static final ServiceId SERVICE = new ServiceId("reader");
     private static final ZoneId ZONE = new ZoneId("a");
 
@@ -72,6 +63,7 @@
     private LoadGate mLoadGate = LoadGate.OPEN;
     private Set<BackendServerId> mCold = Set.of();
     private boolean mBudget = true;
+    private Optional<SpendingCheck> mSpending = Optional.empty();
 
     @Example
     void answerOfTheServerIsPassedOnUnchanged() {
@@ -152,6 +144,28 @@
         assertThat(line.path("excluded").path("cold").asInt()).isEqualTo(1);
     }
 
+    @Example
+    void quickAnswersThatDidNotWaitLetKeysUseTheirOtherServer() {
+        assertThat(leavesBusyServerAfterAnswers("1,5,2")).as("they waited").isFalse();
+        assertThat(leavesBusyServerAfterAnswers("1,0,2")).as("they did not wait").isTrue();
+    }
+
+    private boolean leavesBusyServerAfterAnswers(String load) {
+        RequestFlow flow = flow(true, 2);
+        for (int each = 0; each < 64; each++) {
+            handle(flow);
+            passTime(Duration.ofMillis(10));
+            mConnections.last().answer(200, "Seal", "s", "Load", load);
+        }
+        passTime(Duration.ofMinutes(1));
+        BackendServerId home = mConnections.last().mServer.id();
+        flow.servers().of(SERVICE).stream()
+                .filter(each -> each.server().id().equals(home))
+                .forEach(each -> List.of(1, 2, 3).forEach(ignored -> each.began()));
+        handle(flow);
+        return !mConnections.last().mServer.id().equals(home);
+    }
+
     @Example
     void noMoreSendsThanTheRouteAllows() {
         handle(flow(true, 1));
@@ -235,6 +249,47 @@
         assertThat(late.status()).isEqualTo(503);
     }
 
+    @Example
+    void attemptThatWouldPassTheCapIsRefusedBeforeAnythingIsSent() {
+        mSpending = Optional.of(new Purse(0));
+        handle(flow(true, 2));
+        assertThat(mConnections.mCalls).isEmpty();
+        assertThat(mResponder.status()).isEqualTo(503);
+        assertThat(mResponder.mAnswers.get(0).headers().get("Retry-After")).isEqualTo("60.000");
+        assertThat(mResponder.mAnswers.get(0).body().toString(StandardCharsets.UTF_8))
+                .contains("did not run: spending-cap");
+        JsonNode line = mDecisions.ofRequest("one").get(0);
+        assertThat(line.path("cause").asText()).isEqualTo("spending-cap");
+        assertThat(line.path("spending").path("capMicros").asInt()).isEqualTo(7);
+        assertThat(line.path("spending").path("state").asText()).isEqualTo("exhausted");
+    }
+
+    @Example
+    void eachRetryIsPaidForAndNotPromisedToHaveNotRun() {
+        Purse purse = new Purse(1);
+        mSpending = Optional.of(purse);
+        handle(flow(true, 2));
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mConnections.mCalls).hasSize(1);
+        assertThat(mResponder.status()).isEqualTo(502);
+        assertThat(mResponder.mAnswers.get(0).body().toString(StandardCharsets.UTF_8))
+                .contains("may have run: spending-cap");
+        assertThat(purse.mLeft).as("what may have run is not taken back").isZero();
+    }
+
+    @Example
+    void whatDidNotRunIsTakenBackAndPaysForTheNextServer() {
+        Purse purse = new Purse(1);
+        mSpending = Optional.of(purse);
+        handle(flow(false, 2));
+        mConnections.last().fail(Verdict.DID_NOT_RUN, CallFailure.Kind.NOT_CONNECTED);
+        mConnections.last().answer(503, "Not-Run", "1");
+        assertThat(mConnections.mCalls).hasSize(3);
+        mConnections.last().answer(200, "Seal", "s");
+        assertThat(mResponder.status()).isEqualTo(200);
+        assertThat(purse.mLeft).isZero();
+    }
+
     private void passTime(Duration time) {
         mTime.advance(time);
         mChannel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
@@ -261,6 +316,7 @@
                         mLoadGate,
                         route -> SERVICE,
                         () -> 1,
+                        mSpending,
                         mDecisions);
         flow.update(
                 EntryState.of(picture(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
