Send what would be refused at a key's first home to its other home

Cause: since a second home costs what learning is taken to cost, a key keeps to its first home at a start, and the load gate looked at that one alone: it refused there although the other home had room.

Change: what the gate would refuse at the chosen server is asked of the key's other home; only if that one would make it wait too long as well, the request is refused. A cold home is left out, so no permit is used.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -124,6 +124,31 @@
         return choices;
     }
 
+    /**
+     * Chooses among a key's other homes, for a request that would be refused at the chosen one.
+     *
+     * @param servers the servers of the service
+     * @param usable whether a server may take the request
+     * @param keyHash the hash of the key
+     * @param chosen the server that was chosen
+     * @param nowNanos the monotonic time
+     * @return the least loaded of the others, or empty if none is usable
+     */
+    public Optional<ServerChoice> otherHome(
+            List<ServerLoad> servers,
+            Predicate<ServerLoad> usable,
+            long keyHash,
+            ServerLoad chosen,
+            long nowNanos) {
+        List<Preference> preferences = preferences(servers, usable, keyHash);
+        int homes = Math.min(mSettings.homes(), preferences.size());
+        return preferences.subList(0, homes).stream()
+                .map(Preference::load)
+                .filter(home -> home != chosen)
+                .map(home -> new ServerChoice(home, -loadPenalty(home, nowNanos)))
+                .max(Comparator.comparingDouble(ServerChoice::score));
+    }
+
     /** Gives the usable servers, the most preferred first. */
     private List<Preference> preferences(
             List<ServerLoad> servers, Predicate<ServerLoad> usable, long keyHash) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -116,28 +116,36 @@
             end("no-backend-server");
             return;
         }
-        ServerLoad chosen = choice.get().load();
-        mFacts.candidate(
-                chosen.server().id(),
-                (int) Math.round(chosen.inFlight(now)),
-                chosen.server().slots(),
-                choice.get().score());
+        mSearch.note(choice.get(), now);
         if (mSends == 0) {
-            Optional<AdmissionAnswer> refusal =
-                    mFlow.loadGate().refuse(mRoute, mService, chosen, mTimes.leftNanos(now), now);
+            Optional<AdmissionAnswer> refusal = refusal(choice.get(), now);
             if (refusal.isPresent()) {
-                AdmissionAnswer answer = refusal.get();
-                mSearch.explain(servers, now);
-                mFacts.wouldWait(answer.expectedWaitNanos(), answer.longestWaitNanos());
-                refuse("overload", Duration.ofNanos(answer.retryAfterNanos()));
-                return;
+                choice =
+                        mSearch.otherHome(servers, choice.get().load(), now)
+                                .filter(home -> refusal(home, now).isEmpty());
+                if (choice.isEmpty()) {
+                    refuseForLoad(refusal.get(), servers, now);
+                    return;
+                }
+                mSearch.note(choice.get(), now);
             }
         }
+        ServerLoad chosen = choice.get().load();
         if (isPaid(chosen)) {
             send(chosen, now);
         }
     }
 
+    private Optional<AdmissionAnswer> refusal(ServerChoice choice, long now) {
+        return mFlow.loadGate().refuse(mRoute, mService, choice.load(), mTimes.leftNanos(now), now);
+    }
+
+    private void refuseForLoad(AdmissionAnswer answer, List<ServerLoad> servers, long now) {
+        mSearch.explain(servers, now);
+        mFacts.wouldWait(answer.expectedWaitNanos(), answer.longestWaitNanos());
+        refuse("overload", Duration.ofNanos(answer.retryAfterNanos()));
+    }
+
     /** Pays for the next attempt, or ends the request with what is true of it. */
     private boolean isPaid(ServerLoad chosen) {
         Optional<SpendingRefusal> refusal =
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -61,6 +61,18 @@
         }
     }
 
+    /** Chooses another home of the key that is not cold, if there is one. */
+    Optional<ServerChoice> otherHome(List<ServerLoad> servers, ServerLoad chosen, long now) {
+        mFacts.weigh();
+        return mFlow.chooser()
+                .otherHome(
+                        servers,
+                        load -> isUsable(load, now) && !isCold(load, now),
+                        mKeyHash,
+                        chosen,
+                        now);
+    }
+
     /**
      * Notes the servers of the last choice, the chosen one first, for a request that is refused.
      */
@@ -68,14 +80,19 @@
         mFacts.weigh();
         for (ServerChoice each :
                 mFlow.chooser().ranked(servers, load -> isUsable(load, now), mKeyHash, now)) {
-            mFacts.candidate(
-                    each.load().server().id(),
-                    (int) Math.round(each.load().inFlight(now)),
-                    each.load().server().slots(),
-                    each.score());
+            note(each, now);
         }
     }
 
+    /** Notes a server that was weighed. */
+    void note(ServerChoice choice, long now) {
+        mFacts.candidate(
+                choice.load().server().id(),
+                (int) Math.round(choice.load().inFlight(now)),
+                choice.load().server().slots(),
+                choice.score());
+    }
+
     /** Notes that a server was sent the request, so that it is not chosen again. */
     void tried(ServerLoad load) {
         mTried.add(load.server().id());
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -40,6 +40,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -128,6 +129,29 @@
                 .isEqualTo(mConnections.last().mServer.id().value());
     }
 
+    @Example
+    void theOtherHomeTakesWhatWouldBeRefusedAtTheFirstAndNoThirdServerDoes() {
+        handle(flow(true, 2));
+        BackendServerId first = mConnections.last().mServer.id();
+        Set<BackendServerId> full = new HashSet<>(Set.of(first));
+        mLoadGate = (route, service, chosen, left, now) -> refusalOf(chosen, full);
+        handle(flow(true, 2));
+        BackendServerId other = mConnections.last().mServer.id();
+        assertThat(other).isNotEqualTo(first);
+        assertThat(mConnections.mCalls).hasSize(2);
+        full.add(other);
+        handle(flow(true, 2));
+        assertThat(mConnections.mCalls).hasSize(2);
+        assertThat(mResponder.status()).isEqualTo(503);
+    }
+
+    private static Optional<AdmissionAnswer> refusalOf(
+            ServerLoad chosen, Set<BackendServerId> full) {
+        return full.contains(chosen.server().id())
+                ? Optional.of(new AdmissionAnswer(false, 5_000_000, 70_000_000, 20_000_000))
+                : Optional.empty();
+    }
+
     @Example
     void coldServerWithoutPermitIsNoCandidateOfRefusalForOverload() {
         mLoadGate =
