--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -3,12 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.masticpond.core.fleet.FleetPicture;
 import io.masticpond.core.fleet.RegisteredServer;
-import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.RegionId;
-import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.AdmissionAnswer;
@@ -19,11 +16,7 @@
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.placement.ServerTable;
 import io.masticpond.core.request.Verdict;
-import io.masticpond.core.routing.RequestLimits;
-import io.masticpond.core.routing.Route;
-import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
-import io.masticpond.core.routing.WeightedService;
 import io.masticpond.core.time.ManualTimeSource;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.http.IncomingRequest;
@@ -39,7 +32,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -53,8 +45,8 @@
 
     private static final HeaderNames NAMES =
             new HeaderNames("Id", "Wait", "Key", "Seal", "For", "Load", "Not-Run", "Retry-After");
-    private static final ServiceId SERVICE = new ServiceId("reader");
-    private static final ZoneId ZONE = new ZoneId("a");
+    private static final ServiceId SERVICE = FakePicture.SERVICE;
+    private static final ZoneId ZONE = FakePicture.ZONE;
 
     private final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
@@ -241,11 +233,11 @@
     @Example
     void leavingAndEvacuatedServersGetNothing() {
         RequestFlow flow = flow(true, 2);
-        flow.update(EntryState.of(picture(true, 2, true, Set.of()), flow.state()));
+        flow.update(EntryState.of(FakePicture.of(true, 2, true, Set.of()), flow.state()));
         handle(flow);
         assertThat(mResponder.status()).isEqualTo(503);
         FakeResponder second = new FakeResponder();
-        flow.update(EntryState.of(picture(true, 2, false, Set.of(ZONE)), flow.state()));
+        flow.update(EntryState.of(FakePicture.of(true, 2, false, Set.of(ZONE)), flow.state()));
         flow.handle(request(), second);
         assertThat(second.status()).isEqualTo(503);
         assertThat(mConnections.mCalls).isEmpty();
@@ -343,41 +335,11 @@
                         mSpending,
                         mDecisions);
         flow.update(
-                EntryState.of(picture(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
+                EntryState.of(
+                        FakePicture.of(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
         return flow;
     }
 
-    private static FleetPicture picture(
-            boolean idempotent, int attempts, boolean leaving, Set<ZoneId> evacuated) {
-        Route route =
-                new Route(
-                        new RouteId("route"),
-                        "host",
-                        "/a/",
-                        idempotent,
-                        Duration.ofSeconds(1),
-                        Duration.ofMillis(100),
-                        0,
-                        attempts,
-                        true,
-                        Set.of(),
-                        List.of(new WeightedService(SERVICE, 1)));
-        ServiceRules rules = new ServiceRules(SERVICE, "/health", 10, Duration.ofSeconds(1), 5);
-        Map<BackendServerId, RegisteredServer> servers = new HashMap<>();
-        for (int i = 0; i < 3; i++) {
-            BackendServerId id = new BackendServerId("server-" + i);
-            ServerAddress address = new ServerAddress("127.0.0.1", 1_000 + i);
-            servers.put(id, new RegisteredServer(id, SERVICE, address, ZONE, 2, leaving, 0));
-        }
-        return new FleetPicture(
-                1,
-                Optional.of(
-                        new RoutingConfiguration(
-                                1, List.of(route), Map.of(SERVICE, rules), RequestLimits.DEFAULT)),
-                servers,
-                evacuated);
-    }
-
     private IncomingRequest request() {
         return request("/a/x?y=1");
     }
