Drive the spending tests by the manual scheduler that the replica tests have

Cause: ManualLoop, written for the spending tests, was ManualScheduler again under another name. No assertion changed.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/ManualScheduler.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/ManualScheduler.java
@@ -7,14 +7,27 @@
 import java.util.PriorityQueue;
 
 /** Runs tasks when a manual clock reaches their time. */
-final class ManualScheduler implements Scheduler {
+public final class ManualScheduler implements Scheduler {
 
-    private final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
+    private final ManualTimeSource mTime;
     private final PriorityQueue<Task> mTasks =
             new PriorityQueue<>(
                     Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::order));
     private long mOrder;
 
+    ManualScheduler() {
+        this(new ManualTimeSource(Instant.EPOCH));
+    }
+
+    /**
+     * Makes a scheduler without tasks.
+     *
+     * @param time the clock, which others may move as well
+     */
+    public ManualScheduler(ManualTimeSource time) {
+        mTime = time;
+    }
+
     ManualTimeSource time() {
         return mTime;
     }
@@ -26,14 +39,26 @@
         return () -> mTasks.remove(entry);
     }
 
-    void pass(Duration duration) {
+    /**
+     * Moves time, and runs on the way what falls due.
+     *
+     * @param duration by how much
+     */
+    public void pass(Duration duration) {
         long endNanos = mTime.monotonicNanos() + duration.toNanos();
         while (!mTasks.isEmpty() && mTasks.peek().atNanos() <= endNanos) {
             Task task = mTasks.poll();
-            mTime.advance(Duration.ofNanos(task.atNanos() - mTime.monotonicNanos()));
+            passUntil(task.atNanos());
             task.task().run();
         }
-        mTime.advance(Duration.ofNanos(endNanos - mTime.monotonicNanos()));
+        passUntil(endNanos);
+    }
+
+    private void passUntil(long nanos) {
+        long left = nanos - mTime.monotonicNanos();
+        if (left > 0) {
+            mTime.advance(Duration.ofNanos(left));
+        }
     }
 
     private record Task(long atNanos, long order, Runnable task) {}
--- a/masticpond-entry/src/test/java/io/masticpond/entry/spending/SpendingDeskTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/spending/SpendingDeskTest.java
@@ -49,7 +49,7 @@
     void writeThatTookEffectBehindLostAnswerIsSpent() {
         Node node = mFleet.start("a");
         node.mAccess.writes(() -> Fate.LOST_AFTER_EFFECT);
-        mFleet.mLoop.advance(Duration.ofMillis(10));
+        mFleet.mLoop.pass(Duration.ofMillis(10));
         assertThat(mFleet.allotted()).isPositive();
         assertThat(node.held()).as("nothing is spent in doubt").isZero();
         mFleet.settle();
@@ -107,7 +107,7 @@
         mFleet.demand(LONG.minusSeconds(2), MUCH);
         assertThat(mFleet.spent(MORNING)).as("the cap is reached").isGreaterThan(CAP * 98 / 100);
         for (int step = 0; step < 400; step++) {
-            mFleet.mLoop.advance(Duration.ofMillis(10));
+            mFleet.mLoop.pass(Duration.ofMillis(10));
             mFleet.nodes().forEach(Node::pay);
         }
         assertThat(mFleet.spent(MORNING)).isLessThanOrEqualTo(CAP);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/spending/SpendingFleet.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/spending/SpendingFleet.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.spending.SpendingView;
 import io.masticpond.core.time.ManualTimeSource;
 import io.masticpond.core.time.TimeSource;
+import io.masticpond.entry.replica.ManualScheduler;
 import io.masticpond.entry.replica.Scheduler;
 import io.masticpond.entry.request.SpendingRefusal;
 import io.masticpond.entry.settings.SpendingSettings;
@@ -40,7 +41,7 @@
     private static final Duration SECOND = Duration.ofSeconds(1);
 
     final ManualTimeSource mTime = new ManualTimeSource(MORNING.plusSeconds(60));
-    final ManualLoop mLoop = new ManualLoop(mTime);
+    final ManualScheduler mLoop = new ManualScheduler(mTime);
     final StandInStore mStore = new StandInStore(mLoop);
     private final List<Node> mNodes = new ArrayList<>();
     private final Map<Instant, Long> mSpent = new HashMap<>();
@@ -73,14 +74,14 @@
     }
 
     void settle() {
-        mLoop.advance(Duration.ofSeconds(30));
+        mLoop.pass(Duration.ofSeconds(30));
     }
 
     /** Lets each instance want so many attempts a second. */
     void demand(Duration duration, int perSecond) {
         Instant end = mTime.instant().plus(duration);
         while (mTime.instant().isBefore(end)) {
-            mLoop.advance(SECOND);
+            mLoop.pass(SECOND);
             for (Node node : nodes()) {
                 for (int attempt = 0; attempt < perSecond; attempt++) {
                     node.pay();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/spending/StandInStore.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/spending/StandInStore.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.FeedError;
+import io.masticpond.entry.replica.ManualScheduler;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
@@ -17,7 +18,7 @@
     private static final Duration ANSWER = Duration.ofMillis(5);
     private static final Duration LATE = Duration.ofSeconds(3);
 
-    private final ManualLoop mLoop;
+    private final ManualScheduler mLoop;
     private final Map<String, ConditionalStore.Versioned> mObjects = new HashMap<>();
     private long mRevision;
 
@@ -29,7 +30,7 @@
         LOST_AND_LATE
     }
 
-    StandInStore(ManualLoop loop) {
+    StandInStore(ManualScheduler loop) {
         mLoop = loop;
     }
 
