Work out what a further home costs once a choice, and count calls to the store by one piece of code

Cause, found by reading the whole change again: ServerChooser looked up and worked out the cost of learning for each server of a service, over a hundred times a choice, though it is the same for all. The counting of calls stood in CountingStoreFeed and twice more in CountingConditionalStore. RequestRun.isPaid ended requests, which its name hid; it is payOrEnd now.

Ruled out for now: one ranking for the choice, the other home and the explanation of a refusal, which sort the servers anew. They ask with different conditions for a server (permits of cold ones), so one order would have to be kept apart from them.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -90,11 +90,12 @@
         if (preferences.isEmpty()) {
             return Optional.empty();
         }
+        double perHome = perHome(preferences);
         ServerLoad best = null;
         double bestScore = 0;
         for (int rank = 0; rank < preferences.size(); rank++) {
             ServerLoad server = preferences.get(rank).load();
-            double score = score(server, rank, nowNanos);
+            double score = score(server, rank, perHome, nowNanos);
             if (best == null || score > bestScore) {
                 best = server;
                 bestScore = score;
@@ -115,10 +116,11 @@
     public List<ServerChoice> ranked(
             List<ServerLoad> servers, Predicate<ServerLoad> usable, long keyHash, long nowNanos) {
         List<Preference> preferences = preferences(servers, usable, keyHash);
+        double perHome = perHome(preferences);
         List<ServerChoice> choices = new ArrayList<>(preferences.size());
         for (int rank = 0; rank < preferences.size(); rank++) {
             ServerLoad server = preferences.get(rank).load();
-            choices.add(new ServerChoice(server, score(server, rank, nowNanos)));
+            choices.add(new ServerChoice(server, score(server, rank, perHome, nowNanos)));
         }
         choices.sort(Comparator.comparingDouble(ServerChoice::score).reversed());
         return choices;
@@ -162,8 +164,8 @@
         return preferences;
     }
 
-    private double score(ServerLoad server, int rank, long nowNanos) {
-        return -rankPenalty(rank, learningCost(server.server().service()))
+    private double score(ServerLoad server, int rank, double perHome, long nowNanos) {
+        return -rankPenalty(rank, perHome)
                 - mSettings.zonePenalty(server.distance())
                 - loadPenalty(server, nowNanos);
     }
@@ -181,17 +183,21 @@
     }
 
     /** A key's first servers know its object, if objects are few; others would have to learn it. */
-    private double rankPenalty(int rank, double learningCost) {
-        double perHome = Math.max(mSettings.perHome(), LEARNT_AND_FORGOTTEN * learningCost);
+    private double rankPenalty(int rank, double perHome) {
         if (rank < mSettings.homes()) {
             return rank * perHome;
         }
         return Math.max(mSettings.stranger(), perHome) + rank * mSettings.perHome();
     }
 
-    private double learningCost(ServiceId service) {
-        LearningCost cost = mLearningCosts.get(service);
-        return cost == null ? mSettings.stranger() : cost.value();
+    /** Gives the penalty of each further home, the same for all servers of one service. */
+    private double perHome(List<Preference> preferences) {
+        if (preferences.isEmpty()) {
+            return mSettings.perHome();
+        }
+        LearningCost cost = mLearningCosts.get(preferences.get(0).load().server().service());
+        double learning = cost == null ? mSettings.stranger() : cost.value();
+        return Math.max(mSettings.perHome(), LEARNT_AND_FORGOTTEN * learning);
     }
 
     private double loadPenalty(ServerLoad load, long nowNanos) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingConditionalStore.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingConditionalStore.java
@@ -26,12 +26,7 @@
 
     @Override
     public void read(String name, Consumer<Either<FeedError, Optional<Versioned>>> result) {
-        mNext.read(
-                name,
-                outcome -> {
-                    mCounts.ended(Kind.READ, outcome);
-                    result.accept(outcome);
-                });
+        mNext.read(name, mCounts.counting(Kind.READ, result));
     }
 
     @Override
@@ -40,13 +35,6 @@
             long expectedRevision,
             JsonNode content,
             Consumer<Either<FeedError, Long>> result) {
-        mNext.write(
-                name,
-                expectedRevision,
-                content,
-                outcome -> {
-                    mCounts.ended(Kind.UPDATE, outcome);
-                    result.accept(outcome);
-                });
+        mNext.write(name, expectedRevision, content, mCounts.counting(Kind.UPDATE, result));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingStoreFeed.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingStoreFeed.java
@@ -24,7 +24,7 @@
     @Override
     public void list(
             Category category, Duration timeout, Consumer<Either<FeedError, FeedResult>> result) {
-        mNext.list(category, timeout, counting(Kind.LIST, result));
+        mNext.list(category, timeout, mCounts.counting(Kind.LIST, result));
     }
 
     @Override
@@ -33,7 +33,7 @@
             long afterRevision,
             Duration wait,
             Consumer<Either<FeedError, FeedResult>> result) {
-        return mNext.watch(category, afterRevision, wait, counting(Kind.WATCH, result));
+        return mNext.watch(category, afterRevision, wait, mCounts.counting(Kind.WATCH, result));
     }
 
     @Override
@@ -42,19 +42,11 @@
             String name,
             JsonNode content,
             Consumer<Either<FeedError, Void>> result) {
-        mNext.put(category, name, content, counting(Kind.PUT, result));
+        mNext.put(category, name, content, mCounts.counting(Kind.PUT, result));
     }
 
     @Override
     public void delete(Category category, String name, Consumer<Either<FeedError, Void>> result) {
-        mNext.delete(category, name, counting(Kind.DELETE, result));
-    }
-
-    private <T> Consumer<Either<FeedError, T>> counting(
-            Kind kind, Consumer<Either<FeedError, T>> result) {
-        return outcome -> {
-            mCounts.ended(kind, outcome);
-            result.accept(outcome);
-        };
+        mNext.delete(category, name, mCounts.counting(Kind.DELETE, result));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/StoreCallCounts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/StoreCallCounts.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /** Counts calls to the platform's store by kind and result. Safe for all threads. */
 final class StoreCallCounts {
@@ -35,6 +36,14 @@
         (result.isRight() ? counts.mDone : counts.mFailed.get(result.getLeft())).getAndIncrement();
     }
 
+    /** Puts the count of a call before who hears its result. */
+    <T> Consumer<Either<FeedError, T>> counting(Kind kind, Consumer<Either<FeedError, T>> result) {
+        return outcome -> {
+            ended(kind, outcome);
+            result.accept(outcome);
+        };
+    }
+
     long done(Kind kind) {
         return mCounts.get(kind).mDone.get();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -131,7 +131,7 @@
             }
         }
         ServerLoad chosen = choice.get().load();
-        if (isPaid(chosen)) {
+        if (payOrEnd(chosen)) {
             send(chosen, now);
         }
     }
@@ -147,7 +147,7 @@
     }
 
     /** Pays for the next attempt, or ends the request with what is true of it. */
-    private boolean isPaid(ServerLoad chosen) {
+    private boolean payOrEnd(ServerLoad chosen) {
         Optional<SpendingRefusal> refusal =
                 mPayment == null ? Optional.empty() : mPayment.pay(chosen.server().zone());
         if (refusal.isEmpty()) {
