Rank priorities by the requests that arrive, and place requests in one class of the core

The log shows the longest wait that the route allowed: 100 to 125 ms for the two busiest kinds, a quarter of their target, which is the part of the least urgent priority. Both are the only busy ones at their service; the priorities before them were those of routes that are configured and bring a request now and then. Ruled out: full servers (the refused wait was under 200 ms for 905 of the 1,600), the other home. RequestPlacer joins the choice and the gate, so that the request path and a model play the same decisions; ./measure decisions is that model, on a simulated clock.

--- a/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
@@ -1,21 +1,20 @@
 package io.masticpond.core.limit;
 
-import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.routing.Route;
-import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.support.Assert;
-import java.util.Arrays;
-import java.util.Collection;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
  * Refuses requests for a service that is overloaded, the least urgent first and on arrival.
  *
  * <p>The expected wait for a slot is held against a limit. It is a part of the target latency of
- * the route that depends on the rank of its priority among those present for the service: the least
- * urgent has the smallest, so that the queue that it helps to build never delays the others much.
- * The most urgent of several is served as long as its deadline can be met. If there is only one
- * priority, a longer queue would only make all of its answers late, so the target bounds it.
+ * the route that depends on the rank of its priority among those that arrive for the service: the
+ * least urgent has the smallest, so that the queue that it helps to build never delays the others
+ * much. A priority that is configured but brings hardly a request takes no rank from the others:
+ * with ranks by configuration, a service whose only busy route stood behind idle ones refused
+ * whatever would have waited a quarter of its target, with most servers free. The most urgent of
+ * several is served as long as its deadline can be met. If there is only one priority, a longer
+ * queue would only make all of its answers late, so the target bounds it.
  *
  * @since 0.2
  */
@@ -31,45 +30,28 @@
     private static final long PART_OF_TIME_LEFT = 3;
 
     private final AdmissionLimitSettings mSettings;
-    private final int[] mPriorities;
+    private final PriorityTraffic mTraffic = new PriorityTraffic();
     private final UniformRandomProvider mRandom;
 
     /**
      * Makes the limit of a service.
      *
      * @param settings the limits
-     * @param priorities the priorities of the routes that use the service
      * @param random chance, which spreads the returns of clients
      */
-    public AdmissionLimit(
-            AdmissionLimitSettings settings,
-            Collection<Integer> priorities,
-            UniformRandomProvider random) {
+    public AdmissionLimit(AdmissionLimitSettings settings, UniformRandomProvider random) {
         mSettings = Assert.notNull(settings, "Settings of an admission limit");
-        mPriorities = priorities.stream().mapToInt(each -> each).sorted().distinct().toArray();
         mRandom = Assert.notNull(random, "A source of chance");
     }
 
     /**
-     * Makes the limit of a service from a configuration.
+     * Counts a request that has arrived, once, whatever is decided on it.
      *
-     * @param settings the limits
-     * @param service the service
-     * @param configuration the configuration
-     * @param random chance, which spreads the returns of clients
-     * @return the limit
+     * @param route its route
+     * @param nowNanos the monotonic time
      */
-    public static AdmissionLimit of(
-            AdmissionLimitSettings settings,
-            ServiceId service,
-            RoutingConfiguration configuration,
-            UniformRandomProvider random) {
-        Collection<Integer> priorities =
-                configuration.routes().stream()
-                        .filter(route -> uses(route, service))
-                        .map(Route::priority)
-                        .toList();
-        return new AdmissionLimit(settings, priorities, random);
+    public void arrived(Route route, long nowNanos) {
+        mTraffic.arrived(route.priority(), nowNanos);
     }
 
     /**
@@ -93,11 +75,12 @@
 
     private long limitNanos(Route route, ServiceLoad load, long leftNanos) {
         long byDeadline = (long) (leftNanos * mSettings.deadlinePart()) - load.meanServiceNanos();
-        int rank = Math.max(0, Arrays.binarySearch(mPriorities, route.priority()));
-        if (rank == 0 && mPriorities.length > 1) {
+        int rank = mTraffic.rank(route.priority());
+        int present = mTraffic.present(route.priority());
+        if (rank == 0 && present > 1) {
             return byDeadline;
         }
-        double urgency = 1 - (double) rank / Math.max(1, mPriorities.length - 1);
+        double urgency = 1 - (double) rank / Math.max(1, present - 1);
         double part =
                 mSettings.leastPart() + (mSettings.alonePart() - mSettings.leastPart()) * urgency;
         return Math.min(byDeadline, (long) (route.targetLatency().toNanos() * part));
@@ -113,9 +96,4 @@
         return new AdmissionAnswer(
                 false, Math.min(most, Math.max(least, pause)), waitNanos, longestWaitNanos);
     }
-
-    private static boolean uses(Route route, ServiceId service) {
-        return route.services().stream()
-                .anyMatch(each -> each.weight() > 0 && each.service().equals(service));
-    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
@@ -1,8 +1,7 @@
-package io.masticpond.entry.request;
+package io.masticpond.core.placement;
 
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
-import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.Route;
 import java.util.Optional;
 
@@ -17,6 +16,15 @@
     /** Admits everything. */
     LoadGate OPEN = (route, service, chosen, left, now) -> Optional.empty();
 
+    /**
+     * Counts a request for a service, once.
+     *
+     * @param route its route
+     * @param service the service picked
+     * @param nowNanos the monotonic time
+     */
+    default void arrived(Route route, ServiceId service, long nowNanos) {}
+
     /**
      * Decides on a request.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/PriorityLoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/PriorityLoadGate.java
@@ -1,11 +1,10 @@
-package io.masticpond.entry.request;
+package io.masticpond.core.placement;
 
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.limit.AdmissionLimit;
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.ServiceLoad;
-import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.support.Assert;
@@ -25,10 +24,9 @@
     private final AdmissionLimitSettings mSettings;
     private final UniformRandomProvider mRandom;
     private final Map<ServiceId, AdmissionLimit> mLimits = new HashMap<>();
-    private Optional<RoutingConfiguration> mConfiguration = Optional.empty();
 
     /**
-     * Makes a gate that admits everything until it knows a configuration.
+     * Makes a gate.
      *
      * @param settings how long a request may be expected to wait
      * @param random chance, which spreads the returns of clients
@@ -39,21 +37,22 @@
     }
 
     /**
-     * Takes a configuration.
+     * Forgets the services that are gone.
      *
      * @param configuration the configuration in force
      */
     public void configure(RoutingConfiguration configuration) {
-        mConfiguration = Optional.of(configuration);
-        mLimits.clear();
+        mLimits.keySet().retainAll(configuration.services().keySet());
+    }
+
+    @Override
+    public void arrived(Route route, ServiceId service, long nowNanos) {
+        limit(service).arrived(route, nowNanos);
     }
 
     @Override
     public Optional<AdmissionAnswer> refuse(
             Route route, ServiceId service, ServerLoad chosen, long leftNanos, long nowNanos) {
-        if (mConfiguration.isEmpty()) {
-            return Optional.empty();
-        }
         ServiceLoad load =
                 new ServiceLoad(
                         chosen.server().slots(),
@@ -64,8 +63,6 @@
     }
 
     private AdmissionLimit limit(ServiceId service) {
-        return mLimits.computeIfAbsent(
-                service,
-                id -> AdmissionLimit.of(mSettings, id, mConfiguration.orElseThrow(), mRandom));
+        return mLimits.computeIfAbsent(service, id -> new AdmissionLimit(mSettings, mRandom));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
@@ -77,6 +77,6 @@
                 load.inFlight(nowNanos),
                 load.serviceNanos(),
                 load.avoidReason(nowNanos),
-                flow.chooser().judge().judgement(server.service(), server.id(), nowNanos));
+                flow.placer().chooser().judge().judgement(server.service(), server.id(), nowNanos));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -2,7 +2,7 @@
 
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.ServiceId;
-import io.masticpond.core.placement.ServerChooser;
+import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerTable;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.support.Assert;
@@ -43,10 +43,9 @@
     private final HeaderNames mNames;
     private final BackendConnections mConnections;
     private final ServerTable mServers;
-    private final ServerChooser mChooser;
+    private final RequestPlacer mPlacer;
     private final ColdGate mColdGate;
     private final RetryAllowance mRetries;
-    private final LoadGate mLoadGate;
     private final Function<Route, ServiceId> mSplit;
     private final IntSupplier mShareholders;
     private final Optional<SpendingCheck> mSpending;
@@ -65,10 +64,9 @@
      * @param names the names of the headers
      * @param connections sends to backend servers
      * @param servers the backend servers with their loads
-     * @param chooser chooses among them
+     * @param placer decides which of them takes a request
      * @param coldGate guards cold ones
      * @param retries the budget for further sends
-     * @param loadGate refuses what would be late
      * @param split picks a service of a route
      * @param shareholders among how many instances common limits are divided
      * @param spending pays for attempts, if spending has a cap
@@ -80,10 +78,9 @@
             HeaderNames names,
             BackendConnections connections,
             ServerTable servers,
-            ServerChooser chooser,
+            RequestPlacer placer,
             ColdGate coldGate,
             RetryAllowance retries,
-            LoadGate loadGate,
             Function<Route, ServiceId> split,
             IntSupplier shareholders,
             Optional<SpendingCheck> spending,
@@ -93,10 +90,9 @@
         mNames = Assert.notNull(names, "Header names");
         mConnections = Assert.notNull(connections, "Backend connections");
         mServers = Assert.notNull(servers, "A server table");
-        mChooser = Assert.notNull(chooser, "A server chooser");
+        mPlacer = Assert.notNull(placer, "A request placer");
         mColdGate = Assert.notNull(coldGate, "A cold gate");
         mRetries = Assert.notNull(retries, "A retry allowance");
-        mLoadGate = Assert.notNull(loadGate, "A load gate");
         mSplit = Assert.notNull(split, "A split among services");
         mShareholders = Assert.notNull(shareholders, "A count of shareholders");
         mSpending = Assert.notNull(spending, "A check of spending");
@@ -114,7 +110,7 @@
         for (RegisteredServer gone : mServers.update(state.picture(), nowNanos())) {
             mConnections.forget(gone);
         }
-        mChooser.judge().retain(state.picture().servers().keySet());
+        mPlacer.chooser().judge().retain(state.picture().servers().keySet());
     }
 
     /**
@@ -273,12 +269,12 @@
     }
 
     /**
-     * Gives what chooses among backend servers.
+     * Gives what decides which server takes a request.
      *
-     * @return the chooser
+     * @return the placer
      */
-    public ServerChooser chooser() {
-        return mChooser;
+    public RequestPlacer placer() {
+        return mPlacer;
     }
 
     ColdGate coldGate() {
@@ -289,10 +285,6 @@
         return mRetries;
     }
 
-    LoadGate loadGate() {
-        return mLoadGate;
-    }
-
     /**
      * Gives what pays for attempts.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -3,8 +3,8 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.placement.AvoidReason;
+import io.masticpond.core.placement.Placement;
 import io.masticpond.core.placement.ReportedLoad;
-import io.masticpond.core.placement.ServerChoice;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.routing.Route;
@@ -96,6 +96,7 @@
     void begin() {
         long now = mFlow.nowNanos();
         mFlow.retries().firstSent(mService, now);
+        mFlow.placer().arrived(mRoute, mService, now);
         long left = mTimes.leftNanos(now);
         if (left <= 0) {
             refuse("deadline-passed");
@@ -111,35 +112,22 @@
     private void attempt() {
         long now = mFlow.nowNanos();
         List<ServerLoad> servers = mFlow.servers().of(mService);
-        Optional<ServerChoice> choice = mSearch.choose(servers, now);
-        if (choice.isEmpty()) {
-            end("no-backend-server");
+        Placement placement = mSearch.place(servers, mSends > 0, mTimes.leftNanos(now), now);
+        if (placement instanceof Placement.Refused refused) {
+            refuseForLoad(refused.answer(), servers, now);
             return;
         }
-        mSearch.note(choice.get(), now);
-        if (mSends == 0) {
-            Optional<AdmissionAnswer> refusal = refusal(choice.get(), now);
-            if (refusal.isPresent()) {
-                choice =
-                        mSearch.otherHome(servers, choice.get().load(), now)
-                                .filter(home -> refusal(home, now).isEmpty());
-                if (choice.isEmpty()) {
-                    refuseForLoad(refusal.get(), servers, now);
-                    return;
-                }
-                mSearch.note(choice.get(), now);
-            }
+        if (!(placement instanceof Placement.Placed placed)) {
+            end("no-backend-server");
+            return;
         }
-        ServerLoad chosen = choice.get().load();
+        mSearch.note(placed.choice(), now);
+        ServerLoad chosen = placed.choice().load();
         if (payOrEnd(chosen)) {
             send(chosen, now);
         }
     }
 
-    private Optional<AdmissionAnswer> refusal(ServerChoice choice, long now) {
-        return mFlow.loadGate().refuse(mRoute, mService, choice.load(), mTimes.leftNanos(now), now);
-    }
-
     private void refuseForLoad(AdmissionAnswer answer, List<ServerLoad> servers, long now) {
         mSearch.explain(servers, now);
         mFacts.wouldWait(answer.expectedWaitNanos(), answer.longestWaitNanos());
@@ -167,7 +155,7 @@
         mSends++;
         mSearch.tried(chosen);
         chosen.began();
-        mFlow.chooser().judge().sent(mService, chosen.server().id(), now);
+        mFlow.placer().chooser().judge().sent(mService, chosen.server().id(), now);
         mFacts.retryBudget(mFlow.retries().left(mService, now));
         mFacts.sent(chosen.server().id(), chosen.server().zone(), mSearch.isCold(chosen, now), now);
         BackendRequest request =
@@ -219,7 +207,7 @@
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
         judgeAnswer(server, failed, now);
         if (!failed && reported.map(load -> load.waiting() == 0).orElse(true)) {
-            mFlow.chooser().answeredIn(mService, now - mSentNanos);
+            mFlow.placer().chooser().answeredIn(mService, now - mSentNanos);
         }
         if (failed && mRoute.idempotent() && mayTryAgain(now)) {
             answer.body().release();
@@ -237,11 +225,11 @@
         }
         long took = now - mSentNanos;
         server.answeredIn(took);
-        mFlow.chooser().judge().succeeded(mService, server.server().id(), took, now);
+        mFlow.placer().chooser().judge().succeeded(mService, server.server().id(), took, now);
     }
 
     private void judgeFailed(ServerLoad server, long now) {
-        mFlow.chooser().judge().failed(mService, server.server().id(), now);
+        mFlow.placer().chooser().judge().failed(mService, server.server().id(), now);
     }
 
     private void turnedAway(ServerLoad server, int status, long now) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -2,6 +2,10 @@
 
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.placement.Candidates;
+import io.masticpond.core.placement.PlacedRequest;
+import io.masticpond.core.placement.Placement;
+import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChoice;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.Route;
@@ -42,35 +46,16 @@
         return HashMixer.hash(key);
     }
 
-    /** Chooses a server; a cold one only with a permit, which is taken for the chosen one alone. */
-    Optional<ServerChoice> choose(List<ServerLoad> servers, long now) {
+    /** Places the request; one that has been sent before is past the gate. */
+    Placement place(List<ServerLoad> servers, boolean sentBefore, long leftNanos, long now) {
         mWithoutPermit.clear();
-        while (true) {
-            mFacts.weigh();
-            Optional<ServerChoice> choice =
-                    mFlow.chooser().choose(servers, load -> isUsable(load, now), mKeyHash, now);
-            if (choice.isEmpty() || !isCold(choice.get().load(), now)) {
-                return choice;
-            }
-            ServerLoad load = choice.get().load();
-            Optional<ServiceRules> rules = mFlow.state().rules(mService);
-            if (rules.isPresent() && mFlow.coldGate().tryAcquire(load.server(), rules.get(), now)) {
-                return choice;
-            }
-            mWithoutPermit.add(load.server().id());
-        }
-    }
-
-    /** Chooses another home of the key that is not cold, if there is one. */
-    Optional<ServerChoice> otherHome(List<ServerLoad> servers, ServerLoad chosen, long now) {
         mFacts.weigh();
-        return mFlow.chooser()
-                .otherHome(
-                        servers,
-                        load -> isUsable(load, now) && !isCold(load, now),
-                        mKeyHash,
-                        chosen,
-                        now);
+        PlacedRequest request = new PlacedRequest(mRoute, mService, mKeyHash, leftNanos);
+        Candidates candidates = new Usable(now);
+        RequestPlacer placer = mFlow.placer();
+        return sentBefore
+                ? placer.placeAgain(request, servers, candidates, now)
+                : placer.place(request, servers, candidates, now);
     }
 
     /**
@@ -79,7 +64,9 @@
     void explain(List<ServerLoad> servers, long now) {
         mFacts.weigh();
         for (ServerChoice each :
-                mFlow.chooser().ranked(servers, load -> isUsable(load, now), mKeyHash, now)) {
+                mFlow.placer()
+                        .chooser()
+                        .ranked(servers, load -> isUsable(load, now), mKeyHash, now)) {
             note(each, now);
         }
     }
@@ -137,4 +124,35 @@
         return mRoute.homeRegions().isEmpty()
                 || mFlow.servers().region(load.server()).filter(mRoute::allows).isPresent();
     }
+
+    /** The servers that the request may use at one moment. */
+    private final class Usable implements Candidates {
+
+        private final long mNow;
+
+        Usable(long now) {
+            mNow = now;
+        }
+
+        @Override
+        public boolean isUsable(ServerLoad load) {
+            return ServerSearch.this.isUsable(load, mNow);
+        }
+
+        @Override
+        public boolean isCold(ServerLoad load) {
+            return ServerSearch.this.isCold(load, mNow);
+        }
+
+        @Override
+        public boolean tryPermit(ServerLoad load) {
+            Optional<ServiceRules> rules = mFlow.state().rules(mService);
+            if (rules.isPresent()
+                    && mFlow.coldGate().tryAcquire(load.server(), rules.get(), mNow)) {
+                return true;
+            }
+            mWithoutPermit.add(load.server().id());
+            return false;
+        }
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.wiring;
 
 import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.placement.PriorityLoadGate;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceSplit;
 import io.masticpond.core.time.TimeSource;
@@ -10,7 +11,6 @@
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.replica.CopySource;
 import io.masticpond.entry.request.EntryState;
-import io.masticpond.entry.request.PriorityLoadGate;
 import io.masticpond.entry.request.RequestFlow;
 import io.netty.channel.EventLoop;
 import javax.inject.Inject;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -5,6 +5,8 @@
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.OutlierJudge;
 import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.placement.PriorityLoadGate;
+import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.core.placement.ServerTable;
 import io.masticpond.core.routing.ServiceSplit;
@@ -17,7 +19,6 @@
 import io.masticpond.entry.peer.PeerInstance;
 import io.masticpond.entry.peer.PeerView;
 import io.masticpond.entry.replica.ConditionalStore;
-import io.masticpond.entry.request.PriorityLoadGate;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.settings.EntrySettings;
@@ -119,10 +120,9 @@
                 names,
                 connections,
                 new ServerTable(settings.zone(), settings.zones()),
-                chooser,
+                new RequestPlacer(chooser, loadGate),
                 limits,
                 limits,
-                loadGate,
                 route -> split.choose(route).orElse(route.services().get(0).service()),
                 peers::shareholders,
                 spending,
--- a/masticpond-measure/src/main/java/io/masticpond/measure/MeasureRegistry.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/MeasureRegistry.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.measure.configuration.ConfigurationMeasure;
 import io.masticpond.measure.control.ControlCostMeasure;
+import io.masticpond.measure.decision.DecisionMeasure;
 import io.masticpond.measure.drain.DrainMeasure;
 import io.masticpond.measure.hostile.HostileInputMeasure;
 import io.masticpond.measure.logging.LoggingMeasure;
@@ -43,7 +44,8 @@
                     new SpendingCapMeasure(),
                     new RollingRestartMeasure(),
                     new CrashStormMeasure(),
-                    new LoggingMeasure());
+                    new LoggingMeasure(),
+                    new DecisionMeasure());
 
     private MeasureRegistry() {}
 
--- /dev/null
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionMeasure.java
@@ -0,0 +1,93 @@
+package io.masticpond.measure.decision;
+
+import io.masticpond.measure.Measure;
+import io.masticpond.measure.MeasureReport;
+import io.masticpond.measure.MeasureTable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Plays load patterns against the decisions as they are, and with one mechanism set otherwise.
+ *
+ * @since 0.2
+ */
+public final class DecisionMeasure implements Measure {
+
+    private static final double REQUESTS_PER_SECOND = 720;
+
+    private static final List<String> COLUMNS =
+            List.of(
+                    "pattern",
+                    "variant",
+                    "worth",
+                    "worst region",
+                    "worst kind",
+                    "worst 2 s",
+                    "late",
+                    "refused",
+                    "failed",
+                    "other region",
+                    "turned away");
+
+    @Override
+    public String name() {
+        return "decisions";
+    }
+
+    @Override
+    public String explanation() {
+        return "Placement, limits and retries as the entry has them, on a simulated clock: ten"
+                + " instances, 38 servers in three regions, one of them small, 720 requests a"
+                + " second for 24 s. Worth is 1 for an answer in time, 0.2 for a late one. Each"
+                + " load pattern is played with all mechanisms and with one set otherwise.";
+    }
+
+    @Override
+    public MeasureReport run(long seed) {
+        MeasureReport report = new MeasureReport();
+        List<List<String>> rows = new ArrayList<>();
+        for (LoadPattern pattern : LoadPattern.values()) {
+            for (DecisionVariant variant : DecisionVariant.values()) {
+                DecisionTally tally =
+                        new DecisionWorld(variant, pattern, REQUESTS_PER_SECOND, seed).play();
+                rows.add(row(pattern, variant, tally));
+                if (variant == DecisionVariant.AS_IT_IS) {
+                    report.figure("worth" + word(pattern.name(), ""), tally.worth());
+                }
+            }
+        }
+        report.table(new MeasureTable("Load patterns, seed " + seed, COLUMNS, rows));
+        return report;
+    }
+
+    private static List<String> row(
+            LoadPattern pattern, DecisionVariant variant, DecisionTally tally) {
+        return List.of(
+                word(pattern.name(), " ").strip().toLowerCase(Locale.ROOT),
+                word(variant.name(), " ").strip().toLowerCase(Locale.ROOT),
+                number(tally.worth()),
+                number(tally.worstRegion()),
+                number(tally.worstKind()),
+                number(tally.worstWindow()),
+                number(tally.share(DecisionTally.End.LATE)),
+                number(tally.share(DecisionTally.End.REFUSED)),
+                number(tally.share(DecisionTally.End.FAILED)),
+                number(tally.farShare()),
+                String.valueOf(tally.turnedAwayCount()));
+    }
+
+    /** Writes the name of a constant in words, each with a capital. */
+    private static String word(String constant, String joint) {
+        StringBuilder words = new StringBuilder();
+        for (String part : constant.split("_")) {
+            words.append(joint).append(part.charAt(0));
+            words.append(part.substring(1).toLowerCase(Locale.ROOT));
+        }
+        return words.toString();
+    }
+
+    private static String number(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+}
--- /dev/null
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionVariant.java
@@ -0,0 +1,62 @@
+package io.masticpond.measure.decision;
+
+import io.masticpond.core.placement.PlacementSettings;
+
+/** One mechanism switched off or set otherwise, to tell what it is worth. */
+enum DecisionVariant {
+    /** All as it is. */
+    AS_IT_IS {
+        @Override
+        PlacementSettings placement() {
+            return PlacementSettings.DEFAULT;
+        }
+    },
+    /** Every key has one server. */
+    ONE_HOME {
+        @Override
+        PlacementSettings placement() {
+            PlacementSettings all = PlacementSettings.DEFAULT;
+            return with(1, all.stranger(), all.perQueued(), all.otherRegion());
+        }
+    },
+    /** Every key has four servers, and strangers cost little: spreading by constants. */
+    FOUR_HOMES {
+        @Override
+        PlacementSettings placement() {
+            PlacementSettings all = PlacementSettings.DEFAULT;
+            return with(4, 0.7, all.perQueued(), all.otherRegion());
+        }
+    },
+    /** Queues count for nothing in the choice. */
+    BLIND_TO_QUEUES {
+        @Override
+        PlacementSettings placement() {
+            PlacementSettings all = PlacementSettings.DEFAULT;
+            return with(all.homes(), all.stranger(), 0, all.otherRegion());
+        }
+    },
+    /** Other regions are as near as the own one. */
+    NO_REGIONS {
+        @Override
+        PlacementSettings placement() {
+            PlacementSettings all = PlacementSettings.DEFAULT;
+            return with(all.homes(), all.stranger(), all.perQueued(), 0);
+        }
+    };
+
+    abstract PlacementSettings placement();
+
+    private static PlacementSettings with(
+            int homes, double stranger, double perQueued, double otherRegion) {
+        PlacementSettings all = PlacementSettings.DEFAULT;
+        return new PlacementSettings(
+                all.otherZone(),
+                otherRegion,
+                homes,
+                all.perHome(),
+                stranger,
+                perQueued,
+                all.perBusy(),
+                all.failing());
+    }
+}
--- /dev/null
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
@@ -0,0 +1,273 @@
+package io.masticpond.measure.decision;
+
+import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.fleet.ServerAddress;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ZoneId;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Three regions of two zones, one of them with few servers; clients, instances and backend servers
+ * of the sizes that a customer states (docs/bench/DECISIONS.md).
+ */
+final class DecisionWorld {
+
+    private static final ServiceId LISTS = new ServiceId("lists");
+    private static final ServiceId BOOKINGS = new ServiceId("bookings");
+    private static final ServiceId DOCUMENTS = new ServiceId("documents");
+
+    /** How many servers stand in each zone; the second region has a fifth of the others'. */
+    private static final List<ServerShape> SHAPES =
+            List.of(
+                    new ServerShape(LISTS, new int[] {3, 1, 3, 3, 1, 3}, 9, 27, 71),
+                    new ServerShape(BOOKINGS, new int[] {3, 1, 2, 3, 1, 2}, 4, 12, 27),
+                    new ServerShape(DOCUMENTS, new int[] {3, 1, 2, 3, 1, 2}, 8, 24, 50));
+
+    private static final int[] INSTANCES = {2, 2, 2, 2, 1, 1};
+    private static final int REGIONS = 3;
+    private static final long ZONE_NANOS = 900_000L;
+    private static final long REGION_NANOS = 55_000_000L;
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long LENGTH_NANOS = 24 * SECOND;
+
+    private final Clock mClock = new Clock();
+    private final UniformRandomProvider mRandom;
+    private final DecisionVariant mVariant;
+    private final DecisionTally mTally = new DecisionTally();
+    private final List<RequestKind> mKinds;
+    private final List<ZoneId> mZones = new ArrayList<>();
+    private final Map<ZoneId, RegionId> mRegions = new LinkedHashMap<>();
+    private final Map<BackendServerId, ModelServer> mServers = new LinkedHashMap<>();
+    private final Map<ZoneId, List<ModelInstance>> mInstances = new HashMap<>();
+    private final Set<ZoneId> mEvacuated = new HashSet<>();
+    private final double[] mMoved = new double[INSTANCES.length];
+    private final int[] mMovedTo = new int[INSTANCES.length];
+    private final double mRequestsPerSecond;
+    private final long mSeed;
+    private double mLoad = 1;
+    private long mDeadUntilNanos;
+    private long mRevision;
+
+    DecisionWorld(
+            DecisionVariant variant, LoadPattern pattern, double requestsPerSecond, long seed) {
+        mVariant = variant;
+        mRequestsPerSecond = requestsPerSecond;
+        mSeed = seed;
+        mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        mKinds = kinds(pattern.objectMultiple());
+        for (int zone = 0; zone < INSTANCES.length; zone++) {
+            ZoneId id = new ZoneId("zone-" + zone);
+            mZones.add(id);
+            mRegions.put(id, new RegionId("region-" + zone % REGIONS));
+        }
+        SHAPES.forEach(this::addServers);
+        startInstances();
+        pattern.schedule(this);
+        for (int zone = 0; zone < INSTANCES.length; zone++) {
+            scheduleArrival(zone);
+        }
+    }
+
+    private static List<RequestKind> kinds(int multiple) {
+        return List.of(
+                new RequestKind("list", LISTS, 0.6, 480, 400, 2_500, 79 * multiple, 2, true),
+                new RequestKind("book", BOOKINGS, 0.2, 640, 500, 3_000, 26 * multiple, 1, false),
+                new RequestKind(
+                        "download", DOCUMENTS, 0.1, 384, 400, 2_000, 24 * multiple, 2, true),
+                new RequestKind(
+                        "history", DOCUMENTS, 0.1, 1_920, 1_200, 2_500, 24 * multiple, 2, true));
+    }
+
+    private void addServers(ServerShape shape) {
+        for (int zone = 0; zone < shape.counts().length; zone++) {
+            for (int each = 0; each < shape.counts()[zone]; each++) {
+                String name = shape.service().value() + "-" + zone + "-" + each + "-" + mSeed;
+                RegisteredServer server =
+                        new RegisteredServer(
+                                new BackendServerId(name),
+                                shape.service(),
+                                new ServerAddress("10.0.0.1", 1 + mServers.size()),
+                                mZones.get(zone),
+                                shape.slots(),
+                                false,
+                                0);
+                mServers.put(server.id(), new ModelServer(mClock, mRandom, server, shape));
+            }
+        }
+    }
+
+    private void startInstances() {
+        mInstances.clear();
+        int number = 0;
+        for (int zone = 0; zone < INSTANCES.length; zone++) {
+            List<ModelInstance> instances = new ArrayList<>();
+            for (int each = 0; each < INSTANCES[zone]; each++) {
+                instances.add(
+                        new ModelInstance(
+                                mZones.get(zone),
+                                mRegions,
+                                picture(),
+                                mVariant,
+                                Arrays.stream(INSTANCES).sum(),
+                                mSeed + number++,
+                                mClock.nowNanos()));
+            }
+            mInstances.put(mZones.get(zone), instances);
+        }
+    }
+
+    private FleetPicture picture() {
+        Map<BackendServerId, RegisteredServer> servers = new LinkedHashMap<>();
+        mServers.forEach((id, server) -> servers.put(id, server.server()));
+        return new FleetPicture(mRevision++, Optional.empty(), servers, mEvacuated);
+    }
+
+    private void tellPicture() {
+        FleetPicture picture = picture();
+        mInstances.values().forEach(zone -> zone.forEach(i -> i.update(picture, now())));
+    }
+
+    DecisionTally play() {
+        mClock.runUntil(LENGTH_NANOS + 4 * SECOND);
+        return mTally;
+    }
+
+    void at(double second, Runnable action) {
+        mClock.after((long) (second * SECOND) - now(), action);
+    }
+
+    void load(double times) {
+        mLoad = times;
+    }
+
+    void shed(int shape, double part, double share) {
+        chosen(SHAPES.get(shape).service(), part).forEach(server -> server.shed(share));
+    }
+
+    void slow(double part, double times) {
+        SHAPES.forEach(s -> chosen(s.service(), part).forEach(server -> server.slow(times)));
+    }
+
+    void kill(double part) {
+        SHAPES.forEach(s -> chosen(s.service(), part).forEach(ModelServer::die));
+    }
+
+    void forgetDead() {
+        mServers.values().removeIf(ModelServer::isDead);
+        tellPicture();
+    }
+
+    void evacuate(int zone, boolean out) {
+        boolean changed =
+                out ? mEvacuated.add(mZones.get(zone)) : mEvacuated.remove(mZones.get(zone));
+        if (changed) {
+            tellPicture();
+        }
+    }
+
+    void move(int zone, int toZone, double part) {
+        mMoved[zone] = part;
+        mMovedTo[zone] = toZone;
+    }
+
+    void stopInstances(long nanos) {
+        mDeadUntilNanos = now() + nanos;
+        mInstances.clear();
+        mClock.after(nanos, this::startInstances);
+    }
+
+    /** Gives a part of the servers of a service, at least one, the same each time. */
+    private List<ModelServer> chosen(ServiceId service, double part) {
+        List<ModelServer> servers =
+                mServers.values().stream()
+                        .filter(server -> server.server().service().equals(service))
+                        .toList();
+        int count = Math.max(1, (int) Math.round(part * servers.size()));
+        List<ModelServer> chosen = new ArrayList<>();
+        for (int each = 0; each < count; each++) {
+            chosen.add(servers.get(each * servers.size() / count));
+        }
+        return chosen;
+    }
+
+    private void scheduleArrival(int zone) {
+        double perSecond = mRequestsPerSecond / INSTANCES.length * mLoad;
+        long pause = (long) (-Math.log(1 - mRandom.nextDouble()) / perSecond * SECOND);
+        mClock.after(pause, () -> arrive(zone));
+    }
+
+    private void arrive(int zone) {
+        if (now() > LENGTH_NANOS) {
+            return;
+        }
+        int at = mRandom.nextDouble() < mMoved[zone] ? mMovedTo[zone] : zone;
+        double drawn = mRandom.nextDouble();
+        RequestKind kind = mKinds.get(mKinds.size() - 1);
+        for (RequestKind each : mKinds) {
+            if (drawn < each.share()) {
+                kind = each;
+                break;
+            }
+            drawn -= each.share();
+        }
+        String object = kind.name() + "-" + zone % REGIONS + "-" + mRandom.nextInt(kind.objects());
+        new ModelRequest(this, kind, object, mZones.get(at)).begin();
+        scheduleArrival(zone);
+    }
+
+    Clock clock() {
+        return mClock;
+    }
+
+    DecisionTally tally() {
+        return mTally;
+    }
+
+    UniformRandomProvider random() {
+        return mRandom;
+    }
+
+    RegionId region(ZoneId zone) {
+        return mRegions.get(zone);
+    }
+
+    /** Picks an instance for a client, as one that knows the addresses of its zone does. */
+    Optional<ModelInstance> instance(ZoneId zone) {
+        List<ModelInstance> near = mInstances.get(zone);
+        boolean dead = now() < mDeadUntilNanos || near == null;
+        return dead ? Optional.empty() : Optional.of(near.get(mRandom.nextInt(near.size())));
+    }
+
+    boolean isAlive(ModelInstance instance) {
+        return mInstances.getOrDefault(instance.zone(), List.of()).contains(instance);
+    }
+
+    ModelServer server(BackendServerId id) {
+        return mServers.get(id);
+    }
+
+    long delayNanos(ZoneId from, ZoneId to) {
+        if (from.equals(to)) {
+            return ZONE_NANOS / 2;
+        }
+        return mRegions.get(from).equals(mRegions.get(to)) ? ZONE_NANOS : REGION_NANOS;
+    }
+
+    private long now() {
+        return mClock.nowNanos();
+    }
+}
--- /dev/null
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
@@ -0,0 +1,96 @@
+package io.masticpond.measure.decision;
+
+import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.limit.AdmissionLimitSettings;
+import io.masticpond.core.limit.OutlierJudge;
+import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.limit.RetryBudgetSettings;
+import io.masticpond.core.limit.SharedRetryBudget;
+import io.masticpond.core.placement.PriorityLoadGate;
+import io.masticpond.core.placement.RequestPlacer;
+import io.masticpond.core.placement.ServerChooser;
+import io.masticpond.core.placement.ServerTable;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** What one instance knows and decides by, as the product has it; a restart makes another one. */
+final class ModelInstance {
+
+    private static final RetryBudgetSettings RETRIES =
+            new RetryBudgetSettings(0.2, 60, Duration.ofSeconds(10), 0.8);
+
+    private final ZoneId mZone;
+    private final RegionId mRegion;
+    private final ServerTable mServers;
+    private final RequestPlacer mPlacer;
+    private final Map<ServiceId, SharedRetryBudget> mRetries = new HashMap<>();
+    private final long mStartNanos;
+    private final int mInstances;
+
+    ModelInstance(
+            ZoneId zone,
+            Map<ZoneId, RegionId> regions,
+            FleetPicture picture,
+            DecisionVariant variant,
+            int instances,
+            long seed,
+            long nowNanos) {
+        mZone = zone;
+        mRegion = regions.get(zone);
+        mServers = new ServerTable(zone, regions);
+        mServers.update(picture, nowNanos);
+        mPlacer =
+                new RequestPlacer(
+                        new ServerChooser(
+                                variant.placement(),
+                                new OutlierJudge(OutlierJudgeSettings.DEFAULT)),
+                        new PriorityLoadGate(
+                                AdmissionLimitSettings.DEFAULT,
+                                RandomSource.XO_RO_SHI_RO_128_PP.create(seed)));
+        mInstances = instances;
+        mStartNanos = nowNanos;
+    }
+
+    ZoneId zone() {
+        return mZone;
+    }
+
+    RegionId region() {
+        return mRegion;
+    }
+
+    ServerTable servers() {
+        return mServers;
+    }
+
+    RequestPlacer placer() {
+        return mPlacer;
+    }
+
+    void update(FleetPicture picture, long nowNanos) {
+        mServers.update(picture, nowNanos);
+        mPlacer.chooser().judge().retain(picture.servers().keySet());
+    }
+
+    boolean knows(BackendServerId id, ServiceId service) {
+        return mServers.of(service).stream().anyMatch(load -> load.server().id().equals(id));
+    }
+
+    void counted(ServiceId service, long nowNanos) {
+        retries(service).firstSent(nowNanos);
+    }
+
+    boolean mayRetry(ServiceId service, long nowNanos) {
+        return retries(service).tryExtra(nowNanos, mInstances);
+    }
+
+    private SharedRetryBudget retries(ServiceId service) {
+        return mRetries.computeIfAbsent(service, id -> new SharedRetryBudget(RETRIES, mStartNanos));
+    }
+}
