Let requests wait for an instance's first picture instead of refusing them

Ruled out: listening later (clients then find no connection, which costs them the same), a longer Retry-After (all return together).

--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -54,6 +54,8 @@
     private EntryState mState = EntryState.EMPTY;
     private volatile NewsTimes mNewsTimes;
     private final Set<RequestRun> mRuns = new HashSet<>();
+    private final HeldRequests mHeld;
+    private boolean mKnewServers;
     private boolean mEnded;
 
     /**
@@ -98,6 +100,7 @@
         mSpending = Assert.notNull(spending, "A check of spending");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
+        mHeld = new HeldRequests(eventLoop, this::notReady, this::goneBeforeReady);
     }
 
     /**
@@ -111,6 +114,10 @@
             mConnections.forget(gone);
         }
         mPlacer.chooser().judge().retain(state.picture().servers().keySet());
+        mKnewServers |= !state.picture().servers().isEmpty();
+        if (isReady()) {
+            mHeld.release(this::decide);
+        }
     }
 
     /**
@@ -137,12 +144,13 @@
      * @return the count
      */
     public int open() {
-        return mRuns.size();
+        return mRuns.size() + mHeld.size();
     }
 
     /** Ends all requests at once, each with what is true of it. */
     public void endAll() {
         mEnded = true;
+        mHeld.release(this::stopping);
         for (RequestRun run : List.copyOf(mRuns)) {
             run.stop();
         }
@@ -152,16 +160,39 @@
     public void handle(IncomingRequest request, Responder responder) {
         String id = request.headers().get(mNames.requestId());
         RequestRecord facts = new RequestRecord(id == null ? "" : id, request.beginNanos());
-        noteNews(facts);
         facts.peers(mShareholders.getAsInt(), RequestRecord.UNKNOWN);
         if (mEnded) {
-            refuse(request, responder, facts, "stopping", UNAVAILABLE);
-            return;
-        }
-        if (mState.routes().isEmpty()) {
-            refuse(request, responder, facts, "not-ready", UNAVAILABLE);
-            return;
+            stopping(request, responder, facts);
+        } else if (isReady()) {
+            decide(request, responder, facts);
+        } else {
+            mHeld.hold(request, responder, facts);
         }
+    }
+
+    /** Tells whether routes are known, and some servers have been since the start. */
+    private boolean isReady() {
+        return mState.routes().isPresent() && mKnewServers;
+    }
+
+    private void stopping(IncomingRequest request, Responder responder, RequestRecord facts) {
+        refuse(request, responder, facts, "stopping", UNAVAILABLE);
+    }
+
+    private void notReady(IncomingRequest request, Responder responder, RequestRecord facts) {
+        refuse(request, responder, facts, "not-ready", UNAVAILABLE);
+    }
+
+    private void goneBeforeReady(
+            IncomingRequest request, Responder responder, RequestRecord facts) {
+        request.body().release();
+        facts.clientGone(nowNanos());
+        mLog.requestEnded(facts);
+    }
+
+    private void decide(IncomingRequest request, Responder responder, RequestRecord facts) {
+        noteNews(facts);
+        String id = request.headers().get(mNames.requestId());
         if (id == null || id.isEmpty()) {
             refuse(request, responder, facts, "no-request-id", BAD_REQUEST);
             return;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -252,7 +252,42 @@
         assertThat(other.status()).isEqualTo(404);
         flow.update(EntryState.EMPTY);
         handle(flow);
+        passTime(HeldRequests.LONGEST.minusMillis(1));
+        assertThat(mResponder.mAnswers).as("a picture may still come").isEmpty();
+        passTime(Duration.ofMillis(1));
         assertThat(mResponder.status()).isEqualTo(503);
+        assertThat(mResponder.mAnswers.get(0).headers().get("Retry-After")).isNotNull();
+        assertThat(flow.open()).isZero();
+    }
+
+    @Example
+    void requestsBeforeTheFirstPictureAreServedInOrderOnceItIsThere() {
+        RequestFlow flow = flow(true, 2);
+        flow.update(EntryState.EMPTY);
+        FakeResponder second = new FakeResponder();
+        handle(flow);
+        flow.handle(request("/a/second"), second);
+        assertThat(flow.open()).as("a planned stop waits for them").isEqualTo(2);
+        passTime(Duration.ofMillis(100));
+        flow.update(EntryState.of(FakePicture.of(true, 2, false, Set.of()), EntryState.EMPTY));
+        assertThat(mConnections.mCalls)
+                .extracting(call -> call.mRequest.target())
+                .containsExactly("/a/x?y=1", "/a/second");
+        assertThat(mConnections.last().mRequest.headers().get("Wait")).isEqualTo("700");
+    }
+
+    @Example
+    void requestsBeforeTheFirstPictureAreRefusedAtAStopAndForgottenWithTheirClient() {
+        RequestFlow flow = flow(true, 2);
+        flow.update(EntryState.EMPTY);
+        FakeResponder gone = new FakeResponder();
+        flow.handle(request(), gone);
+        gone.leave();
+        assertThat(flow.open()).isZero();
+        handle(flow);
+        flow.endAll();
+        assertThat(mResponder.status()).isEqualTo(503);
+        assertThat(gone.mAnswers).isEmpty();
     }
 
     @Example
