Judge a server that turns requests away though it has room, instead of leaving it out

Change: if the load told with the refusal shows a free slot, it counts as a failure for the judge of outliers, which compares with the peers; only a full server is left out for a moment.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -192,7 +192,7 @@
             answer.body().release();
             takeBack();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
-            turnedAway(server, answer.status(), now);
+            turnedAway(server, answer.status(), reported, now);
             return;
         }
         if (answer.isSuccess() && !answer.headers().contains(mFlow.names().seal())) {
@@ -232,9 +232,17 @@
         mFlow.placer().chooser().judge().failed(mService, server.server().id(), now);
     }
 
-    private void turnedAway(ServerLoad server, int status, long now) {
+    /**
+     * A server that is full is left alone for a moment. One that had room is judged beside its
+     * peers: if it alone turns requests away it is avoided, but if all do, leaving it alone would
+     * only send its keys to servers that do not know them, or to another region, for the same
+     * answer.
+     */
+    private void turnedAway(ServerLoad server, int status, Optional<ReportedLoad> told, long now) {
         if (status == MISDIRECTED) {
             server.avoidUntil(now + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
+        } else if (ServerLoad.hadRoom(told)) {
+            judgeFailed(server, now);
         } else {
             server.avoidUntil(now + FULL_AVOID_NANOS, AvoidReason.TURNED_AWAY);
         }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -290,6 +290,29 @@
         assertThat(gone.mAnswers).isEmpty();
     }
 
+    @Example
+    void keysStayWhereTheyAreIfAllServersTurnAwayThoughTheyHaveRoom() {
+        RequestFlow flow = flow(true, 1);
+        handle(flow);
+        BackendServerId home = mConnections.last().mServer.id();
+        mConnections.last().answer(200, "Seal", "s", "Load", "0,0,4");
+        for (int each = 0; each < 60; each++) {
+            passTime(Duration.ofMillis(20));
+            IncomingRequest request = request();
+            request.headers().set("Key", "key-" + each);
+            flow.handle(request, new FakeResponder());
+            mConnections.last().answer(503, "Not-Run", "1", "Load", "1,0,4");
+        }
+        passTime(Duration.ofMillis(100));
+        flow.handle(request(), new FakeResponder());
+        assertThat(mConnections.last().mServer.id()).isEqualTo(home);
+        mConnections.last().answer(503, "Not-Run", "1", "Load", "4,2,4");
+        flow.handle(request(), new FakeResponder());
+        assertThat(mConnections.last().mServer.id())
+                .as("full, so left alone for a moment")
+                .isNotEqualTo(home);
+    }
+
     @Example
     void nothingIsPassedOnAfterTheUnfinishedWereAnswered() {
         RequestFlow flow = flow(true, 2);
