--- a/masticpond-command/src/main/java/io/masticpond/command/task/EntryCommand.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/task/EntryCommand.java
@@ -24,6 +24,7 @@
         CommandLine entry = new CommandLine(new EntryCommand());
         entry.addSubcommand(new EntryVersionsCommand(context));
         entry.addSubcommand(new EntryTimelineCommand(context));
+        entry.addSubcommand(new EntryLossesCommand(context));
         EntryShowCommand.all(context)
                 .forEach(spec -> entry.addSubcommand(spec.name(), new CommandLine(spec)));
         return entry;
--- a/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
+++ b/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +34,39 @@
         }
     }
 
+    @Example
+    void lossesAreCountedFromLogsByTimeAndCause() throws IOException {
+        Path log = Files.createTempFile("instance", ".log");
+        Files.writeString(
+                log,
+                """
+                  2.4 a-1 {"at":"2026-12-02T06:00:00.300Z","event":"request","route":"r",
+                """
+                        + " \"cut\n"
+                        + loss("06:00:00.100", "answered", "", 150)
+                        + loss("06:00:00.300", "answered", "", 450)
+                        + "  2.4 a-1 "
+                        + loss("06:00:01.300", "refused", "overload", 0)
+                        + loss("06:00:02.300", "refused", "overload", 0)
+                        + "{\"at\":\"2026-12-02T06:00:00.300Z\",\"event\":\"zone\"}\n");
+        assertThat(run(Map.of(), List.of("entry", "losses", log.toString()))).isZero();
+        assertThat(mTerminal.written())
+                .containsPattern("2026-12-02T06:00:00Z +3 +1 +1 +1 +0 +0 +150 +150")
+                .containsPattern("2026-12-02T06:00:02Z +1 +0 +0 +1 ")
+                .containsPattern("r +s +refused: overload +2 +50.00 ");
+        Files.writeString(log, "nothing\n");
+        assertThat(run(Map.of(), List.of("entry", "losses", log.toString())))
+                .isEqualTo(ExitCode.FAILED.code());
+    }
+
+    private static String loss(String time, String outcome, String cause, int millis) {
+        return String.format(
+                "{\"at\":\"2026-12-02T%sZ\",\"event\":\"request\",\"route\":\"r\",\"service\":\"s\","
+                    + "\"outcome\":\"%s\",\"cause\":\"%s\",\"status\":200,\"millis\":%d,"
+                    + "\"targetMillis\":400,\"attempts\":[]}%n",
+                time, outcome, cause, millis);
+    }
+
     @Example
     void versionsOfAllAreShownAndTheDeadAndTheSilentAreNamed() {
         try (FakeInstance first = new FakeInstance().takesNoToken();
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
@@ -58,7 +58,7 @@
      * Decides on a request that has arrived.
      *
      * @param route its route
-     * @param load what is estimated of the service
+     * @param load what is estimated of the server that would take it
      * @param leftNanos the time until its deadline or the timeout of its route, whichever is first
      * @return whether it is admitted, and otherwise when its client should return
      */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -27,6 +27,7 @@
         }
         writeKnown(line, "retryAfterMillis", request.mRetryAfterMillis);
         line.writeNumberField("millis", millis(request.mEndNanos - request.mArrivalNanos));
+        writeKnown(line, "targetMillis", request.mTargetMillis);
         line.writeNumberField("leftMillis", millis(request.mDeadlineNanos - request.mEndNanos));
         if (request.mWaitNanos != RequestRecord.UNKNOWN) {
             line.writeNumberField("waitMillis", millis(request.mWaitNanos));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -33,6 +33,7 @@
     String mKey;
     ServiceId mService;
     long mDeadlineNanos;
+    long mTargetMillis = UNKNOWN;
     long mRoutingVersion = UNKNOWN;
     long mRoutingAgeNanos = UNKNOWN;
     long mRegistryRevision = UNKNOWN;
@@ -75,10 +76,12 @@
      *
      * @param route the route
      * @param service the service picked
+     * @param targetMillis within how long an answer is in time
      * @param deadlineNanos the monotonic time at which the client's time is up
      */
-    public void routed(RouteId route, ServiceId service, long deadlineNanos) {
+    public void routed(RouteId route, ServiceId service, long targetMillis, long deadlineNanos) {
         mRoute = route;
+        mTargetMillis = targetMillis;
         mService = service;
         mDeadlineNanos = deadlineNanos;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -221,7 +221,7 @@
         ServiceId service = mSplit.apply(route);
         Long deadline = deadlineMillis(request);
         RequestTimes times = RequestTimes.of(request.beginNanos(), deadline, route);
-        facts.routed(route.id(), service, times.deadlineNanos());
+        facts.routed(route.id(), service, route.targetLatency().toMillis(), times.deadlineNanos());
         facts.kind(route.idempotent() ? RouteKind.IDEMPOTENT : RouteKind.ONCE_ONLY);
         RequestRun run =
                 new RequestRun(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -118,7 +118,7 @@
 
     private RequestRecord retried() {
         RequestRecord request = new RequestRecord("r1", 0);
-        request.routed(new RouteId("shop"), new ServiceId("cart"), millis(1_000));
+        request.routed(new RouteId("shop"), new ServiceId("cart"), 400, millis(1_000));
         request.routing(7, millis(40));
         request.registry(812, RequestRecord.UNKNOWN);
         request.peers(6, millis(90));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
@@ -200,7 +200,7 @@
 
     private static RequestRecord routed(String route) {
         RequestRecord request = new RequestRecord("r", 0);
-        request.routed(new RouteId(route), new ServiceId("cart"), millis(1_000));
+        request.routed(new RouteId(route), new ServiceId("cart"), 400, millis(1_000));
         request.kind(RouteKind.IDEMPOTENT);
         return request;
     }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/logging/SampleRequests.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/logging/SampleRequests.java
@@ -16,6 +16,7 @@
     private static final int REFUSED_EVERY = 10;
     private static final int SLOTS = 8;
     private static final long SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+    private static final long TARGET_MILLIS = 400;
     private static final long DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final RouteId mRoute = new RouteId("orders");
@@ -34,7 +35,7 @@
     RequestRecord next(long nowNanos) {
         int number = mNumber++;
         RequestRecord request = new RequestRecord("request-" + number, nowNanos - SERVICE_NANOS);
-        request.routed(mRoute, mService, nowNanos - SERVICE_NANOS + DEADLINE_NANOS);
+        request.routed(mRoute, mService, TARGET_MILLIS, nowNanos - SERVICE_NANOS + DEADLINE_NANOS);
         request.routing(7, SERVICE_NANOS);
         request.registry(number, SERVICE_NANOS);
         request.peers(3, SERVICE_NANOS);
