--- a/masticpond-core/src/test/java/io/masticpond/core/limit/AdmissionLimitTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/limit/AdmissionLimitTest.java
@@ -54,7 +54,7 @@
     }
 
     @Example
-    void prioritiesThatHardlyBringARequestTakeNoRank() {
+    void idlePrioritiesTakeNoRank() {
         AdmissionLimit limit = limit();
         for (int each = 0; each < 200; each++) {
             long now = each * 5 * MILLI;
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
@@ -186,9 +186,7 @@
         int left = 0;
         for (int key = 0; key < KEYS; key++) {
             ServerLoad load =
-                    mChooser.choose(servers, s -> true, HashMixer.hash("key-" + key), 0)
-                            .orElseThrow()
-                            .load();
+                    mChooser.choose(servers, s -> true, request(key), 0).orElseThrow().load();
             left += load.distance() == Distance.OTHER_REGION ? 1 : 0;
         }
         return (double) left / KEYS;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.limit.OutlierJudge;
 import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.placement.LoadGate;
 import io.masticpond.core.placement.PlacementSettings;
 import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChooser;
--- a/masticpond-measure/src/test/java/io/masticpond/measure/decision/LoadPatternTest.java
+++ b/masticpond-measure/src/test/java/io/masticpond/measure/decision/LoadPatternTest.java
@@ -20,18 +20,28 @@
         assertThat(one.turnedAwayCount()).isEqualTo(other.turnedAwayCount());
     }
 
-    /** 0.331 of all sends when a server that turned away was left out whatever it told, 0.308. */
+    /**
+     * 0.308 of all sends when a server that turned away was left out whatever it told, now 0.278.
+     */
     @Example
     void serviceThatShedsAsAWholeDrivesNoKeysToOtherRegions() {
         DecisionTally tally = play(LoadPattern.SERVICE_SHEDS, DecisionVariant.AS_IT_IS, 1);
-        assertThat(tally.farShare()).isLessThan(0.32);
+        assertThat(tally.farShare()).isLessThan(0.293);
     }
 
-    /** 569 sends turned away when each was left out for a moment only, 224 since it is judged. */
+    /** 545 sends turned away when each was left out for a moment only, 229 since it is judged. */
     @Example
     void serversThatShedAloneAreAvoided() {
         DecisionTally tally = play(LoadPattern.SERVERS_SHED, DecisionVariant.AS_IT_IS, 1);
-        assertThat(tally.turnedAwayCount()).isLessThan(400);
+        assertThat(tally.turnedAwayCount()).isLessThan(390);
+    }
+
+    /** A third of all bytes when distance weighed the same for all answers, now 0.04. */
+    @Example
+    void largeAnswersHardlyCrossRegions() {
+        DecisionTally tally = play(LoadPattern.COLD_START, DecisionVariant.AS_IT_IS, 1);
+        assertThat(tally.farShare()).isGreaterThan(0.2);
+        assertThat(tally.farByteShare()).isLessThan(0.15);
     }
 
     /** The bench showed the same order: 0.547 and 0.470 instead of 0.613 and 0.573. */
