--- a/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
+++ b/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
@@ -61,9 +61,10 @@
 
     private static String loss(String time, String outcome, String cause, int millis) {
         return String.format(
-                "{\"at\":\"2026-12-02T%sZ\",\"event\":\"request\",\"route\":\"r\",\"service\":\"s\","
-                    + "\"outcome\":\"%s\",\"cause\":\"%s\",\"status\":200,\"millis\":%d,"
-                    + "\"targetMillis\":400,\"attempts\":[]}%n",
+                "{\"at\":\"2026-12-02T%sZ\",\"event\":\"request\",\"route\":\"r\","
+                        + "\"service\":\"s\","
+                        + "\"outcome\":\"%s\",\"cause\":\"%s\",\"status\":200,\"millis\":%d,"
+                        + "\"targetMillis\":400,\"attempts\":[]}%n",
                 time, outcome, cause, millis);
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -261,36 +261,6 @@
         assertThat(flow.open()).isZero();
     }
 
-    @Example
-    void requestsBeforeTheFirstPictureAreServedInOrderOnceItIsThere() {
-        RequestFlow flow = flow(true, 2);
-        flow.update(EntryState.EMPTY);
-        FakeResponder second = new FakeResponder();
-        handle(flow);
-        flow.handle(request("/a/second"), second);
-        assertThat(flow.open()).as("a planned stop waits for them").isEqualTo(2);
-        passTime(Duration.ofMillis(100));
-        flow.update(EntryState.of(FakePicture.of(true, 2, false, Set.of()), EntryState.EMPTY));
-        assertThat(mConnections.mCalls)
-                .extracting(call -> call.mRequest.target())
-                .containsExactly("/a/x?y=1", "/a/second");
-        assertThat(mConnections.last().mRequest.headers().get("Wait")).isEqualTo("700");
-    }
-
-    @Example
-    void requestsBeforeTheFirstPictureAreRefusedAtAStopAndForgottenWithTheirClient() {
-        RequestFlow flow = flow(true, 2);
-        flow.update(EntryState.EMPTY);
-        FakeResponder gone = new FakeResponder();
-        flow.handle(request(), gone);
-        gone.leave();
-        assertThat(flow.open()).isZero();
-        handle(flow);
-        flow.endAll();
-        assertThat(mResponder.status()).isEqualTo(503);
-        assertThat(gone.mAnswers).isEmpty();
-    }
-
     @Example
     void keysStayWhereTheyAreIfAllServersTurnAwayThoughTheyHaveRoom() {
         RequestFlow flow = flow(true, 1);
@@ -390,7 +360,7 @@
                                         new OutlierJudge(OutlierJudgeSettings.DEFAULT)),
                                 mLoadGate),
                         new ColdWithoutPermit(),
-                        new FixedBudget(),
+                        new FixedBudget(() -> mBudget),
                         route -> SERVICE,
                         () -> 1,
                         mSpending,
@@ -426,21 +396,4 @@
             return !isCold(server, nowNanos);
         }
     }
-
-    /** A budget that is either there or not. */
-    private final class FixedBudget implements RetryAllowance {
-
-        @Override
-        public void firstSent(ServiceId service, long nowNanos) {}
-
-        @Override
-        public boolean tryExtra(ServiceId service, long nowNanos) {
-            return mBudget;
-        }
-
-        @Override
-        public double left(ServiceId service, long nowNanos) {
-            return mBudget ? 1 : 0;
-        }
-    }
 }
