--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -62,7 +62,8 @@
                 .isEqualTo(
                         "{\"at\":\"2026-12-02T06:00:01.250Z\",\"event\":\"request\",\"id\":\"r1\","
                             + "\"route\":\"shop\",\"service\":\"cart\",\"outcome\":\"answered\","
-                            + "\"status\":200,\"millis\":130,\"leftMillis\":870,"
+                            + "\"status\":200,\"millis\":130,\"targetMillis\":400,"
+                            + "\"leftMillis\":870,"
                             + "\"attempts\":[{\"server\":\"b1\",\"zone\":\"z1\",\"cold\":true,"
                             + "\"sentMillis\":1,\"result\":\"turned-away\",\"status\":503,"
                             + "\"millis\":9},{\"server\":\"b2\",\"zone\":\"z1\","
