--- a/masticpond-measure/src/test/java/io/masticpond/measure/decision/LoadPatternTest.java
+++ b/masticpond-measure/src/test/java/io/masticpond/measure/decision/LoadPatternTest.java
@@ -24,7 +24,7 @@
      * 0.308 of all sends when a server that turned away was left out whatever it told, now 0.278.
      */
     @Example
-    void serviceThatShedsAsAWholeDrivesNoKeysToOtherRegions() {
+    void sheddingServiceDrivesNoKeysToOtherRegions() {
         DecisionTally tally = play(LoadPattern.SERVICE_SHEDS, DecisionVariant.AS_IT_IS, 1);
         assertThat(tally.farShare()).isLessThan(0.293);
     }
