Refuse for want of servers what waited for an instance that knows routes but no server

Cause: OperationsWalksTest: a request to an instance whose registry is empty was refused as not-ready after its wait; the page for operators, and before the program, say no-backend-server. Change: what has waited for 0.4 s is decided by what is known then.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -100,7 +100,7 @@
         mSpending = Assert.notNull(spending, "A check of spending");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
-        mHeld = new HeldRequests(eventLoop, this::notReady, this::goneBeforeReady);
+        mHeld = new HeldRequests(eventLoop, this::heldForLong, this::goneBeforeReady);
     }
 
     /**
@@ -179,8 +179,13 @@
         refuse(request, responder, facts, "stopping", UNAVAILABLE);
     }
 
-    private void notReady(IncomingRequest request, Responder responder, RequestRecord facts) {
-        refuse(request, responder, facts, "not-ready", UNAVAILABLE);
+    /** Decides by what is known: without routes on nothing, without servers that there are none. */
+    private void heldForLong(IncomingRequest request, Responder responder, RequestRecord facts) {
+        if (mState.routes().isPresent()) {
+            decide(request, responder, facts);
+        } else {
+            refuse(request, responder, facts, "not-ready", UNAVAILABLE);
+        }
     }
 
     private void goneBeforeReady(
