Ask for each candidate once, and play the model by the same code as the entry

Cause, from reading the change again: since requests are placed in the core, servers were asked for again after each cold one without a permit and for the other home, so the excluded of a request's line were counted twice; the placer relied on its caller to make a denied server unusable. What follows a send, a good answer, a failure and a refusal by a server stood both in RequestRun and in the model of ./measure decisions, with a constant each. Three things were told to forget routes and services at each change of the picture, not only of the routes. Change: RequestPlacer finds the usable servers once and leaves denied ones out itself; sent, succeeded, failed and turnedAway are its own, called by both; retain passes a configuration on, and is called when the routes have changed. Dead code of the model went: texts of patterns, three accessors, a time that the lack of instances tells already.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/AnswerSizes.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/AnswerSizes.java
@@ -1,9 +1,12 @@
 package io.masticpond.core.placement;
 
 import io.masticpond.core.id.RouteId;
+import io.masticpond.core.routing.Route;
+import io.masticpond.core.routing.RoutingConfiguration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The usual sizes of the answers of each route, as observed, and what they add to a distance. A
@@ -44,7 +47,9 @@
     }
 
     /** Forgets the routes that are gone. */
-    void retain(Set<RouteId> present) {
+    void retain(RoutingConfiguration configuration) {
+        Set<RouteId> present =
+                configuration.routes().stream().map(Route::id).collect(Collectors.toSet());
         mMeanBytes.keySet().retainAll(present);
     }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/Candidates.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/Candidates.java
@@ -8,7 +8,8 @@
 public interface Candidates {
 
     /**
-     * Tells whether a server may take the request; a server that is cold may be one.
+     * Tells whether a server may take the request; a server that is cold may be one. Asked once for
+     * each server.
      *
      * @param load the server
      * @return whether it may
@@ -24,8 +25,7 @@
     boolean isCold(ServerLoad load);
 
     /**
-     * Takes the permit to send the request to a cold server. A server that was denied is not usable
-     * any more in this choice.
+     * Takes the permit to send the request to a cold server; asked for the chosen one alone.
      *
      * @param load the server
      * @return whether there was one
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.routing.RoutingConfiguration;
 import java.util.Optional;
 
 /**
@@ -25,6 +26,13 @@
      */
     default void arrived(Route route, ServiceId service, long nowNanos) {}
 
+    /**
+     * Forgets what a configuration does not name any more.
+     *
+     * @param configuration the configuration in force
+     */
+    default void retain(RoutingConfiguration configuration) {}
+
     /**
      * Decides on a request.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/PriorityLoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/PriorityLoadGate.java
@@ -36,12 +36,8 @@
         mRandom = Assert.notNull(random, "A source of chance");
     }
 
-    /**
-     * Forgets the services that are gone.
-     *
-     * @param configuration the configuration in force
-     */
-    public void configure(RoutingConfiguration configuration) {
+    @Override
+    public void retain(RoutingConfiguration configuration) {
         mLimits.keySet().retainAll(configuration.services().keySet());
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ReportedLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ReportedLoad.java
@@ -14,6 +14,16 @@
 
     private static final int PARTS = 3;
 
+    /**
+     * Tells whether the server could begin another request at once. One that turns requests away
+     * nevertheless does not want for room, and what keeps it from serving lasts longer.
+     *
+     * @return whether a slot was free and nothing waited
+     */
+    public boolean hasRoom() {
+        return waiting == 0 && running < slots;
+    }
+
     /**
      * Reads "running,waiting,slots".
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -1,11 +1,16 @@
 package io.masticpond.core.placement;
 
+import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.support.Assert;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Decides where a request goes, or that it is refused: the choice of a server, and the gate that
@@ -15,6 +20,8 @@
  */
 public final class RequestPlacer {
 
+    private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
     private final ServerChooser mChooser;
     private final LoadGate mGate;
 
@@ -49,6 +56,16 @@
         mGate.arrived(route, service, nowNanos);
     }
 
+    /**
+     * Forgets what a configuration does not name any more.
+     *
+     * @param configuration the configuration in force
+     */
+    public void retain(RoutingConfiguration configuration) {
+        mChooser.retain(configuration);
+        mGate.retain(configuration);
+    }
+
     /**
      * Places a request that no server has had yet.
      *
@@ -60,7 +77,8 @@
      */
     public Placement place(
             PlacedRequest request, List<ServerLoad> servers, Candidates candidates, long nowNanos) {
-        Placement placement = placeAgain(request, servers, candidates, nowNanos);
+        List<ServerLoad> usable = usable(servers, candidates);
+        Placement placement = choose(request, usable, candidates, nowNanos);
         if (!(placement instanceof Placement.Placed placed)) {
             return placement;
         }
@@ -68,13 +86,9 @@
         if (refusal.isEmpty()) {
             return placed;
         }
+        usable.removeIf(candidates::isCold);
         Optional<ServerChoice> other =
-                mChooser.otherHome(
-                        servers,
-                        load -> candidates.isUsable(load) && !candidates.isCold(load),
-                        request,
-                        placed.choice().load(),
-                        nowNanos);
+                mChooser.otherHome(usable, request, placed.choice().load(), nowNanos);
         if (other.isPresent() && mGate.refuse(request, other.get().load(), nowNanos).isEmpty()) {
             return new Placement.Placed(other.get());
         }
@@ -92,9 +106,20 @@
      */
     public Placement placeAgain(
             PlacedRequest request, List<ServerLoad> servers, Candidates candidates, long nowNanos) {
+        return choose(request, usable(servers, candidates), candidates, nowNanos);
+    }
+
+    private static List<ServerLoad> usable(List<ServerLoad> servers, Candidates candidates) {
+        return servers.stream()
+                .filter(candidates::isUsable)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    /** Chooses a server; a cold one needs a permit, and is left out if there is none. */
+    private Placement choose(
+            PlacedRequest request, List<ServerLoad> usable, Candidates candidates, long nowNanos) {
         while (true) {
-            Optional<ServerChoice> choice =
-                    mChooser.choose(servers, candidates::isUsable, request, nowNanos);
+            Optional<ServerChoice> choice = mChooser.choose(usable, request, nowNanos);
             if (choice.isEmpty()) {
                 return new Placement.Nowhere();
             }
@@ -102,6 +127,63 @@
             if (!candidates.isCold(load) || candidates.tryPermit(load)) {
                 return new Placement.Placed(choice.get());
             }
+            usable.remove(load);
+        }
+    }
+
+    /**
+     * Counts a request that is being sent.
+     *
+     * @param load the server
+     * @param nowNanos the monotonic time
+     */
+    public void sent(ServerLoad load, long nowNanos) {
+        load.began();
+        mChooser.judge().sent(load.server().service(), load.server().id(), nowNanos);
+    }
+
+    /**
+     * Takes a good answer.
+     *
+     * @param load the server
+     * @param nanos the time from the sending to the answer
+     * @param waited whether requests waited for a slot there
+     * @param nowNanos the monotonic time
+     */
+    public void succeeded(ServerLoad load, long nanos, boolean waited, long nowNanos) {
+        load.answeredIn(nanos);
+        RegisteredServer server = load.server();
+        mChooser.judge().succeeded(server.service(), server.id(), nanos, nowNanos);
+        if (!waited) {
+            mChooser.answeredIn(server.service(), nanos);
+        }
+    }
+
+    /**
+     * Takes a failure that speaks against a server.
+     *
+     * @param load the server
+     * @param nowNanos the monotonic time
+     */
+    public void failed(ServerLoad load, long nowNanos) {
+        mChooser.judge().failed(load.server().service(), load.server().id(), nowNanos);
+    }
+
+    /**
+     * Takes that a server turned a request away. One that is full is left alone for a moment. One
+     * that had room is judged beside its peers: if it alone turns requests away it is avoided, but
+     * if all do, leaving it alone would only send its keys to servers that do not know them, or to
+     * another region, for the same answer.
+     *
+     * @param load the server
+     * @param told the load that it told with that, or empty
+     * @param nowNanos the monotonic time
+     */
+    public void turnedAway(ServerLoad load, Optional<ReportedLoad> told, long nowNanos) {
+        if (told.filter(ReportedLoad::hasRoom).isPresent()) {
+            failed(load, nowNanos);
+        } else {
+            load.avoidUntil(nowNanos + FULL_AVOID_NANOS, AvoidReason.TURNED_AWAY);
         }
     }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.OutlierJudge;
+import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.support.HashMixer;
 import java.util.ArrayList;
@@ -11,8 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Chooses a backend server: each key has a few homes, its first servers by weighted rendezvous
@@ -82,10 +81,10 @@
     /**
      * Forgets the routes that are gone.
      *
-     * @param present the routes that are still there
+     * @param configuration the configuration in force
      */
-    public void retain(Set<RouteId> present) {
-        mSizes.retain(present);
+    public void retain(RoutingConfiguration configuration) {
+        mSizes.retain(configuration);
     }
 
     /**
@@ -100,18 +99,14 @@
     /**
      * Chooses a server.
      *
-     * @param servers the servers of the service
-     * @param usable whether a server may take the request
+     * @param usable the servers that may take the request
      * @param request what is known of the request
      * @param nowNanos the monotonic time
      * @return the choice, or empty if no server is usable
      */
     public Optional<ServerChoice> choose(
-            List<ServerLoad> servers,
-            Predicate<ServerLoad> usable,
-            PlacedRequest request,
-            long nowNanos) {
-        List<Preference> preferences = preferences(servers, usable, request);
+            List<ServerLoad> usable, PlacedRequest request, long nowNanos) {
+        List<Preference> preferences = preferences(usable, request);
         if (preferences.isEmpty()) {
             return Optional.empty();
         }
@@ -130,20 +125,16 @@
     }
 
     /**
-     * Tells what {@link #choose} makes of all servers, to explain a choice.
+     * Tells what {@link #choose} makes of all of them, to explain a choice.
      *
-     * @param servers the servers of the service
-     * @param usable whether a server may take the request
+     * @param usable the servers that may take the request
      * @param request what is known of the request
      * @param nowNanos the monotonic time
      * @return the usable servers, the chosen one first
      */
     public List<ServerChoice> ranked(
-            List<ServerLoad> servers,
-            Predicate<ServerLoad> usable,
-            PlacedRequest request,
-            long nowNanos) {
-        List<Preference> preferences = preferences(servers, usable, request);
+            List<ServerLoad> usable, PlacedRequest request, long nowNanos) {
+        List<Preference> preferences = preferences(usable, request);
         double perHome = perHome(preferences);
         List<ServerChoice> choices = new ArrayList<>(preferences.size());
         for (int rank = 0; rank < preferences.size(); rank++) {
@@ -157,20 +148,15 @@
     /**
      * Chooses among a key's other homes, for a request that would be refused at the chosen one.
      *
-     * @param servers the servers of the service
-     * @param usable whether a server may take the request
+     * @param usable the servers that may take the request
      * @param request what is known of the request
      * @param chosen the server that was chosen
      * @param nowNanos the monotonic time
      * @return the least loaded of the others, or empty if none is usable
      */
     public Optional<ServerChoice> otherHome(
-            List<ServerLoad> servers,
-            Predicate<ServerLoad> usable,
-            PlacedRequest request,
-            ServerLoad chosen,
-            long nowNanos) {
-        List<Preference> preferences = preferences(servers, usable, request);
+            List<ServerLoad> usable, PlacedRequest request, ServerLoad chosen, long nowNanos) {
+        List<Preference> preferences = preferences(usable, request);
         int homes = Math.min(mSettings.homes(), preferences.size());
         return preferences.subList(0, homes).stream()
                 .map(Preference::load)
@@ -179,16 +165,12 @@
                 .max(Comparator.comparingDouble(ServerChoice::score));
     }
 
-    /** Gives the usable servers, the most preferred first. */
-    private List<Preference> preferences(
-            List<ServerLoad> servers, Predicate<ServerLoad> usable, PlacedRequest request) {
+    /** Gives the servers, the most preferred first. */
+    private List<Preference> preferences(List<ServerLoad> usable, PlacedRequest request) {
         int rounds = mSizes.furtherRounds(request.route().id());
-        List<Preference> preferences = new ArrayList<>(servers.size());
-        for (ServerLoad server : servers) {
-            if (usable.test(server)) {
-                preferences.add(
-                        new Preference(server, preference(server, request.keyHash(), rounds)));
-            }
+        List<Preference> preferences = new ArrayList<>(usable.size());
+        for (ServerLoad server : usable) {
+            preferences.add(new Preference(server, preference(server, request.keyHash(), rounds)));
         }
         preferences.sort(Comparator.comparingDouble(Preference::value).reversed());
         return preferences;
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -127,18 +127,6 @@
         return mServiceNanos;
     }
 
-    /**
-     * Tells whether a server that turned a request away had room for it, by the load that it told
-     * with that: then it does not want for room, and what keeps it from serving lasts longer.
-     *
-     * @param told the load that it told, or empty
-     * @return whether a slot was free and nothing waited
-     */
-    public static boolean hadRoom(Optional<ReportedLoad> told) {
-        return told.filter(load -> load.waiting() == 0 && load.running() < load.slots())
-                .isPresent();
-    }
-
     /**
      * Keeps requests away from the server for a time.
      *
--- /dev/null
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/RequestPlacerTest.java
@@ -0,0 +1,122 @@
+package io.masticpond.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.fleet.ServerAddress;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RouteId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.limit.AdmissionAnswer;
+import io.masticpond.core.limit.OutlierJudge;
+import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.routing.Route;
+import io.masticpond.core.routing.WeightedService;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+
+/**
+ * Each server is asked for once in a choice, whatever becomes of it: who asks counts those that are
+ * left out, and the line of a request tells them.
+ */
+class RequestPlacerTest {
+
+    private static final ServiceId SERVICE = new ServiceId("service");
+
+    private final List<ServerLoad> mServers =
+            IntStream.range(0, 4).mapToObj(RequestPlacerTest::server).toList();
+    private final Asked mAsked = new Asked();
+    private LoadGate mGate = LoadGate.OPEN;
+
+    @Example
+    void coldServersWithoutPermitAreLeftOutAndNoneIsAskedForAgain() {
+        mAsked.mCold.addAll(mServers.subList(0, 3));
+        assertThat(placed()).isSameAs(mServers.get(3));
+        assertThat(mAsked.mUsableCalls).isEqualTo(4);
+        mAsked.mCold.addAll(mServers);
+        assertThat(place()).isInstanceOf(Placement.Nowhere.class);
+    }
+
+    @Example
+    void theOtherHomeIsFoundAmongTheSameServers() {
+        ServerLoad first = placed();
+        mAsked.mUsableCalls = 0;
+        mGate =
+                (request, chosen, now) ->
+                        chosen == first
+                                ? Optional.of(new AdmissionAnswer(false, 1, 1, 0))
+                                : Optional.empty();
+        ServerLoad other = placed();
+        assertThat(other).isNotSameAs(first);
+        assertThat(mAsked.mUsableCalls).isEqualTo(4);
+        mAsked.mCold.add(other);
+        assertThat(placed()).as("the next warm one").isNotIn(first, other);
+    }
+
+    private ServerLoad placed() {
+        return ((Placement.Placed) place()).choice().load();
+    }
+
+    private Placement place() {
+        ServerChooser chooser =
+                new ServerChooser(
+                        PlacementSettings.DEFAULT, new OutlierJudge(OutlierJudgeSettings.DEFAULT));
+        Route route =
+                new Route(
+                        new RouteId("r"),
+                        "h",
+                        "/",
+                        true,
+                        Duration.ofSeconds(2),
+                        Duration.ofMillis(400),
+                        1,
+                        2,
+                        true,
+                        Set.of(),
+                        List.of(new WeightedService(SERVICE, 1)));
+        return new RequestPlacer(chooser, mGate)
+                .place(new PlacedRequest(route, SERVICE, 42, 1_000_000_000L), mServers, mAsked, 0);
+    }
+
+    private static ServerLoad server(int number) {
+        return new ServerLoad(
+                new RegisteredServer(
+                        new BackendServerId("server-" + number),
+                        SERVICE,
+                        new ServerAddress("127.0.0.1", 1_000 + number),
+                        new ZoneId("z"),
+                        4,
+                        false,
+                        0),
+                Distance.SAME_ZONE);
+    }
+
+    /** Counts the questions, and gives no permit. */
+    private static final class Asked implements Candidates {
+
+        private final Set<ServerLoad> mCold = new HashSet<>();
+        private int mUsableCalls;
+
+        @Override
+        public boolean isUsable(ServerLoad load) {
+            mUsableCalls++;
+            return true;
+        }
+
+        @Override
+        public boolean isCold(ServerLoad load) {
+            return mCold.contains(load);
+        }
+
+        @Override
+        public boolean tryPermit(ServerLoad load) {
+            return false;
+        }
+    }
+}
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
@@ -10,13 +10,16 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.OutlierJudge;
 import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.WeightedService;
 import io.masticpond.core.support.HashMixer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -52,7 +55,7 @@
             mChooser.answered(new RouteId("r"), each % 2 == 0 ? 60_000 : 120_000);
         }
         assertThat(farShare(2, 12)).as("three round trips").isLessThan(0.05);
-        mChooser.retain(Set.of());
+        mChooser.retain(new RoutingConfiguration(2, List.of(), Map.of(), RequestLimits.DEFAULT));
         assertThat(farShare(2, 12)).as("the route is gone").isGreaterThan(0.4);
     }
 
@@ -135,12 +138,7 @@
     }
 
     private static String chosen(ServerChooser chooser, List<ServerLoad> servers, int key) {
-        return chooser.choose(servers, s -> true, request(key), 0)
-                .orElseThrow()
-                .load()
-                .server()
-                .id()
-                .value();
+        return chooser.choose(servers, request(key), 0).orElseThrow().load().server().id().value();
     }
 
     private static PlacedRequest request(int key) {
@@ -185,8 +183,7 @@
         }
         int left = 0;
         for (int key = 0; key < KEYS; key++) {
-            ServerLoad load =
-                    mChooser.choose(servers, s -> true, request(key), 0).orElseThrow().load();
+            ServerLoad load = mChooser.choose(servers, request(key), 0).orElseThrow().load();
             left += load.distance() == Distance.OTHER_REGION ? 1 : 0;
         }
         return (double) left / KEYS;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -38,7 +38,6 @@
 
     private static final long MISDIRECTED_AVOID_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long UNREACHABLE_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-    private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final Duration COME_BACK = Duration.ofMillis(100);
 
     private final RequestFlow mFlow;
@@ -154,8 +153,7 @@
         mSentNanos = now;
         mSends++;
         mSearch.tried(chosen);
-        chosen.began();
-        mFlow.placer().chooser().judge().sent(mService, chosen.server().id(), now);
+        mFlow.placer().sent(chosen, now);
         mFacts.retryBudget(mFlow.retries().left(mService, now));
         mFacts.sent(chosen.server().id(), chosen.server().zone(), mSearch.isCold(chosen, now), now);
         BackendRequest request =
@@ -206,9 +204,11 @@
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
         mFlow.placer().chooser().answered(mRoute.id(), answer.body().readableBytes());
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
-        judgeAnswer(server, failed, now);
-        if (!failed && reported.map(load -> load.waiting() == 0).orElse(true)) {
-            mFlow.placer().chooser().answeredIn(mService, now - mSentNanos);
+        if (failed) {
+            judgeFailed(server, now);
+        } else {
+            boolean waited = reported.filter(load -> load.waiting() > 0).isPresent();
+            mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
         }
         if (failed && mRoute.idempotent() && mayTryAgain(now)) {
             answer.body().release();
@@ -219,33 +219,15 @@
         respond(mEnd.passedOn(answer, now));
     }
 
-    private void judgeAnswer(ServerLoad server, boolean failed, long now) {
-        if (failed) {
-            judgeFailed(server, now);
-            return;
-        }
-        long took = now - mSentNanos;
-        server.answeredIn(took);
-        mFlow.placer().chooser().judge().succeeded(mService, server.server().id(), took, now);
-    }
-
     private void judgeFailed(ServerLoad server, long now) {
-        mFlow.placer().chooser().judge().failed(mService, server.server().id(), now);
+        mFlow.placer().failed(server, now);
     }
 
-    /**
-     * A server that is full is left alone for a moment. One that had room is judged beside its
-     * peers: if it alone turns requests away it is avoided, but if all do, leaving it alone would
-     * only send its keys to servers that do not know them, or to another region, for the same
-     * answer.
-     */
     private void turnedAway(ServerLoad server, int status, Optional<ReportedLoad> told, long now) {
         if (status == MISDIRECTED) {
             server.avoidUntil(now + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
-        } else if (ServerLoad.hadRoom(told)) {
-            judgeFailed(server, now);
         } else {
-            server.avoidUntil(now + FULL_AVOID_NANOS, AvoidReason.TURNED_AWAY);
+            mFlow.placer().turnedAway(server, told, now);
         }
         tryAgainOrEnd("turned-away");
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -67,10 +67,8 @@
      */
     void explain(List<ServerLoad> servers, long leftNanos, long now) {
         mFacts.weigh();
-        for (ServerChoice each :
-                mFlow.placer()
-                        .chooser()
-                        .ranked(servers, load -> isUsable(load, now), placed(leftNanos), now)) {
+        List<ServerLoad> usable = servers.stream().filter(load -> isUsable(load, now)).toList();
+        for (ServerChoice each : mFlow.placer().chooser().ranked(usable, placed(leftNanos), now)) {
             note(each, now);
         }
     }
@@ -156,6 +154,7 @@
                 return true;
             }
             mWithoutPermit.add(load.server().id());
+            mFacts.excluded(Exclusion.COLD);
             return false;
         }
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
@@ -1,8 +1,6 @@
 package io.masticpond.entry.wiring;
 
 import io.masticpond.core.fleet.FleetPicture;
-import io.masticpond.core.placement.PriorityLoadGate;
-import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceSplit;
 import io.masticpond.core.time.TimeSource;
@@ -14,7 +12,6 @@
 import io.masticpond.entry.request.EntryState;
 import io.masticpond.entry.request.RequestFlow;
 import io.netty.channel.EventLoop;
-import java.util.stream.Collectors;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -29,7 +26,6 @@
     private final RequestFlow mFlow;
     private final SharedLimits mLimits;
     private final ServiceSplit mSplit;
-    private final PriorityLoadGate mLoadGate;
     private final EntryListeners mListeners;
     private final Readiness mReadiness;
     private final ProcessNews mNews;
@@ -44,7 +40,6 @@
             RequestFlow flow,
             SharedLimits limits,
             ServiceSplit split,
-            PriorityLoadGate loadGate,
             EntryListeners listeners,
             Readiness readiness,
             ProcessNews news) {
@@ -55,7 +50,6 @@
         mFlow = flow;
         mLimits = limits;
         mSplit = split;
-        mLoadGate = loadGate;
         mListeners = listeners;
         mReadiness = readiness;
         mNews = news;
@@ -78,17 +72,18 @@
     }
 
     private void follow(FleetPicture picture) {
-        mFlow.update(EntryState.of(picture, mFlow.state()));
+        EntryState before = mFlow.state();
+        EntryState state = EntryState.of(picture, before);
+        mFlow.update(state);
         mLimits.update(picture, mTimeSource.monotonicNanos());
-        picture.routing().ifPresent(this::configure);
+        if (!state.routes().equals(before.routes())) {
+            picture.routing().ifPresent(this::configure);
+        }
     }
 
     private void configure(RoutingConfiguration configuration) {
         mSplit.retain(configuration);
-        mLoadGate.configure(configuration);
-        mFlow.placer()
-                .chooser()
-                .retain(configuration.routes().stream().map(Route::id).collect(Collectors.toSet()));
+        mFlow.placer().retain(configuration);
     }
 
     /** Tells peers and the request path how far this instance is, on the control thread. */
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionMeasure.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionMeasure.java
@@ -4,8 +4,10 @@
 import io.masticpond.measure.MeasureReport;
 import io.masticpond.measure.MeasureTable;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Collectors;
 
 /**
  * Plays load patterns against the decisions as they are, and with one mechanism set otherwise.
@@ -54,7 +56,7 @@
                         new DecisionWorld(variant, pattern, REQUESTS_PER_SECOND, seed).play();
                 rows.add(row(pattern, variant, tally));
                 if (variant == DecisionVariant.AS_IT_IS) {
-                    report.figure("worth" + word(pattern.name(), ""), tally.worth());
+                    report.figure("worth" + capitalized(pattern), tally.worth());
                 }
             }
         }
@@ -65,8 +67,8 @@
     private static List<String> row(
             LoadPattern pattern, DecisionVariant variant, DecisionTally tally) {
         return List.of(
-                word(pattern.name(), " ").strip().toLowerCase(Locale.ROOT),
-                word(variant.name(), " ").strip().toLowerCase(Locale.ROOT),
+                words(pattern),
+                words(variant),
                 number(tally.worth()),
                 number(tally.worstRegion()),
                 number(tally.worstKind()),
@@ -79,14 +81,15 @@
                 String.valueOf(tally.turnedAwayCount()));
     }
 
-    /** Writes the name of a constant in words, each with a capital. */
-    private static String word(String constant, String joint) {
-        StringBuilder words = new StringBuilder();
-        for (String part : constant.split("_")) {
-            words.append(joint).append(part.charAt(0));
-            words.append(part.substring(1).toLowerCase(Locale.ROOT));
-        }
-        return words.toString();
+    private static String words(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
+    /** Gives the words of a name as one, each with a capital. */
+    private static String capitalized(Enum<?> constant) {
+        return Arrays.stream(words(constant).split(" "))
+                .map(word -> word.substring(0, 1).toUpperCase(Locale.ROOT) + word.substring(1))
+                .collect(Collectors.joining());
     }
 
     private static String number(double value) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
@@ -30,7 +30,7 @@
     private static final ServiceId BOOKINGS = new ServiceId("bookings");
     private static final ServiceId DOCUMENTS = new ServiceId("documents");
 
-    /** How many servers stand in each zone; the second region has a fifth of the others'. */
+    /** How many servers stand in each zone; the second region has 6 of all 38. */
     private static final List<ServerShape> SHAPES =
             List.of(
                     new ServerShape(LISTS, new int[] {3, 1, 3, 3, 1, 3}, 9, 27, 71),
@@ -59,7 +59,6 @@
     private final double mRequestsPerSecond;
     private final long mSeed;
     private double mLoad = 1;
-    private long mDeadUntilNanos;
     private long mRevision;
 
     DecisionWorld(
@@ -130,7 +129,7 @@
     }
 
     private void startInstances() {
-        mInstances.clear();
+        FleetPicture picture = picture();
         int number = 0;
         for (int zone = 0; zone < INSTANCES.length; zone++) {
             List<ModelInstance> instances = new ArrayList<>();
@@ -139,7 +138,7 @@
                         new ModelInstance(
                                 mZones.get(zone),
                                 mRegions,
-                                picture(),
+                                picture,
                                 mVariant,
                                 Arrays.stream(INSTANCES).sum(),
                                 mSeed + number++,
@@ -182,9 +181,7 @@
     }
 
     void kill(double part) {
-        for (int shape = 0; shape < SHAPES.size(); shape++) {
-            kill(shape, part);
-        }
+        SHAPES.forEach(s -> chosen(s.service(), part).forEach(ModelServer::die));
     }
 
     void kill(int shape, double part) {
@@ -210,7 +207,6 @@
     }
 
     void stopInstances(long nanos) {
-        mDeadUntilNanos = now() + nanos;
         mInstances.clear();
         mClock.after(nanos, this::startInstances);
     }
@@ -262,19 +258,14 @@
         return mTally;
     }
 
-    UniformRandomProvider random() {
-        return mRandom;
-    }
-
     RegionId region(ZoneId zone) {
         return mRegions.get(zone);
     }
 
     /** Picks an instance for a client, as one that knows the addresses of its zone does. */
     Optional<ModelInstance> instance(ZoneId zone) {
-        List<ModelInstance> near = mInstances.get(zone);
-        boolean dead = now() < mDeadUntilNanos || near == null;
-        return dead ? Optional.empty() : Optional.of(near.get(mRandom.nextInt(near.size())));
+        return Optional.ofNullable(mInstances.get(zone))
+                .map(near -> near.get(mRandom.nextInt(near.size())));
     }
 
     boolean isAlive(ModelInstance instance) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/LoadPattern.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/LoadPattern.java
@@ -5,12 +5,12 @@
 /** What happens during a play, by what it is and not by where it was seen. */
 enum LoadPattern {
     /** All objects are new to all servers at the start. */
-    COLD_START("all objects are new") {
+    COLD_START {
         @Override
         void schedule(DecisionWorld world) {}
     },
     /** More requests than usual, for a time. */
-    BURST("1.5 times the requests from 8 to 13 s") {
+    BURST {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.load(1.5));
@@ -18,7 +18,7 @@
         }
     },
     /** All servers of one service turn a part away, whatever their load. */
-    SERVICE_SHEDS("all servers of the first service turn away 0.55 from 8 to 16 s") {
+    SERVICE_SHEDS {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.shed(0, 1, 0.55));
@@ -26,7 +26,7 @@
         }
     },
     /** A few servers turn nearly everything away. */
-    SERVERS_SHED("a fifth of the servers turn away 0.9 from 8 to 16 s") {
+    SERVERS_SHED {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.shed(0, 0.2, 0.9));
@@ -34,7 +34,7 @@
         }
     },
     /** Servers turn slow. */
-    SERVERS_SLOW("0.15 of all servers work 5 times as long from 8 to 14 s") {
+    SERVERS_SLOW {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.slow(0.15, 5));
@@ -42,7 +42,7 @@
         }
     },
     /** Servers fall silent and leave the registry after three seconds. */
-    SERVERS_DIE("0.12 of all servers die at 8 s") {
+    SERVERS_DIE {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.kill(0.12));
@@ -50,7 +50,7 @@
         }
     },
     /** What is left of a service is just too little for its requests. */
-    SERVICE_SHORT("0.55 of the first service's servers die at 8 s") {
+    SERVICE_SHORT {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.kill(0, 0.55));
@@ -58,14 +58,14 @@
         }
     },
     /** All instances lose what they know, and all clients come back. */
-    INSTANCES_RESTART("all instances are dead from 8 to 9.5 s") {
+    INSTANCES_RESTART {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.stopInstances(TimeUnit.MILLISECONDS.toNanos(1500)));
         }
     },
     /** Clients of one zone move to another region. */
-    CLIENTS_MOVE("0.7 of a zone's clients are in another region from 8 to 14 s") {
+    CLIENTS_MOVE {
         @Override
         void schedule(DecisionWorld world) {
             world.at(8, () -> world.move(0, 1, 0.7));
@@ -73,7 +73,7 @@
         }
     },
     /** A zone's servers may not be used. */
-    ZONE_EVACUATED("a zone's servers get nothing from 2 to 10 s") {
+    ZONE_EVACUATED {
         @Override
         void schedule(DecisionWorld world) {
             world.at(2, () -> world.evacuate(0, true));
@@ -81,7 +81,7 @@
         }
     },
     /** Many more objects than servers keep. */
-    MANY_OBJECTS("six times the objects") {
+    MANY_OBJECTS {
         @Override
         void schedule(DecisionWorld world) {}
 
@@ -91,16 +91,6 @@
         }
     };
 
-    private final String mText;
-
-    LoadPattern(String text) {
-        mText = text;
-    }
-
-    String text() {
-        return mText;
-    }
-
     abstract void schedule(DecisionWorld world);
 
     int objectMultiple() {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
@@ -1,7 +1,6 @@
 package io.masticpond.measure.decision;
 
 import io.masticpond.core.fleet.FleetPicture;
-import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
@@ -26,7 +25,6 @@
             new RetryBudgetSettings(0.2, 60, Duration.ofSeconds(10), 0.8);
 
     private final ZoneId mZone;
-    private final RegionId mRegion;
     private final ServerTable mServers;
     private final RequestPlacer mPlacer;
     private final Map<ServiceId, SharedRetryBudget> mRetries = new HashMap<>();
@@ -42,7 +40,6 @@
             long seed,
             long nowNanos) {
         mZone = zone;
-        mRegion = regions.get(zone);
         mServers = new ServerTable(zone, regions);
         mServers.update(picture, nowNanos);
         mPlacer =
@@ -61,10 +58,6 @@
         return mZone;
     }
 
-    RegionId region() {
-        return mRegion;
-    }
-
     ServerTable servers() {
         return mServers;
     }
@@ -78,10 +71,6 @@
         mPlacer.chooser().judge().retain(picture.servers().keySet());
     }
 
-    boolean knows(BackendServerId id, ServiceId service) {
-        return mServers.of(service).stream().anyMatch(load -> load.server().id().equals(id));
-    }
-
     void counted(ServiceId service, long nowNanos) {
         retries(service).firstSent(nowNanos);
     }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
@@ -3,7 +3,6 @@
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
-import io.masticpond.core.placement.AvoidReason;
 import io.masticpond.core.placement.Candidates;
 import io.masticpond.core.placement.Distance;
 import io.masticpond.core.placement.PlacedRequest;
@@ -15,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** A client's request with its attempts, and the attempts of the instances for each of them. */
 final class ModelRequest {
@@ -26,7 +26,6 @@
     /** A client that finds no instance tries again after this. */
     private static final long NO_INSTANCE_NANOS = 300 * MILLI;
 
-    private static final long AVOID_NANOS = 60 * MILLI;
     private static final long COME_BACK_NANOS = 100 * MILLI;
 
     private final DecisionWorld mWorld;
@@ -152,38 +151,19 @@
             long sentNanos = now();
             mSends++;
             mTried.add(load.server().id());
-            load.began();
-            mInstance.placer().chooser().judge().sent(service(), load.server().id(), sentNanos);
+            mInstance.placer().sent(load, sentNanos);
             mWorld.tally().sent(load.distance() == Distance.OTHER_REGION);
             long delay = mWorld.delayNanos(mInstance.zone(), load.server().zone());
             ModelServer server = mWorld.server(load.server().id());
-            after(
-                    mDeadlineNanos - sentNanos,
-                    () ->
-                            mInstance
-                                    .placer()
-                                    .chooser()
-                                    .judge()
-                                    .failed(service(), load.server().id(), now()));
+            after(mDeadlineNanos - sentNanos, () -> mInstance.placer().failed(load, now()));
             if (server == null) {
                 return;
             }
-            mWorld.clock()
-                    .after(
-                            delay,
-                            () ->
-                                    server.take(
-                                            mObject,
-                                            mKind.workMillis(),
-                                            mDeadlineNanos,
-                                            answer ->
-                                                    mWorld.clock()
-                                                            .after(
-                                                                    delay,
-                                                                    () ->
-                                                                            hear(
-                                                                                    load, answer,
-                                                                                    sentNanos))));
+            Clock clock = mWorld.clock();
+            Consumer<ModelServer.Answer> back =
+                    answer -> clock.after(delay, () -> hear(load, answer, sentNanos));
+            clock.after(
+                    delay, () -> server.take(mObject, mKind.workMillis(), mDeadlineNanos, back));
         }
 
         private void hear(ServerLoad load, ModelServer.Answer answer, long sentNanos) {
@@ -197,15 +177,7 @@
             }
             if (!answer.executed()) {
                 mWorld.tally().turnedAway();
-                if (ServerLoad.hadRoom(Optional.of(answer.load()))) {
-                    mInstance
-                            .placer()
-                            .chooser()
-                            .judge()
-                            .failed(service(), load.server().id(), now());
-                } else {
-                    load.avoidUntil(now() + AVOID_NANOS, AvoidReason.TURNED_AWAY);
-                }
+                mInstance.placer().turnedAway(load, Optional.of(answer.load()), now());
                 if (mSends < mRoute.maximumAttempts() && mInstance.mayRetry(service(), now())) {
                     place();
                 } else {
@@ -215,16 +187,8 @@
             }
             mWorld.tally().answered(load.distance() == Distance.OTHER_REGION, mKind.answerBytes());
             mInstance.placer().chooser().answered(mRoute.id(), mKind.answerBytes());
-            long took = now() - sentNanos;
-            load.answeredIn(took);
-            mInstance
-                    .placer()
-                    .chooser()
-                    .judge()
-                    .succeeded(service(), load.server().id(), took, now());
-            if (answer.load().waiting() == 0) {
-                mInstance.placer().chooser().answeredIn(service(), took);
-            }
+            boolean waited = answer.load().waiting() > 0;
+            mInstance.placer().succeeded(load, now() - sentNanos, waited, now());
             after(CLIENT_NANOS, ModelRequest.this::answered);
         }
 
