Tell runs of a server apart, and take no server from an entry that cannot be read

Cause: a backend server may start again under its id, and entries may come from another writer. The id alone named a run: load, failures, judgement and idle connections of a dead run were held for those of the new one. Slots given as text became 1, an unknown state became ready, an unreadable change left the entry before it in use, and one item that was no text (bytes, depth, digits) made a whole answer of 500 bad.

Ruled out: "the later time of birth wins", since clocks are set back; ending calls to the former run at once, since its answers may still come.

Change: ServerRuns judges each entry by born, else by seq that goes back; a run is part of RegisteredServer, and another run ends what was learnt (ServerTable, OutlierJudge, connections). An overtaken word changes nothing unless it stands for 5 s. PlatformTranslator reads field by field; KnownZonesTranslator takes zones of the deployment only; JsonTree reads an answer as far as it can; addresses are digits, never names. One line an entry, two metrics.

Tests: RestartedServerTest, UnreadableEntryTest, RestartedServerFlowTest, MixedEntriesTest (2,000 entries with one wrong byte), PlatformTranslatorTest. FleetReplicaTest expected the last good entry of an unreadable server to stay; the pages now say that it names none, and the test says that.

--- a/masticpond-core/src/main/java/io/masticpond/core/fleet/ServerAddress.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/fleet/ServerAddress.java
@@ -12,6 +12,9 @@
 public record ServerAddress(String ip, int port) {
 
     private static final int MAXIMUM_PORT = 65_535;
+    private static final int PARTS = 4;
+    private static final int LONGEST_PART = 3;
+    private static final int MAXIMUM_PART = 255;
 
     /** Checks the address. */
     public ServerAddress {
@@ -23,18 +26,35 @@
     }
 
     /**
-     * Reads "ip:port".
+     * Reads "ip:port" with an address of IPv4 in digits.
      *
      * @param text the text
      * @return the address
      */
     public static ServerAddress parse(String text) {
         int colon = text.lastIndexOf(':');
-        Assert.isTrue(colon > 0, "An address must be ip:port, but was '%s'.", text);
+        Assert.isTrue(
+                colon > 0 && isNumeric(text.substring(0, colon)),
+                "An address must be ip:port, but was '%s'.",
+                text);
         return new ServerAddress(
                 text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
+    private static boolean isNumeric(String ip) {
+        String[] parts = ip.split("\\.", -1);
+        for (String part : parts) {
+            boolean digits = part.chars().allMatch(each -> each >= '0' && each <= '9');
+            if (!digits || part.isEmpty() || part.length() > LONGEST_PART) {
+                return false;
+            }
+            if (Integer.parseInt(part) > MAXIMUM_PART) {
+                return false;
+            }
+        }
+        return parts.length == PARTS;
+    }
+
     /** Written out, since the one that records get is linked at its first use, in a start. */
     @Override
     public boolean equals(Object other) {
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/OutlierJudge.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/OutlierJudge.java
@@ -102,6 +102,19 @@
         return due ? 0 : tally.penalty();
     }
 
+    /**
+     * Forgets what one server did, since it is gone or has started again.
+     *
+     * @param service its service
+     * @param server the server
+     */
+    public void forget(ServiceId service, BackendServerId server) {
+        Peers peers = mServices.get(service);
+        if (peers != null) {
+            peers.mTallies.remove(server);
+        }
+    }
+
     /**
      * Forgets the servers that are gone.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -143,7 +143,7 @@
     }
 
     /**
-     * Takes a good answer.
+     * Takes a good answer; one of a run that is over teaches nothing.
      *
      * @param load the server
      * @param nanos the time from the sending to the answer
@@ -151,6 +151,9 @@
      * @param nowNanos the monotonic time
      */
     public void succeeded(ServerLoad load, long nanos, boolean waited, long nowNanos) {
+        if (load.isOver()) {
+            return;
+        }
         load.answeredIn(nanos);
         RegisteredServer server = load.server();
         mChooser.judge().succeeded(server.service(), server.id(), nanos, nowNanos);
@@ -160,12 +163,15 @@
     }
 
     /**
-     * Takes a failure that speaks against a server.
+     * Takes a failure that speaks against a server; one of a run that is over does not.
      *
      * @param load the server
      * @param nowNanos the monotonic time
      */
     public void failed(ServerLoad load, long nowNanos) {
+        if (load.isOver()) {
+            return;
+        }
         mChooser.judge().failed(load.server().service(), load.server().id(), nowNanos);
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -27,6 +27,7 @@
     private double mServiceNanos;
     private long mAvoidUntilNanos;
     private AvoidReason mAvoidReason;
+    private boolean mOver;
 
     /**
      * Starts with a server that nothing was sent to.
@@ -82,6 +83,22 @@
         return mHash;
     }
 
+    /**
+     * Takes that this run of the server is over; what still ends there tells nothing of a later.
+     */
+    void over() {
+        mOver = true;
+    }
+
+    /**
+     * Tells whether this run of the server is over, as far as is known.
+     *
+     * @return whether it is
+     */
+    public boolean isOver() {
+        return mOver;
+    }
+
     /** Counts a request that is being sent. */
     public void began() {
         mOwn++;
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -47,10 +47,10 @@
      *
      * @param picture the picture
      * @param nowNanos the monotonic time
-     * @return the servers that are gone
+     * @return the servers that are gone, or that have started again since
      */
     public List<RegisteredServer> update(FleetPicture picture, long nowNanos) {
-        List<RegisteredServer> gone = removeMissing(picture);
+        List<RegisteredServer> gone = removeOver(picture);
         Map<ServiceId, List<ServerLoad>> services = new HashMap<>();
         for (RegisteredServer server : picture.servers().values()) {
             ServerLoad load = mLoads.get(server.id());
@@ -98,16 +98,18 @@
         return Optional.ofNullable(mRegions.get(server.zone()));
     }
 
-    private List<RegisteredServer> removeMissing(FleetPicture picture) {
+    private List<RegisteredServer> removeOver(FleetPicture picture) {
         List<RegisteredServer> gone = new ArrayList<>();
         mLoads.values()
                 .removeIf(
                         load -> {
-                            boolean missing = !picture.servers().containsKey(load.server().id());
-                            if (missing) {
+                            RegisteredServer now = picture.servers().get(load.server().id());
+                            boolean over = now == null || !now.isSameRun(load.server());
+                            if (over) {
+                                load.over();
                                 gone.add(load.server());
                             }
-                            return missing;
+                            return over;
                         });
         return gone;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/json/JsonTree.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/json/JsonTree.java
@@ -16,13 +16,17 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.Reader;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.Map;
 
 /**
  * Trees of JSON as bytes or text, as an object mapper with its defaults would read and write them,
- * but nested 100 levels deep at most. Safe for all threads.
+ * but nested 100 levels deep at most. An answer of many objects is read as far as it can be, so
+ * that one object that somebody else spoiled costs none of the others. Safe for all threads.
  *
  * @since 0.2
  */
@@ -33,8 +37,29 @@
 
     private static final StreamReadConstraints CONSTRAINTS =
             StreamReadConstraints.builder().maxNestingDepth(DEEPEST_NESTING).build();
-    private static final JsonFactory FACTORY =
-            JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+
+    /** Greater than any object of a store, so that no single value makes a whole answer bad. */
+    private static final int LONGEST_TOKEN = 1 << 21;
+
+    /** Skipped levels cost some 60 bytes each. */
+    private static final int DEEPEST_SKIPPED = 100_000;
+
+    /** More digits than a number of use has; longer ones take time that grows with their square. */
+    private static final int MOST_DIGITS = 400;
+
+    private static final JsonFactory FACTORY = JsonFactory.builder().build();
+    private static final JsonFactory TOLERANT =
+            JsonFactory.builder()
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(DEEPEST_SKIPPED)
+                                    .maxNumberLength(LONGEST_TOKEN)
+                                    .maxNameLength(LONGEST_TOKEN)
+                                    .build())
+                    .enable(JsonReadFeature.ALLOW_UNESCAPED_CONTROL_CHARS)
+                    .enable(JsonReadFeature.ALLOW_BACKSLASH_ESCAPING_ANY_CHARACTER)
+                    .enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
+                    .build();
     private static final JsonFactory COMMENTED =
             JsonFactory.builder()
                     .streamReadConstraints(CONSTRAINTS)
@@ -45,14 +70,18 @@
     private JsonTree() {}
 
     /**
-     * Reads the first tree of a stream.
+     * Reads the first tree of a stream. Bytes that are no UTF-8 become replacement characters,
+     * control characters in texts are taken as they are, and what nests too deep or has too many
+     * digits becomes null.
      *
      * @param stream the stream, in UTF-8
      * @return the tree, missing if the stream is empty
      * @throws IOException if it is no JSON or cannot be read
      */
     public static JsonNode read(InputStream stream) throws IOException {
-        try (JsonParser parser = FACTORY.createParser(Assert.notNull(stream, "A stream"))) {
+        Reader reader =
+                new InputStreamReader(Assert.notNull(stream, "A stream"), StandardCharsets.UTF_8);
+        try (JsonParser parser = TOLERANT.createParser(reader)) {
             return first(parser);
         }
     }
@@ -93,6 +122,10 @@
 
     private static JsonNode value(JsonParser parser) throws IOException {
         JsonToken token = parser.currentToken();
+        if (parser.getParsingContext().getNestingDepth() > DEEPEST_NESTING) {
+            parser.skipChildren();
+            return NODES.nullNode();
+        }
         switch (token) {
             case START_OBJECT:
                 return object(parser);
@@ -103,7 +136,9 @@
             case VALUE_NUMBER_INT:
                 return whole(parser);
             case VALUE_NUMBER_FLOAT:
-                return NODES.numberNode(parser.getDoubleValue());
+                return parser.getTextLength() > MOST_DIGITS
+                        ? NODES.nullNode()
+                        : NODES.numberNode(parser.getDoubleValue());
             case VALUE_TRUE:
             case VALUE_FALSE:
                 return NODES.booleanNode(token == JsonToken.VALUE_TRUE);
@@ -139,7 +174,9 @@
             case LONG:
                 return NODES.numberNode(parser.getLongValue());
             default:
-                return NODES.numberNode(parser.getBigIntegerValue());
+                return parser.getTextLength() > MOST_DIGITS
+                        ? NODES.nullNode()
+                        : NODES.numberNode(parser.getBigIntegerValue());
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -18,6 +18,8 @@
     enum ServerState {
         /** It is new. */
         SEEN,
+        /** It has started again under its id. */
+        RESTARTED,
         /** It wants no new requests. */
         LEAVING,
         /** It is no longer registered. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/FleetPictureLog.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/FleetPictureLog.java
@@ -127,6 +127,8 @@
             RegisteredServer former = before.servers().get(server.id());
             if (former == null) {
                 logServer(server, ServerState.SEEN, source);
+            } else if (!former.isSameRun(server)) {
+                logServer(server, ServerState.RESTARTED, source);
             }
             if (server.leaving() && (former == null || !former.leaving())) {
                 logServer(server, ServerState.LEAVING, source);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -37,6 +37,11 @@
     /** Backend servers that are kept though their entries are gone. */
     UNCONFIRMED_SERVERS(
             "unconfirmed_backend_servers", "Backend servers kept without an entry.", false),
+    /** Entries of backend servers that lie in the store and cannot be read. */
+    UNREADABLE_ENTRIES(
+            "unreadable_entries", "Entries of backend servers that cannot be read.", false),
+    /** Changes of entries that could not be read. */
+    UNREADABLE_SEEN("unreadable_entries_seen", "Changes of entries that could not be read.", true),
     /** Zones whose backend servers get nothing. */
     EVACUATED_ZONES("evacuated_zones", "Zones that are evacuated.", false),
     /** Instances that are alive, this one included. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/DocumentTranslator.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/DocumentTranslator.java
@@ -40,4 +40,14 @@
     default boolean hasReported(JsonNode content) {
         return true;
     }
+
+    /**
+     * Reads which run of a backend server wrote a document that can be read.
+     *
+     * @param content the platform's document
+     * @return what it says of the run; nothing where the platform knows no runs
+     */
+    default ServerReport report(JsonNode content) {
+        return ServerReport.SILENT;
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -258,6 +258,8 @@
                 mHealth.isLost(),
                 Duration.ofNanos(nowNanos - mHealth.sinceNanos()),
                 mServers.unconfirmed(),
+                mServers.unreadable().held(),
+                mServers.unreadable().seen(),
                 categories);
     }
 
@@ -346,7 +348,7 @@
                         mServers.servers(mRouting::warmUp, nowNanos),
                         mEvacuations.zones());
         mWarmTimer.run();
-        mServers.untilNextWarm(mRouting::warmUp, nowNanos)
+        mServers.untilNextDue(mRouting::warmUp, nowNanos)
                 .ifPresent(left -> mWarmTimer = mScheduler.schedule(left, this::tellWarm));
         mListener.changed(mPicture, source);
     }
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/KnownZonesTranslator.java
@@ -0,0 +1,56 @@
+package io.masticpond.entry.replica;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.routing.RoutingConfiguration;
+import io.masticpond.core.support.Assert;
+import io.vavr.control.Either;
+import java.util.Set;
+
+/**
+ * Takes servers of the deployment's own zones only. Nobody could evacuate another zone, nor say
+ * which region its requests are bound to. Safe for all threads.
+ *
+ * @since 0.2
+ */
+public final class KnownZonesTranslator implements DocumentTranslator {
+
+    private final DocumentTranslator mTranslator;
+    private final Set<ZoneId> mZones;
+
+    /**
+     * Bounds a translator.
+     *
+     * @param translator reads the documents
+     * @param zones the availability zones of the deployment
+     */
+    public KnownZonesTranslator(DocumentTranslator translator, Set<ZoneId> zones) {
+        mTranslator = Assert.notNull(translator, "A translator");
+        mZones = Set.copyOf(zones);
+    }
+
+    @Override
+    public Either<String, RoutingConfiguration> routing(JsonNode content) {
+        return mTranslator.routing(content);
+    }
+
+    @Override
+    public Either<String, RegisteredServer> server(String name, JsonNode content, long nowNanos) {
+        return mTranslator
+                .server(name, content, nowNanos)
+                .filterOrElse(
+                        server -> mZones.contains(server.zone()),
+                        server -> String.format("The zone %s is unknown.", server.zone()));
+    }
+
+    @Override
+    public boolean hasReported(JsonNode content) {
+        return mTranslator.hasReported(content);
+    }
+
+    @Override
+    public ServerReport report(JsonNode content) {
+        return mTranslator.report(content);
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ReplicaStatus.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ReplicaStatus.java
@@ -10,6 +10,8 @@
  * @param storeLost whether the store counts as lost
  * @param storeStateAge for how long the store's calls have failed or succeeded
  * @param unconfirmedServers how many servers are kept though their entries are gone
+ * @param unreadableEntries how many entries of servers cannot be read now
+ * @param unreadableSeen how many changes of entries could not be read since the start
  * @param categories the copies
  * @since 0.2
  */
@@ -18,4 +20,6 @@
         boolean storeLost,
         Duration storeStateAge,
         int unconfirmedServers,
+        int unreadableEntries,
+        long unreadableSeen,
         List<CategoryStatus> categories) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerDocuments.java
@@ -8,25 +8,37 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The backend servers as far as their documents can be read.
+ * The backend servers whose documents can be read.
  *
- * <p>A server whose entry is gone though it did not leave is kept for a while if the store may have
+ * <p>A document that cannot be read names no server, also where a good one stood before it. One
+ * that was overtaken by a later run of its server changes nothing, unless the server lets it stand.
+ * A server whose entry is gone though it did not leave is kept for a while if the store may have
  * let it expire while nobody could renew it. A server that has not reported yet is left out while
- * others of its service have, and is cold where none has. For the control thread.
+ * others of its service have, and is cold where none has, until it cannot be cold any more. For the
+ * control thread.
  */
 final class ServerDocuments implements CopyListener {
 
     private static final Logger sLogger = LoggerFactory.getLogger(ServerDocuments.class);
 
+    /** A living server renews its entry several times within this. */
+    private static final long OVERTAKEN_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final DocumentTranslator mTranslator;
+    private final ServerRuns mRuns = new ServerRuns();
+    private final UnreadableEntries mUnreadable = new UnreadableEntries();
+    private final Map<String, Overtaken> mOvertaken = new HashMap<>();
     private final Map<String, RegisteredServer> mServers = new HashMap<>();
     private final Set<String> mUnconfirmed = new HashSet<>();
     private final Map<String, Long> mUnreportedSince = new HashMap<>();
@@ -79,6 +91,7 @@
      */
     Map<BackendServerId, RegisteredServer> servers(
             Function<ServiceId, Duration> warmUp, long nowNanos) {
+        believeOvertaken(nowNanos);
         Set<ServiceId> reported = reportedServices();
         Map<BackendServerId, RegisteredServer> servers = new HashMap<>();
         for (Map.Entry<String, RegisteredServer> entry : mServers.entrySet()) {
@@ -112,20 +125,44 @@
     }
 
     /**
-     * Tells when silence alone makes a server that has not reported a warm one.
+     * Tells when time alone changes the servers: one that has not reported cannot be cold any more,
+     * or a document that seemed to be overtaken has stood.
      *
      * @param warmUp how long a server of a service is cold after its start at most
      * @param nowNanos the monotonic time
      * @return the time until the next, or empty if there is none
      */
-    Optional<Duration> untilNextWarm(Function<ServiceId, Duration> warmUp, long nowNanos) {
-        return mUnreportedSince.entrySet().stream()
-                .map(each -> warmNanos(mServers.get(each.getKey()), each.getValue(), warmUp))
-                .filter(warmNanos -> warmNanos - nowNanos > 0)
-                .map(warmNanos -> Duration.ofNanos(warmNanos - nowNanos))
+    Optional<Duration> untilNextDue(Function<ServiceId, Duration> warmUp, long nowNanos) {
+        Stream<Long> silent =
+                mUnreportedSince.entrySet().stream()
+                        .map(
+                                each ->
+                                        warmNanos(
+                                                mServers.get(each.getKey()),
+                                                each.getValue(),
+                                                warmUp));
+        Stream<Long> overtaken = mOvertaken.values().stream().map(Overtaken::untilNanos);
+        return Stream.concat(silent, overtaken)
+                .filter(dueNanos -> dueNanos - nowNanos > 0)
+                .map(dueNanos -> Duration.ofNanos(dueNanos - nowNanos))
                 .min(Comparator.naturalOrder());
     }
 
+    /** Takes the documents that their servers let stand: then it was the clock that went back. */
+    private void believeOvertaken(long nowNanos) {
+        Iterator<Overtaken> overtaken = mOvertaken.values().iterator();
+        while (overtaken.hasNext()) {
+            Overtaken each = overtaken.next();
+            if (each.untilNanos() - nowNanos <= 0) {
+                overtaken.remove();
+                StoredDocument document = each.document();
+                mRuns.believe(document.name(), mTranslator.report(document.content()));
+                startedAgain(document);
+                put(document, each.server(), each.stateNanos());
+            }
+        }
+    }
+
     /**
      * Tells whether a server was first seen lately whose report must be about to come.
      *
@@ -140,28 +177,48 @@
 
     @Override
     public void changed(StoredDocument document, long stateNanos) {
-        mUnconfirmed.remove(document.name());
+        String name = document.name();
+        mUnconfirmed.remove(name);
+        mOvertaken.remove(name);
         Either<String, RegisteredServer> read =
-                Reading.guard(
-                        () -> mTranslator.server(document.name(), document.content(), stateNanos));
+                Reading.guard(() -> mTranslator.server(name, document.content(), stateNanos));
         if (read.isLeft()) {
-            sLogger.warn(
-                    "STORE  server {} at revision {} is unreadable, the last good entry stays: {}",
-                    document.name(),
-                    document.revision(),
-                    read.getLeft());
+            mUnreadable.add(document, read.getLeft());
+            forget(name);
             return;
         }
-        RegisteredServer before = mServers.get(document.name());
-        boolean hasReported = mTranslator.hasReported(document.content());
-        RegisteredServer server =
-                hasReported
-                        ? read.get()
-                        : unreported(document.name(), read.get(), before, stateNanos);
-        if (hasReported) {
-            mChanged |= mUnreportedSince.remove(document.name()) != null;
+        mUnreadable.remove(name);
+        ServerRuns.Verdict verdict = mRuns.take(name, mTranslator.report(document.content()));
+        if (verdict == ServerRuns.Verdict.OVERTAKEN) {
+            mOvertaken.put(name, new Overtaken(document, read.get(), stateNanos));
+            mChanged = true;
+            return;
+        }
+        if (verdict == ServerRuns.Verdict.STARTED_AGAIN) {
+            startedAgain(document);
+        }
+        put(document, read.get(), stateNanos);
+    }
+
+    private void startedAgain(StoredDocument document) {
+        mUnreportedSince.remove(document.name());
+        mServers.remove(document.name());
+        sLogger.info(
+                "STORE  server {} started again, seen at revision {}",
+                document.name(),
+                document.revision());
+    }
+
+    private void put(StoredDocument document, RegisteredServer read, long stateNanos) {
+        String name = document.name();
+        RegisteredServer before = mServers.get(name);
+        RegisteredServer server = read.withRun(mRuns.number(name));
+        if (mTranslator.hasReported(document.content())) {
+            mChanged |= mUnreportedSince.remove(name) != null;
+        } else {
+            server = unreported(name, server, before, stateNanos);
         }
-        mServers.put(document.name(), server);
+        mServers.put(name, server);
         mChanged |= !server.equals(before);
     }
 
@@ -177,6 +234,8 @@
 
     @Override
     public void removed(String name, long revision) {
+        mUnreadable.remove(name);
+        mOvertaken.remove(name);
         RegisteredServer server = mServers.get(name);
         if (server == null) {
             return;
@@ -190,8 +249,20 @@
     }
 
     private void forget(String name) {
-        mServers.remove(name);
+        mChanged |= mServers.remove(name) != null;
         mUnreportedSince.remove(name);
-        mChanged = true;
+    }
+
+    /** Gives the entries that cannot be read. */
+    UnreadableEntries unreadable() {
+        return mUnreadable;
+    }
+
+    /** A document that seems to be of a run that ended before. */
+    private record Overtaken(StoredDocument document, RegisteredServer server, long stateNanos) {
+
+        long untilNanos() {
+            return stateNanos + OVERTAKEN_NANOS;
+        }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -112,6 +112,7 @@
         mState = state;
         for (RegisteredServer gone : mServers.update(state.picture(), nowNanos())) {
             mConnections.forget(gone);
+            mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
         mPlacer.chooser().judge().retain(state.picture().servers().keySet());
         mKnewServers |= !state.picture().servers().isEmpty();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
@@ -14,6 +14,7 @@
 import io.masticpond.entry.replica.EventLoopScheduler;
 import io.masticpond.entry.replica.FleetReplica;
 import io.masticpond.entry.replica.InstanceRegistration;
+import io.masticpond.entry.replica.KnownZonesTranslator;
 import io.masticpond.entry.replica.RelayClient;
 import io.masticpond.entry.replica.RelayServer;
 import io.masticpond.entry.replica.RelayZone;
@@ -96,7 +97,7 @@
                 new FleetReplica(
                         context,
                         platform.storeProbe(control, settings),
-                        platform.translator(),
+                        new KnownZonesTranslator(platform.translator(), settings.zones().keySet()),
                         (picture, source) -> updates.get().pictureChanged(picture, source));
         replica.addStoreListener(new StoreNewsLog(log));
         HeardRevisions heard = new HeardRevisions(heartbeats, self.id());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -157,6 +157,8 @@
     private static void setReplica(EntryValues values, ReplicaStatus status) {
         values.set(EntryValue.STORE_LOST, status.storeLost() ? 1 : 0);
         values.set(EntryValue.UNCONFIRMED_SERVERS, status.unconfirmedServers());
+        values.set(EntryValue.UNREADABLE_ENTRIES, status.unreadableEntries());
+        values.set(EntryValue.UNREADABLE_SEEN, status.unreadableSeen());
         for (CategoryStatus category : status.categories()) {
             double age = category.age().toMillis() / MILLIS_PER_SECOND;
             if (category.category() == Category.ROUTING) {
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -0,0 +1,111 @@
+package io.masticpond.entry.request;
+
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.limit.OutlierJudge;
+import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.placement.LoadGate;
+import io.masticpond.core.placement.PlacementSettings;
+import io.masticpond.core.placement.RequestPlacer;
+import io.masticpond.core.placement.ServerChooser;
+import io.masticpond.core.placement.ServerTable;
+import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.time.ManualTimeSource;
+import io.masticpond.entry.http.IncomingRequest;
+import io.masticpond.entry.log.DecisionLog;
+import io.masticpond.entry.log.RecentDecisions;
+import io.masticpond.entry.settings.HeaderNames;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** A request flow over servers that a test answers for, and its clock. */
+abstract class AbstractRequestFlowTest {
+
+    static final HeaderNames NAMES =
+            new HeaderNames("Id", "Wait", "Key", "Seal", "For", "Load", "Not-Run", "Retry-After");
+    static final ServiceId SERVICE = FakePicture.SERVICE;
+    static final ZoneId ZONE = FakePicture.ZONE;
+
+    final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
+    final EmbeddedChannel mChannel = new EmbeddedChannel();
+    final FakeConnections mConnections = new FakeConnections();
+    final FakeResponder mResponder = new FakeResponder();
+    final RecentDecisions mDecisions = new RecentDecisions(DecisionLog.NONE, mTime);
+    LoadGate mLoadGate = LoadGate.OPEN;
+    Set<BackendServerId> mCold = Set.of();
+    boolean mBudget = true;
+    Optional<SpendingCheck> mSpending = Optional.empty();
+
+    void passTime(Duration time) {
+        mTime.advance(time);
+        mChannel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
+        mChannel.runScheduledPendingTasks();
+    }
+
+    void handle(RequestFlow flow) {
+        flow.handle(request(), mResponder);
+    }
+
+    RequestFlow flow(boolean idempotent, int attempts) {
+        RequestFlow flow =
+                new RequestFlow(
+                        mChannel.eventLoop(),
+                        mTime,
+                        NAMES,
+                        mConnections,
+                        new ServerTable(ZONE, Map.of(ZONE, new RegionId("r"))),
+                        new RequestPlacer(
+                                new ServerChooser(
+                                        PlacementSettings.DEFAULT,
+                                        new OutlierJudge(OutlierJudgeSettings.DEFAULT)),
+                                mLoadGate),
+                        new ColdWithoutPermit(),
+                        new FixedBudget(() -> mBudget),
+                        route -> SERVICE,
+                        () -> 1,
+                        mSpending,
+                        mDecisions);
+        flow.update(
+                EntryState.of(
+                        FakePicture.of(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
+        return flow;
+    }
+
+    IncomingRequest request() {
+        return request("/a/x?y=1");
+    }
+
+    IncomingRequest request(String target) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Host", "host").set("Id", "one").set("Key", "k").set("Wait", "800");
+        long now = mTime.monotonicNanos();
+        return new IncomingRequest(
+                HttpMethod.GET, target, headers, Unpooled.EMPTY_BUFFER, now, now);
+    }
+
+    /** Gives no permit for a server that is taken for cold. */
+    private final class ColdWithoutPermit implements ColdGate {
+
+        @Override
+        public boolean isCold(RegisteredServer server, long nowNanos) {
+            return mCold.contains(server.id());
+        }
+
+        @Override
+        public boolean tryAcquire(RegisteredServer server, ServiceRules rules, long nowNanos) {
+            return !isCold(server, nowNanos);
+        }
+    }
+}
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RestartedServerFlowTest.java
@@ -0,0 +1,65 @@
+package io.masticpond.entry.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.placement.ServerLoad;
+import io.masticpond.core.request.Verdict;
+import io.masticpond.entry.backend.CallFailure;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Example;
+
+/** A backend server starts again under its id while requests are at its former run. */
+class RestartedServerFlowTest extends AbstractRequestFlowTest {
+
+    @Example
+    void onceOnlyRequestAtTheFormerRunIsNotSentAgainAndNotPromised() {
+        RequestFlow flow = flow(false, 2);
+        handle(flow);
+        startAgain(flow, mConnections.last().mServer.id());
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mConnections.mCalls).hasSize(1);
+        assertThat(mResponder.status()).isEqualTo(502);
+    }
+
+    @Example
+    void whatTheFormerRunDidIsNotHeldAgainstTheServer() {
+        RequestFlow flow = flow(false, 2);
+        handle(flow);
+        BackendServerId id = mConnections.last().mServer.id();
+        ServerLoad former = load(flow, id);
+        startAgain(flow, id);
+        ServerLoad later = load(flow, id);
+        assertThat(later).isNotSameAs(former);
+        assertThat(later.own()).isZero();
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(former.own()).isZero();
+        assertThat(later.own()).isZero();
+        long now = mTime.monotonicNanos();
+        assertThat(flow.placer().chooser().judge().judgement(SERVICE, id, now)).isEmpty();
+        assertThat(mConnections.mForgotten)
+                .extracting(RegisteredServer::run)
+                .as("the connections that lead to the former run")
+                .containsExactly(0);
+    }
+
+    private static ServerLoad load(RequestFlow flow, BackendServerId id) {
+        return flow.servers().of(SERVICE).stream()
+                .filter(load -> load.server().id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static void startAgain(RequestFlow flow, BackendServerId id) {
+        FleetPicture before = flow.state().picture();
+        Map<BackendServerId, RegisteredServer> servers = new HashMap<>(before.servers());
+        servers.computeIfPresent(id, (same, server) -> server.withRun(server.run() + 1));
+        flow.update(
+                EntryState.of(
+                        new FleetPicture(2, before.routing(), servers, Set.of()), flow.state()));
+    }
+}
