Let the instances of a zone tell each other of full servers, and read reports again

Change: SharedLoads chooses what is told, LoadSharing bundles it (20 ms for each that hears, 100 to 500 ms), LoadReportCodec lays it out, HeartbeatDuty carries it beside heartbeats; two metrics.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -24,6 +24,7 @@
 
     private final ServerChooser mChooser;
     private final LoadGate mGate;
+    private final SharedLoads mShared = new SharedLoads();
 
     /**
      * Joins the two.
@@ -45,6 +46,27 @@
         return mChooser;
     }
 
+    /**
+     * Gives what the instances around are told of loads, and tell.
+     *
+     * @return the loads to tell
+     */
+    public SharedLoads shared() {
+        return mShared;
+    }
+
+    /**
+     * Takes the load that a server told with an answer, after its request was counted as ended.
+     *
+     * @param load the server
+     * @param told the load that it told
+     * @param nowNanos the monotonic time
+     */
+    public void reported(ServerLoad load, ReportedLoad told, long nowNanos) {
+        load.reported(told, nowNanos);
+        mShared.answered(load, told);
+    }
+
     /**
      * Counts a request, once, before it is placed.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -18,6 +18,12 @@
     private static final double NEWEST_SHARE = 0.6;
     private static final double SERVICE_TIME_SHARE = 0.1;
 
+    /** About how long a load waits until it is told, and travels. */
+    private static final long HEARD_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** The most requests for each slot that another instance is believed to have seen. */
+    private static final int MOST_FOR_EACH_SLOT = 4;
+
     private final long mHash;
     private RegisteredServer mServer;
     private Distance mDistance;
@@ -28,6 +34,8 @@
     private long mAvoidUntilNanos;
     private AvoidReason mAvoidReason;
     private boolean mOver;
+    private boolean mSaidToBeFull;
+    private boolean mIsReported;
 
     /**
      * Starts with a server that nothing was sent to.
@@ -121,6 +129,34 @@
         double before = others(nowNanos);
         mOthers = before + NEWEST_SHARE * (told - before);
         mOthersNanos = nowNanos;
+        mIsReported = true;
+    }
+
+    /**
+     * Takes the load that another instance heard of, cut to what the server's slots make likely. It
+     * has waited for its bundle, so an answer to this instance that came meanwhile knows better.
+     *
+     * @param load the load
+     * @param nowNanos the monotonic time
+     */
+    void heard(ReportedLoad load, long nowNanos) {
+        if (mIsReported && nowNanos - mOthersNanos < HEARD_AGE_NANOS) {
+            return;
+        }
+        int most = MOST_FOR_EACH_SLOT * mServer.slots();
+        int running = Math.min(load.running(), most);
+        int waiting = Math.min(load.waiting(), most - running);
+        reported(new ReportedLoad(running, waiting, mServer.slots()), nowNanos);
+    }
+
+    /** Notes what the instances around were told last. */
+    void saidToBeFull(boolean full) {
+        mSaidToBeFull = full;
+    }
+
+    /** Tells whether the instances around were told last that no slot is free there. */
+    boolean isSaidToBeFull() {
+        return mSaidToBeFull;
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -27,6 +27,7 @@
     private final ZoneId mOwnZone;
     private final Map<ZoneId, RegionId> mRegions;
     private final Map<BackendServerId, ServerLoad> mLoads = new HashMap<>();
+    private final Map<Long, ServerLoad> mByHash = new HashMap<>();
     private Map<ServiceId, List<ServerLoad>> mServices = Map.of();
     private Set<ZoneId> mEvacuated = Set.of();
 
@@ -64,6 +65,8 @@
         }
         coolReturned(picture, nowNanos);
         mServices = services;
+        mByHash.clear();
+        mLoads.values().forEach(load -> mByHash.put(load.hash(), load));
         mEvacuated = picture.evacuatedZones();
         return gone;
     }
@@ -78,6 +81,11 @@
         return mServices.getOrDefault(service, List.of());
     }
 
+    /** Finds a server by the hash of its id; null if it is unknown. */
+    ServerLoad byHash(long hash) {
+        return mByHash.get(hash);
+    }
+
     /**
      * Tells whether nothing may be sent to a zone's servers.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -60,6 +60,10 @@
     HEARTBEATS_SENT("heartbeats_sent", "Heartbeats sent to other instances.", true),
     /** Heartbeats heard. */
     HEARTBEATS_HEARD("heartbeats_heard", "Heartbeats heard from other instances.", true),
+    /** Loads of full servers told to the zone. */
+    LOADS_TOLD("loads_told", "Loads of backend servers told to the zone.", true),
+    /** Loads of servers heard from the zone. */
+    LOADS_HEARD("loads_heard", "Loads of backend servers heard from the zone.", true),
     /** The caps of the shifts that run now, in millionths. */
     SPENDING_CAP("spending_cap_micros", "Caps of the shifts that run now.", false),
     /** What all instances hold or have spent of them, as last read. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
@@ -2,6 +2,9 @@
 
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.InstanceId;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.placement.LoadReport;
+import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -22,6 +25,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,6 +50,8 @@
     private final PeerExchange mExchange;
     private final Map<ServerAddress, InetSocketAddress> mAddresses = new HashMap<>();
     private final Queue<Runnable> mUntold = new ArrayDeque<>();
+    private final ZoneId mZone;
+    private Consumer<List<LoadReport>> mLoadListener = reports -> {};
     private volatile PeerSnapshot mSnapshot;
     private Channel mChannel;
     private boolean mFlushDue;
@@ -74,6 +80,7 @@
         mTimeSource = timeSource;
         mEventLoop = eventLoop;
         mSelf = new OwnStatus(self.id(), PeerPlace.of(self), self.incarnation());
+        mZone = self.zone();
         long now = timeSource.monotonicNanos();
         mExchange = new PeerExchange(mSelf, settings, seeds, this::send, kept(listener), now);
         mSnapshot = mExchange.snapshot(now);
@@ -149,6 +156,43 @@
                 });
     }
 
+    /**
+     * Says who takes the loads of backend servers that others tell.
+     *
+     * @param listener hears them on the control thread
+     */
+    public void hearLoads(Consumer<List<LoadReport>> listener) {
+        mLoadListener = Assert.notNull(listener, "A listener");
+    }
+
+    /**
+     * Tells the other living instances of the own availability zone of loads; what is lost on the
+     * way is not told again. Control thread only.
+     *
+     * @param reports the loads
+     */
+    public void tellLoads(List<LoadReport> reports) {
+        if (mChannel == null) {
+            return;
+        }
+        for (PeerInstance neighbor : mSnapshot.inZone(mZone)) {
+            if (!neighbor.id().equals(mSelf.id())) {
+                ByteBuf buffer = mChannel.alloc().buffer(PeerMessageCodec.MAXIMUM_BYTES);
+                LoadReportCodec.write(reports, buffer);
+                write(neighbor.internal(), buffer);
+            }
+        }
+    }
+
+    /**
+     * Counts the other living instances of the own availability zone.
+     *
+     * @return how many
+     */
+    public int zoneNeighbors() {
+        return Math.max(0, mSnapshot.inZone(mZone).size() - 1);
+    }
+
     /** Ends the heartbeats. */
     public void stop() {
         mEventLoop.execute(
@@ -276,6 +320,10 @@
         mSent++;
         ByteBuf buffer = mChannel.alloc().buffer(PeerMessageCodec.MAXIMUM_BYTES);
         PeerMessageCodec.write(message, buffer);
+        write(to, buffer);
+    }
+
+    private void write(ServerAddress to, ByteBuf buffer) {
         InetSocketAddress address =
                 mAddresses.computeIfAbsent(to, a -> new InetSocketAddress(a.ip(), a.port()));
         mChannel.writeAndFlush(new DatagramPacket(buffer, address), mChannel.voidPromise());
@@ -314,8 +362,13 @@
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            PeerMessageCodec.read(packet.content())
-                    .ifPresent(message -> receive(message, packet.sender()));
+            ByteBuf content = packet.content();
+            if (content.isReadable()
+                    && content.getByte(content.readerIndex()) == LoadReportCodec.VERSION) {
+                mLoadListener.accept(LoadReportCodec.read(content.skipBytes(1)));
+                return;
+            }
+            PeerMessageCodec.read(content).ifPresent(message -> receive(message, packet.sender()));
         }
 
         @Override
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/LoadReportCodec.java
@@ -0,0 +1,52 @@
+package io.masticpond.entry.peer;
+
+import io.masticpond.core.placement.LoadReport;
+import io.masticpond.core.placement.ReportedLoad;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The layout of datagrams that tell loads: a version byte, then for each server the hash of its id
+ * and three bytes for the requests that run and wait there and for its slots. Counts above 255 are
+ * told as 255. It is laid out by hand for the same reason as {@link PeerMessageCodec}.
+ */
+final class LoadReportCodec {
+
+    /** Tells these datagrams from those of {@link PeerMessageCodec}. */
+    static final int VERSION = 2;
+
+    private static final int REPORT_BYTES = Long.BYTES + 3;
+    private static final int MOST = 255;
+
+    /** So many fit into the greatest datagram. */
+    static final int MOST_REPORTS = (PeerMessageCodec.MAXIMUM_BYTES - 1) / REPORT_BYTES;
+
+    private LoadReportCodec() {}
+
+    /** Writes reports, leaving out those that do not fit in. */
+    static void write(List<LoadReport> reports, ByteBuf out) {
+        out.writeByte(VERSION);
+        for (LoadReport each : reports.subList(0, Math.min(MOST_REPORTS, reports.size()))) {
+            out.writeLong(each.serverHash());
+            out.writeByte(Math.min(MOST, each.load().running()));
+            out.writeByte(Math.min(MOST, each.load().waiting()));
+            out.writeByte(Math.min(MOST, each.load().slots()));
+        }
+    }
+
+    /** Reads reports after the version; what is cut short or tells no slots is left out. */
+    static List<LoadReport> read(ByteBuf in) {
+        List<LoadReport> reports = new ArrayList<>();
+        while (in.readableBytes() >= REPORT_BYTES) {
+            long hash = in.readLong();
+            int running = in.readUnsignedByte();
+            int waiting = in.readUnsignedByte();
+            int slots = in.readUnsignedByte();
+            if (slots > 0) {
+                reports.add(new LoadReport(hash, new ReportedLoad(running, waiting, slots)));
+            }
+        }
+        return reports;
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerDocuments.java
@@ -25,8 +25,8 @@
  * that was overtaken by a later run of its server changes nothing, unless the server lets it stand.
  * A server whose entry is gone though it did not leave is kept for a while if the store may have
  * let it expire while nobody could renew it. A server that has not reported yet is left out while
- * others of its service have, and is cold where none has, until it cannot be cold any more. For the
- * control thread.
+ * others of its service have, and is cold where none has; one that never reports is not used. For
+ * the control thread.
  */
 final class ServerDocuments implements CopyListener {
 
@@ -99,7 +99,7 @@
             Long sinceNanos = mUnreportedSince.get(entry.getKey());
             if (sinceNanos != null) {
                 server = server.withColdUntil(warmNanos(server, sinceNanos, warmUp));
-                if (server.isCold(nowNanos) && reported.contains(server.service())) {
+                if (!server.isCold(nowNanos) || reported.contains(server.service())) {
                     continue;
                 }
             }
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Tells when time alone changes the servers: one that has not reported cannot be cold any more,
-     * or a document that seemed to be overtaken has stood.
+     * Tells when time alone changes the servers: one that has not reported is not waited for any
+     * longer, or a document that seemed to be overtaken has stood.
      *
      * @param warmUp how long a server of a service is cold after its start at most
      * @param nowNanos the monotonic time
@@ -190,6 +190,11 @@
         mUnreadable.remove(name);
         ServerRuns.Verdict verdict = mRuns.take(name, mTranslator.report(document.content()));
         if (verdict == ServerRuns.Verdict.OVERTAKEN) {
+            sLogger.info(
+                    "STORE  server {} at revision {} was overtaken: {}",
+                    name,
+                    document.revision(),
+                    document.content());
             mOvertaken.put(name, new Overtaken(document, read.get(), stateNanos));
             mChanged = true;
             return;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -184,7 +184,7 @@
         attemptOver(server);
         Optional<ReportedLoad> reported =
                 ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()));
-        reported.ifPresent(load -> server.reported(load, now));
+        reported.ifPresent(load -> mFlow.placer().reported(server, load, now));
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -39,7 +39,7 @@
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
-    private volatile Traffic mTraffic = new Traffic(0, 0, 0, 0, List.of(), Optional.empty());
+    private volatile Traffic mTraffic = new Traffic(0, 0, 0, 0, 0, 0, List.of(), Optional.empty());
 
     /** The figures of the traffic thread. */
     private record Traffic(
@@ -47,6 +47,8 @@
             long connections,
             long idle,
             long opened,
+            long loadsTold,
+            long loadsHeard,
             List<RetryBudgetUse> retries,
             Optional<List<SpendingView>> spendings) {
 
@@ -79,6 +81,8 @@
                         mConnections.open(),
                         mConnections.idle(),
                         mConnections.opened(),
+                        mFlow.placer().shared().told(),
+                        mFlow.placer().shared().heardCount(),
                         List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
                         mFlow.spending().map(SpendingCheck::views));
     }
@@ -112,6 +116,8 @@
         values.set(EntryValue.BACKEND_CONNECTIONS, traffic.connections());
         values.set(EntryValue.IDLE_BACKEND_CONNECTIONS, traffic.idle());
         values.set(EntryValue.BACKEND_CONNECTIONS_OPENED, traffic.opened());
+        values.set(EntryValue.LOADS_TOLD, traffic.loadsTold());
+        values.set(EntryValue.LOADS_HEARD, traffic.loadsHeard());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUse::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUse::bound));
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUse::used));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -28,6 +28,7 @@
     private final StopSwitch mStop;
     private final ProcessNews mNews;
     private final SettingsInForce mSettings;
+    private final LoadSharing mLoadSharing;
 
     @Inject
     EntryInstance(
@@ -39,7 +40,8 @@
             EntryListeners listeners,
             PictureUpdates updates,
             StopSwitch stop,
-            SettingsInForce settings) {
+            SettingsInForce settings,
+            LoadSharing loadSharing) {
         mNews = news;
         mTraffic = traffic;
         mControl = control;
@@ -49,11 +51,13 @@
         mUpdates = updates;
         mStop = stop;
         mSettings = settings;
+        mLoadSharing = loadSharing;
     }
 
     /** Starts all parts; readiness follows once routes and backend servers are known. */
     public void start() {
         mNews.tell(ProcessChange.Kind.STARTED);
+        mLoadSharing.start();
         if (mFlow.spending().isPresent()) {
             mTraffic.execute(mFlow.spending().get()::start);
         }
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
@@ -0,0 +1,84 @@
+package io.masticpond.entry.wiring;
+
+import io.masticpond.core.placement.LoadReport;
+import io.masticpond.core.placement.SharedLoads;
+import io.masticpond.core.time.TimeSource;
+import io.masticpond.entry.peer.HeartbeatDuty;
+import io.masticpond.entry.request.RequestFlow;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+
+/**
+ * Carries loads of backend servers between the request path and the instances of the own
+ * availability zone, in bundles.
+ */
+@Singleton
+final class LoadSharing {
+
+    /** A bundle waits as long for each instance that gets it, so that telling has one rate. */
+    private static final long MILLIS_FOR_EACH = 20;
+
+    /** Half of this late, a queue of a second is still worth knowing. */
+    private static final long LEAST_MILLIS = 100;
+
+    private static final long MOST_MILLIS = 500;
+
+    private final EventLoop mTraffic;
+    private final EventLoop mControl;
+    private final RequestFlow mFlow;
+    private final HeartbeatDuty mPeers;
+    private final TimeSource mTimeSource;
+    private boolean mIsDue;
+
+    @Inject
+    LoadSharing(
+            @TrafficThread EventLoop traffic,
+            @ControlThread EventLoop control,
+            RequestFlow flow,
+            HeartbeatDuty peers,
+            TimeSource timeSource) {
+        mTraffic = traffic;
+        mControl = control;
+        mFlow = flow;
+        mPeers = peers;
+        mTimeSource = timeSource;
+    }
+
+    /** Begins to tell and to hear. */
+    void start() {
+        mPeers.hearLoads(reports -> mTraffic.execute(() -> hear(reports)));
+        mTraffic.execute(() -> shared().whenWaiting(this::plan));
+    }
+
+    private SharedLoads shared() {
+        return mFlow.placer().shared();
+    }
+
+    private void hear(List<LoadReport> reports) {
+        shared().heard(mFlow.servers(), reports, mTimeSource.monotonicNanos());
+    }
+
+    private void plan() {
+        int neighbors = mPeers.zoneNeighbors();
+        if (mIsDue) {
+            return;
+        }
+        mIsDue = true;
+        long wait = Math.max(LEAST_MILLIS, Math.min(MOST_MILLIS, MILLIS_FOR_EACH * neighbors));
+        mTraffic.schedule(this::tell, wait, TimeUnit.MILLISECONDS);
+    }
+
+    private void tell() {
+        mIsDue = false;
+        List<LoadReport> reports = shared().take();
+        if (!reports.isEmpty()) {
+            mControl.execute(() -> mPeers.tellLoads(reports));
+        }
+        if (shared().isWaiting()) {
+            plan();
+        }
+    }
+}
--- a/masticpond-entry/src/test/java/io/masticpond/entry/peer/HeartbeatDutyTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/HeartbeatDutyTest.java
@@ -6,6 +6,8 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.placement.LoadReport;
+import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.time.ManualTimeSource;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -109,6 +111,25 @@
         assertThat(one.shareholders()).isEqualTo(1);
     }
 
+    @Example
+    void loadsReachTheOthersOfTheZoneBetweenHeartbeats() throws Exception {
+        ServerAddress first = freeAddress();
+        ServerAddress second = freeAddress();
+        HeartbeatDuty one = duty("one", first, second);
+        HeartbeatDuty two = duty("two", second, first);
+        BlockingQueue<LoadReport> heard = new LinkedBlockingQueue<>();
+        two.hearLoads(heard::addAll);
+        one.start().syncUninterruptibly();
+        two.start().syncUninterruptibly();
+        assertThat(mEvents.poll(60, TimeUnit.SECONDS)).isNotNull();
+        assertThat(mEvents.poll(60, TimeUnit.SECONDS)).isNotNull();
+        assertThat(one.zoneNeighbors()).isEqualTo(1);
+        LoadReport report = new LoadReport(7, new ReportedLoad(5, 3, 5));
+        mGroup.next().execute(() -> one.tellLoads(List.of(report)));
+        assertThat(heard.poll(60, TimeUnit.SECONDS)).isEqualTo(report);
+        assertThat(two.alive()).hasSize(2);
+    }
+
     /** Lets time pass once the loop has read what was sent to it. */
     private String nextEventAsTimePasses() throws InterruptedException {
         for (int turn = 0; turn < 2; turn++) {
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/LoadReportCodecTest.java
@@ -0,0 +1,57 @@
+package io.masticpond.entry.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.placement.LoadReport;
+import io.masticpond.core.placement.ReportedLoad;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.List;
+import java.util.stream.LongStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class LoadReportCodecTest {
+
+    @Example
+    void reportsAreReadAsTheyWereWritten() {
+        List<LoadReport> reports = List.of(report(7, 5, 3, 5), report(-9, 0, 0, 1));
+        assertThat(read(reports)).isEqualTo(reports);
+    }
+
+    @Example
+    void countsAboveOneByteAreCut() {
+        assertThat(read(List.of(report(7, 300, 1_000, 5)))).containsExactly(report(7, 255, 255, 5));
+    }
+
+    @Example
+    void datagramHoldsNoMoreThanLinksCarry() {
+        List<LoadReport> many =
+                LongStream.range(0, 1_000).mapToObj(hash -> report(hash, 5, 1, 5)).toList();
+        ByteBuf buffer = Unpooled.buffer();
+        LoadReportCodec.write(many, buffer);
+        assertThat(buffer.readableBytes()).isLessThanOrEqualTo(PeerMessageCodec.MAXIMUM_BYTES);
+        assertThat(LoadReportCodec.read(buffer.skipBytes(1)))
+                .isEqualTo(many.subList(0, LoadReportCodec.MOST_REPORTS));
+    }
+
+    @Property(tries = 300, seed = "7")
+    void whateverArrivesIsReadAsSoundReportsOrNone(@ForAll byte[] bytes) {
+        for (LoadReport each : LoadReportCodec.read(Unpooled.wrappedBuffer(bytes))) {
+            assertThat(each.load().slots()).isPositive();
+            assertThat(each.load().running()).isNotNegative();
+        }
+    }
+
+    private static LoadReport report(long hash, int running, int waiting, int slots) {
+        return new LoadReport(hash, new ReportedLoad(running, waiting, slots));
+    }
+
+    private static List<LoadReport> read(List<LoadReport> reports) {
+        ByteBuf buffer = Unpooled.buffer();
+        LoadReportCodec.write(reports, buffer);
+        assertThat(buffer.readByte()).isEqualTo((byte) LoadReportCodec.VERSION);
+        return LoadReportCodec.read(buffer);
+    }
+}
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionVariant.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionVariant.java
@@ -11,6 +11,32 @@
             return PlacementSettings.DEFAULT;
         }
     },
+    /** Instances tell each other no loads. */
+    NO_SHARED_LOADS {
+        @Override
+        PlacementSettings placement() {
+            return PlacementSettings.DEFAULT;
+        }
+
+        @Override
+        boolean sharesLoads() {
+            return false;
+        }
+    },
+    /**
+     * Each instance knows the true load of each server at each choice: what sharing could bring.
+     */
+    TRUE_LOADS {
+        @Override
+        PlacementSettings placement() {
+            return PlacementSettings.DEFAULT;
+        }
+
+        @Override
+        boolean knowsTrueLoads() {
+            return true;
+        }
+    },
     /** Every key has one server. */
     ONE_HOME {
         @Override
@@ -19,13 +45,21 @@
             return with(1, all.stranger(), all.perQueued(), all.otherRegion());
         }
     },
-    /** Every key has four servers, and strangers cost little: spreading by constants. */
+    /**
+     * Every key has four servers, and strangers cost little: spreading by constants in place of
+     * knowledge, so loads are not shared either.
+     */
     FOUR_HOMES {
         @Override
         PlacementSettings placement() {
             PlacementSettings all = PlacementSettings.DEFAULT;
             return with(4, 0.7, all.perQueued(), all.otherRegion());
         }
+
+        @Override
+        boolean sharesLoads() {
+            return false;
+        }
     },
     /** Queues count for nothing in the choice. */
     BLIND_TO_QUEUES {
@@ -46,6 +80,16 @@
 
     abstract PlacementSettings placement();
 
+    /** Tells whether the instances of a zone tell each other the loads of servers. */
+    boolean sharesLoads() {
+        return true;
+    }
+
+    /** Tells whether loads are known as they are. */
+    boolean knowsTrueLoads() {
+        return false;
+    }
+
     private static PlacementSettings with(
             int homes, double stranger, double perQueued, double otherRegion) {
         PlacementSettings all = PlacementSettings.DEFAULT;
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.placement.Distance;
 import io.masticpond.core.placement.PlacedRequest;
 import io.masticpond.core.placement.Placement;
+import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.support.HashMixer;
@@ -26,6 +27,9 @@
     /** A client that finds no instance tries again after this. */
     private static final long NO_INSTANCE_NANOS = 300 * MILLI;
 
+    /** A report moves an estimate by a part only. */
+    private static final int TIMES_TO_BELIEVE = 5;
+
     private static final long COME_BACK_NANOS = 100 * MILLI;
 
     private final DecisionWorld mWorld;
@@ -130,6 +134,9 @@
                     new PlacedRequest(
                             mRoute, service(), HashMixer.hash(mObject), mDeadlineNanos - now());
             var servers = mInstance.servers().of(service());
+            if (mWorld.variant().knowsTrueLoads()) {
+                servers.forEach(this::know);
+            }
             Placement placement =
                     mSends == 0
                             ? mInstance.placer().place(request, servers, this, now())
@@ -171,7 +178,7 @@
             if (!mWorld.isAlive(mInstance)) {
                 return;
             }
-            load.reported(answer.load(), now());
+            mInstance.placer().reported(load, answer.load(), now());
             if (mDone) {
                 return;
             }
@@ -192,6 +199,13 @@
             after(CLIENT_NANOS, ModelRequest.this::answered);
         }
 
+        private void know(ServerLoad load) {
+            ReportedLoad now = mWorld.server(load.server().id()).load();
+            for (int time = 0; time < TIMES_TO_BELIEVE; time++) {
+                load.reported(now, now());
+            }
+        }
+
         @Override
         public boolean isUsable(ServerLoad load) {
             return !load.isAvoided(now())
