--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerDocuments.java
@@ -42,6 +42,14 @@
     private final Map<String, RegisteredServer> mServers = new HashMap<>();
     private final Set<String> mUnconfirmed = new HashSet<>();
     private final Map<String, Long> mUnreportedSince = new HashMap<>();
+
+    /**
+     * Servers that started again, of whose present run one entry was seen. It may still hold the
+     * state of the run before, so they count as cold until the next, or for as long as a start
+     * takes.
+     */
+    private final Map<String, Long> mStartedAgainSince = new HashMap<>();
+
     private boolean mKeepsVanished;
     private boolean mChanged;
 
@@ -96,6 +104,11 @@
         Map<BackendServerId, RegisteredServer> servers = new HashMap<>();
         for (Map.Entry<String, RegisteredServer> entry : mServers.entrySet()) {
             RegisteredServer server = entry.getValue();
+            Long startedNanos = mStartedAgainSince.get(entry.getKey());
+            if (startedNanos != null) {
+                long warmNanos = warmNanos(server, startedNanos, warmUp);
+                server = server.isCold(warmNanos) ? server : server.withColdUntil(warmNanos);
+            }
             Long sinceNanos = mUnreportedSince.get(entry.getKey());
             if (sinceNanos != null) {
                 server = server.withColdUntil(warmNanos(server, sinceNanos, warmUp));
@@ -199,8 +212,10 @@
             mChanged = true;
             return;
         }
+        mChanged |= mStartedAgainSince.remove(name) != null;
         if (verdict == ServerRuns.Verdict.STARTED_AGAIN) {
             startedAgain(document);
+            mStartedAgainSince.put(name, stateNanos);
         }
         put(document, read.get(), stateNanos);
     }
@@ -256,6 +271,7 @@
     private void forget(String name) {
         mChanged |= mServers.remove(name) != null;
         mUnreportedSince.remove(name);
+        mStartedAgainSince.remove(name);
     }
 
     /** Gives the entries that cannot be read. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerRuns.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ServerRuns.java
@@ -106,6 +106,13 @@
             return mFormer.contains(born) ? Verdict.OVERTAKEN : Verdict.STARTED_AGAIN;
         }
 
+        /** Counts start anew, so one that goes on was left in the entry by the run before. */
+        private boolean isOfTheFormerRun(OptionalLong sequence) {
+            return sequence.isPresent()
+                    && mSequence.isPresent()
+                    && sequence.getAsLong() >= mSequence.getAsLong();
+        }
+
         void goOn(ServerReport report) {
             mBorn = report.bornMillis().isPresent() ? report.bornMillis() : mBorn;
             mSequence = report.sequence().isPresent() ? report.sequence() : mSequence;
@@ -118,7 +125,8 @@
             }
             report.bornMillis().ifPresent(mFormer::remove);
             mBorn = report.bornMillis();
-            mSequence = report.sequence();
+            mSequence =
+                    isOfTheFormerRun(report.sequence()) ? OptionalLong.empty() : report.sequence();
             mNumber++;
         }
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/RestartedServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/RestartedServerTest.java
@@ -93,6 +93,33 @@
         assertThat(run()).isEqualTo(1);
     }
 
+    @Example
+    void theStateThatTheFormerRunLeftInTheEntryIsNotThatOfTheNextRun() {
+        writes("ready born:1000 seq:40");
+        mStore.server(SERVER, "ready born:9000 seq:40");
+        mFixture.pass(300);
+        assertThat(run()).isEqualTo(1);
+        assertThat(mInstance.coldUntil(SERVER))
+                .as("its state is not known yet")
+                .isGreaterThan(mFixture.mScheduler.time().monotonicNanos());
+        writes("cold:3 born:9000 seq:1");
+        assertThat(mInstance.coldUntil(SERVER))
+                .isGreaterThan(mFixture.mScheduler.time().monotonicNanos());
+        writes("leaving born:9000 seq:2");
+        assertThat(mInstance.isLeaving(SERVER)).isTrue();
+    }
+
+    @Example
+    void serverThatStartedAgainAndSaysNoMoreIsWarmOnceAnyStartIsOver() {
+        writes("ready born:1000 seq:40");
+        writes("ready born:9000 seq:1");
+        assertThat(mInstance.coldUntil(SERVER))
+                .isGreaterThan(mFixture.mScheduler.time().monotonicNanos());
+        mFixture.pass(4_000);
+        assertThat(mInstance.coldUntil(SERVER))
+                .isLessThan(mFixture.mScheduler.time().monotonicNanos());
+    }
+
     @Example
     void theRunIsKnownAgainAfterItsEntryWasGone() {
         writes("ready born:1000 seq:40");
