--- a/masticpond-core/src/main/java/io/masticpond/core/placement/LearningCost.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/CacheMissCost.java
@@ -3,14 +3,14 @@
 import java.util.Arrays;
 
 /**
- * What it costs the requests of one service that servers do not know their objects, as measured:
- * the last answers fall into quick ones and those that took more than twice as long. As long as a
- * good part is slow, each further server that a key uses would have to learn its object, and forget
- * another one for it. Touched by one thread only.
+ * What cache misses at its servers cost the requests of one service, as measured: the last answers
+ * fall into quick ones and those that took more than twice as long. As long as a good part is slow,
+ * each further server that a key uses would have to fetch its object, and evict another one for it.
+ * Touched by one thread only.
  *
  * @since 0.2
  */
-final class LearningCost {
+final class CacheMissCost {
 
     private static final int KEPT = 64;
 
@@ -32,7 +32,7 @@
      *
      * @param assumed the cost that is assumed at first and given up as answers come
      */
-    LearningCost(double assumed) {
+    CacheMissCost(double assumed) {
         mAssumed = assumed;
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/PlacementSettings.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/PlacementSettings.java
@@ -11,7 +11,7 @@
  * @param otherRegion the penalty of a server in another region, as a weight of the ranks
  * @param homes how many servers know a key's object
  * @param perHome the penalty of each rank among the servers that a key prefers
- * @param stranger the penalty of a server that does not know the object, in times of a request
+ * @param cacheMiss the penalty of a server that does not hold the object, in times of a request
  * @param perQueued the penalty of a queue that lasts as long as one request
  * @param perBusy the penalty of a server whose slots are all busy, in proportion below
  * @param failing the penalty of a server that fails all its requests, in proportion below
@@ -22,7 +22,7 @@
         double otherRegion,
         int homes,
         double perHome,
-        double stranger,
+        double cacheMiss,
         double perQueued,
         double perBusy,
         double failing) {
@@ -41,7 +41,7 @@
                 otherZone >= 0
                         && otherRegion >= 0
                         && perHome >= 0
-                        && stranger >= 0
+                        && cacheMiss >= 0
                         && perQueued >= 0
                         && perBusy >= 0
                         && failing >= 0,
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -19,21 +19,21 @@
  * the same factor however many servers there are, so that a region with few servers keeps few keys.
  * All instances of a region draw the same preferences, so a key meets a server that had it lately,
  * whichever instance asks; a server that would be new to it is chosen only if all its homes are
- * much longer. Homes after the first cost what it costs to learn an object, as long as many answers
- * show that servers do not know theirs: where objects are many, each key keeps to one server.
+ * much longer. Homes after the first cost a cache miss, as long as many answers show that servers
+ * do not hold their objects: where objects are many, each key keeps to one server.
  *
  * @since 0.2
  */
 public final class ServerChooser {
 
     /**
-     * A server that learns an object works longer, and forgets another one that it learns again.
+     * A server that fetches an object works longer, and evicts another one that it fetches again.
      */
-    private static final double LEARNT_AND_FORGOTTEN = 2;
+    private static final double FETCHED_AND_EVICTED = 2;
 
     private PlacementSettings mSettings;
     private final OutlierJudge mJudge;
-    private final Map<ServiceId, LearningCost> mLearningCosts = new HashMap<>();
+    private final Map<ServiceId, CacheMissCost> mCacheMissCosts = new HashMap<>();
     private final AnswerSizes mSizes = new AnswerSizes();
 
     /**
@@ -63,8 +63,8 @@
      * @param nanos the time from the sending to the answer
      */
     public void answeredIn(ServiceId service, long nanos) {
-        mLearningCosts
-                .computeIfAbsent(service, id -> new LearningCost(mSettings.stranger()))
+        mCacheMissCosts
+                .computeIfAbsent(service, id -> new CacheMissCost(mSettings.cacheMiss()))
                 .answeredIn(nanos);
     }
 
@@ -195,12 +195,12 @@
         return drawn / mSettings.weight(load.distance(), furtherRounds);
     }
 
-    /** A key's first servers know its object, if objects are few; others would have to learn it. */
+    /** A key's first servers hold its object, if objects are few; others would have to fetch it. */
     private double rankPenalty(int rank, double perHome) {
         if (rank < mSettings.homes()) {
             return rank * perHome;
         }
-        return Math.max(mSettings.stranger(), perHome) + rank * mSettings.perHome();
+        return Math.max(mSettings.cacheMiss(), perHome) + rank * mSettings.perHome();
     }
 
     /** Gives the penalty of each further home, the same for all servers of one service. */
@@ -208,9 +208,9 @@
         if (preferences.isEmpty()) {
             return mSettings.perHome();
         }
-        LearningCost cost = mLearningCosts.get(preferences.get(0).load().server().service());
-        double learning = cost == null ? mSettings.stranger() : cost.value();
-        return Math.max(mSettings.perHome(), LEARNT_AND_FORGOTTEN * learning);
+        CacheMissCost cost = mCacheMissCosts.get(preferences.get(0).load().server().service());
+        double miss = cost == null ? mSettings.cacheMiss() : cost.value();
+        return Math.max(mSettings.perHome(), FETCHED_AND_EVICTED * miss);
     }
 
     private double loadPenalty(ServerLoad load, long nowNanos) {
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/LearningCostTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/CacheMissCostTest.java
@@ -6,11 +6,11 @@
 import net.jqwik.api.Example;
 
 /** The cost follows the part of the answers that are slow, whatever the quick ones take. */
-class LearningCostTest {
+class CacheMissCostTest {
 
     private static final double ASSUMED = 1.5;
 
-    private final LearningCost mCost = new LearningCost(ASSUMED);
+    private final CacheMissCost mCost = new CacheMissCost(ASSUMED);
 
     @Example
     void theAssumedCostHoldsUntilAnswersTellAnother() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -244,7 +244,7 @@
                 fields.fraction("otherRegion", fallback.otherRegion()),
                 fields.whole("homes", fallback.homes()),
                 fields.fraction("perHome", fallback.perHome()),
-                fields.fraction("stranger", fallback.stranger()),
+                fields.fraction("cacheMiss", fallback.cacheMiss()),
                 fields.fraction("perQueued", fallback.perQueued()),
                 fields.fraction("perBusy", fallback.perBusy()),
                 fields.fraction("failing", fallback.failing()));
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionVariant.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionVariant.java
@@ -42,11 +42,11 @@
         @Override
         PlacementSettings placement() {
             PlacementSettings all = PlacementSettings.DEFAULT;
-            return with(1, all.stranger(), all.perQueued(), all.otherRegion());
+            return with(1, all.cacheMiss(), all.perQueued(), all.otherRegion());
         }
     },
     /**
-     * Every key has four servers, and strangers cost little: spreading by constants in place of
+     * Every key has four servers, and a cache miss costs little: spreading by constants in place of
      * knowledge, so loads are not shared either.
      */
     FOUR_HOMES {
@@ -66,7 +66,7 @@
         @Override
         PlacementSettings placement() {
             PlacementSettings all = PlacementSettings.DEFAULT;
-            return with(all.homes(), all.stranger(), 0, all.otherRegion());
+            return with(all.homes(), all.cacheMiss(), 0, all.otherRegion());
         }
     },
     /** Other regions are as near as the own one. */
@@ -74,7 +74,7 @@
         @Override
         PlacementSettings placement() {
             PlacementSettings all = PlacementSettings.DEFAULT;
-            return with(all.homes(), all.stranger(), all.perQueued(), 0);
+            return with(all.homes(), all.cacheMiss(), all.perQueued(), 0);
         }
     };
 
@@ -91,14 +91,14 @@
     }
 
     private static PlacementSettings with(
-            int homes, double stranger, double perQueued, double otherRegion) {
+            int homes, double cacheMiss, double perQueued, double otherRegion) {
         PlacementSettings all = PlacementSettings.DEFAULT;
         return new PlacementSettings(
                 all.otherZone(),
                 otherRegion,
                 homes,
                 all.perHome(),
-                stranger,
+                cacheMiss,
                 perQueued,
                 all.perBusy(),
                 all.failing());
