Tell loads with less state and work, and read an entry in one go

LoadSharing counted its neighbors with each answer of a full server though a bundle was already due, and kept whether one was due beside SharedLoads, which knows; the model kept the same once more. Each neighbor's datagram was encoded anew. HeartbeatDuty held its zone twice. Counts of unreadable entries were volatile, though one thread reads and writes them.

Ruled out: making RequestFlow forget gone servers at the judge in one place only: OutlierJudge.retain has tests and the model uses it.

Change: SharedLoads says when the first load waits and when a take leaves some; one encoding, shared by all datagrams; the rest as above.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -134,7 +134,8 @@
 
     /**
      * Takes the load that another instance heard of, cut to what the server's slots make likely. It
-     * has waited for its bundle, so an answer to this instance that came meanwhile knows better.
+     * has waited for its bundle, so an answer to this instance, or another neighbor's word, that
+     * came meanwhile is as good.
      *
      * @param load the load
      * @param nowNanos the monotonic time
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/SharedLoads.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/SharedLoads.java
@@ -34,9 +34,9 @@
     private long mHeard;
 
     /**
-     * Says what to do when there is something to tell.
+     * Says what to do when there is something to tell, such as to {@link #take} it a while later.
      *
-     * @param action runs with each load that is to be told
+     * @param action runs with the first load that waits, and again if a take leaves some
      */
     public void whenWaiting(Runnable action) {
         mWhenWaiting = Assert.notNull(action, "An action");
@@ -52,9 +52,12 @@
         boolean full = !load.hasRoom();
         if ((full || server.isSaidToBeFull())
                 && (mWaiting.size() < MOST_WAITING || mWaiting.containsKey(server.hash()))) {
+            boolean isFirst = mWaiting.isEmpty();
             mWaiting.put(server.hash(), new LoadReport(server.hash(), load));
             server.saidToBeFull(full);
-            mWhenWaiting.run();
+            if (isFirst) {
+                mWhenWaiting.run();
+            }
         }
     }
 
@@ -82,6 +85,9 @@
         }
         reports.forEach(each -> mWaiting.remove(each.serverHash()));
         mTold += reports.size();
+        if (isWaiting()) {
+            mWhenWaiting.run();
+        }
         return reports;
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
@@ -2,7 +2,6 @@
 
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.InstanceId;
-import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.placement.LoadReport;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
@@ -50,7 +49,6 @@
     private final PeerExchange mExchange;
     private final Map<ServerAddress, InetSocketAddress> mAddresses = new HashMap<>();
     private final Queue<Runnable> mUntold = new ArrayDeque<>();
-    private final ZoneId mZone;
     private Consumer<List<LoadReport>> mLoadListener = reports -> {};
     private volatile PeerSnapshot mSnapshot;
     private Channel mChannel;
@@ -80,7 +78,6 @@
         mTimeSource = timeSource;
         mEventLoop = eventLoop;
         mSelf = new OwnStatus(self.id(), PeerPlace.of(self), self.incarnation());
-        mZone = self.zone();
         long now = timeSource.monotonicNanos();
         mExchange = new PeerExchange(mSelf, settings, seeds, this::send, kept(listener), now);
         mSnapshot = mExchange.snapshot(now);
@@ -175,13 +172,14 @@
         if (mChannel == null) {
             return;
         }
-        for (PeerInstance neighbor : mSnapshot.inZone(mZone)) {
+        ByteBuf buffer = mChannel.alloc().buffer(PeerMessageCodec.MAXIMUM_BYTES);
+        LoadReportCodec.write(reports, buffer);
+        for (PeerInstance neighbor : mSnapshot.inZone(mSelf.place().zone())) {
             if (!neighbor.id().equals(mSelf.id())) {
-                ByteBuf buffer = mChannel.alloc().buffer(PeerMessageCodec.MAXIMUM_BYTES);
-                LoadReportCodec.write(reports, buffer);
-                write(neighbor.internal(), buffer);
+                write(neighbor.internal(), buffer.retainedDuplicate());
             }
         }
+        buffer.release();
     }
 
     /**
@@ -190,7 +188,7 @@
      * @return how many
      */
     public int zoneNeighbors() {
-        return Math.max(0, mSnapshot.inZone(mZone).size() - 1);
+        return Math.max(0, mSnapshot.inZone(mSelf.place().zone()).size() - 1);
     }
 
     /** Ends the heartbeats. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/UnreadableEntries.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/UnreadableEntries.java
@@ -7,7 +7,7 @@
 
 /**
  * Counts and tells of the entries that cannot be read, each once until it can be read again. For
- * the control thread, but for the counts.
+ * the control thread.
  */
 final class UnreadableEntries {
 
@@ -17,8 +17,7 @@
     private static final int MOST_LINES = 200;
 
     private final Set<String> mNames = new HashSet<>();
-    private volatile long mSeen;
-    private volatile int mHeld;
+    private long mSeen;
     private int mLines;
 
     /**
@@ -30,7 +29,6 @@
     void add(StoredDocument document, String reason) {
         mSeen++;
         boolean isNew = mNames.add(document.name());
-        mHeld = mNames.size();
         if (isNew && mLines < MOST_LINES) {
             mLines++;
             sLogger.warn(
@@ -43,9 +41,7 @@
 
     /** Takes that an entry is good again, or gone. */
     void remove(String name) {
-        if (mNames.remove(name)) {
-            mHeld = mNames.size();
-        }
+        mNames.remove(name);
     }
 
     /** Counts all changes that could not be read. */
@@ -55,6 +51,6 @@
 
     /** Counts the entries that lie in the store now and cannot be read. */
     int held() {
-        return mHeld;
+        return mNames.size();
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
@@ -32,7 +32,6 @@
     private final RequestFlow mFlow;
     private final HeartbeatDuty mPeers;
     private final TimeSource mTimeSource;
-    private boolean mIsDue;
 
     @Inject
     LoadSharing(
@@ -63,23 +62,13 @@
     }
 
     private void plan() {
-        int neighbors = mPeers.zoneNeighbors();
-        if (mIsDue) {
-            return;
-        }
-        mIsDue = true;
-        long wait = Math.max(LEAST_MILLIS, Math.min(MOST_MILLIS, MILLIS_FOR_EACH * neighbors));
+        long wait = MILLIS_FOR_EACH * mPeers.zoneNeighbors();
+        wait = Math.max(LEAST_MILLIS, Math.min(MOST_MILLIS, wait));
         mTraffic.schedule(this::tell, wait, TimeUnit.MILLISECONDS);
     }
 
     private void tell() {
-        mIsDue = false;
         List<LoadReport> reports = shared().take();
-        if (!reports.isEmpty()) {
-            mControl.execute(() -> mPeers.tellLoads(reports));
-        }
-        if (shared().isWaiting()) {
-            plan();
-        }
+        mControl.execute(() -> mPeers.tellLoads(reports));
     }
 }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
@@ -196,7 +196,7 @@
     }
 
     private void scheduleArrival(int zone) {
-        double perSecond = mShape.requestsPerSecond() / mShape.instances().length * mLoad;
+        double perSecond = mShape.requestsPerSecond() / mZones.size() * mLoad;
         long pause = (long) (-Math.log(1 - mRandom.nextDouble()) / perSecond * SECOND);
         mClock.after(pause, () -> arrive(zone));
     }
@@ -243,12 +243,10 @@
         from.placer()
                 .shared()
                 .whenWaiting(
-                        () -> {
-                            if (!from.planBundle()) {
-                                return;
-                            }
-                            mClock.after(BUNDLE_NANOS, () -> tell(from, from.takeBundle()));
-                        });
+                        () ->
+                                mClock.after(
+                                        BUNDLE_NANOS,
+                                        () -> tell(from, from.placer().shared().take())));
     }
 
     private void tell(ModelInstance from, List<LoadReport> reports) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
@@ -32,7 +32,6 @@
     private final Map<ServiceId, SharedRetryBudget> mRetries = new HashMap<>();
     private final long mStartNanos;
     private final int mInstances;
-    private boolean mBundleWaits;
 
     ModelInstance(
             ZoneId zone,
@@ -74,18 +73,6 @@
         mPlacer.chooser().judge().retain(picture.servers().keySet());
     }
 
-    /** Tells whether a bundle of loads begins to wait now, and not before. */
-    boolean planBundle() {
-        boolean isFirst = !mBundleWaits;
-        mBundleWaits = true;
-        return isFirst;
-    }
-
-    List<LoadReport> takeBundle() {
-        mBundleWaits = false;
-        return mPlacer.shared().take();
-    }
-
     void hear(List<LoadReport> reports, long nowNanos) {
         mPlacer.shared().heard(mServers, reports, nowNanos);
     }
