Tell nobody what the former run of a server answers

Cause: RequestPlacer.reported lacked the check that its twins succeeded and failed have. An answer of a run that is over was told to the zone, where the next run is known by the same id, so a server that had just started again could pass for full for a moment. Change: the same check; SharedLoadsTest.whatTheFormerRunAnswersIsNotToldOfTheNext failed before.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -56,13 +56,17 @@
     }
 
     /**
-     * Takes the load that a server told with an answer, after its request was counted as ended.
+     * Takes the load that a server told with an answer, after its request was counted as ended; one
+     * of a run that is over is told to nobody, since others know the next run by the same id.
      *
      * @param load the server
      * @param told the load that it told
      * @param nowNanos the monotonic time
      */
     public void reported(ServerLoad load, ReportedLoad told, long nowNanos) {
+        if (load.isOver()) {
+            return;
+        }
         load.reported(told, nowNanos);
         mShared.answered(load, told);
     }
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/SharedLoadsTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/SharedLoadsTest.java
@@ -9,6 +9,8 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.limit.OutlierJudge;
+import io.masticpond.core.limit.OutlierJudgeSettings;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -86,6 +88,21 @@
         assertThat(mServers.of(SERVICE).get(0).inFlight(0)).isZero();
     }
 
+    @Example
+    void whatTheFormerRunAnswersIsNotToldOfTheNext() {
+        RequestPlacer placer =
+                new RequestPlacer(
+                        new ServerChooser(
+                                PlacementSettings.DEFAULT,
+                                new OutlierJudge(OutlierJudgeSettings.DEFAULT)),
+                        LoadGate.OPEN);
+        mServers.update(picture(1), 0);
+        placer.reported(mServer, FULL, 0);
+        assertThat(placer.shared().isWaiting()).isFalse();
+        placer.reported(mServers.of(SERVICE).get(0), FULL, 0);
+        assertThat(placer.shared().isWaiting()).isTrue();
+    }
+
     @Example
     void stormOfFullServersTakesBoundedMemory() {
         for (int number = 0; number < 5_000; number++) {
