Tell repeats of a request apart in the log, and servers that ended from cut connections

Cause: the log named attempts and affinity keys, so nobody could say that two requests of two clients at two instances were the same one come again; and a connection that broke off looked alike whether its server had ended or not.

Change: a request that breaks off at a server is logged with its fingerprint (method, host, target, the caller's credentials, body), and 20 ms later one new connection is tried for all that broke off there: refused means that the server has ended; the line server-check says so. A connection that opens serves the next request. Nothing is decided by it yet.

Ruled out: asking the registry, whose entries run out after three report intervals, later than the bound allows; taking each broken connection for an end, since connections are also reset.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -3,12 +3,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** One connection to a backend server, with one call on it at most. */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
@@ -26,6 +28,7 @@
     private final Channel mChannel;
     private State mState = State.OPENING;
     private PendingCall mCall;
+    private Consumer<ServerReach> mTried = reach -> {};
     private RequestWrite mWrite;
     private AnswerAssembler mAssembler;
     private String mLastRequestId = "";
@@ -70,8 +73,23 @@
         call.use(this);
     }
 
+    /** Has a listener hear whether this connection opens. */
+    void whenTried(Consumer<ServerReach> listener) {
+        mTried = listener;
+    }
+
+    /** Hears that this connection cannot be opened. */
+    void notOpened(Throwable cause) {
+        mTried.accept(ServerReach.of(cause));
+        if (cause instanceof ConnectTimeoutException) {
+            mPool.notOpened();
+        }
+        fail(CallFailure.Kind.NOT_CONNECTED);
+    }
+
     /** Hears that the connection is open. */
     void opened() {
+        mTried.accept(ServerReach.OPEN);
         if (mState == State.CLOSED) {
             return;
         }
@@ -153,11 +171,6 @@
         }
     }
 
-    /** Hears that this connection did not open in time. */
-    void notOpened() {
-        mPool.notOpened();
-    }
-
     void heard() {
         mPool.heard();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.fleet.RegisteredServer;
+import java.util.function.Consumer;
 
 /**
  * Sends requests to backend servers over kept connections, one request at a time on each. Never
@@ -25,6 +26,15 @@
             BackendRequest request,
             BackendCallListener listener);
 
+    /**
+     * Opens a connection to learn whether a server still takes any; one that opens serves the next
+     * request.
+     *
+     * @param server the server
+     * @param listener hears the result, never before this method returns
+     */
+    void check(RegisteredServer server, Consumer<ServerReach> listener);
+
     /**
      * Closes idle connections to a server that has gone; calls under way go on.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOpener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOpener.java
@@ -2,7 +2,6 @@
 
 import io.masticpond.core.fleet.ServerAddress;
 import io.netty.channel.Channel;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -41,18 +40,11 @@
                             if (future.isSuccess()) {
                                 connection.opened();
                             } else {
-                                noteSilence(connection, future.cause());
-                                connection.fail(CallFailure.Kind.NOT_CONNECTED);
+                                connection.notOpened(future.cause());
                             }
                         });
     }
 
-    private static void noteSilence(BackendConnection connection, Throwable cause) {
-        if (cause instanceof ConnectTimeoutException) {
-            connection.notOpened();
-        }
-    }
-
     /** Tells an orderly end from others, and goes on reading after a write has failed. */
     private void configure(SocketChannelConfig config) {
         config.setTcpNoDelay(true);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Connections to backend servers on one event loop. The connection used last is used first; one
@@ -74,6 +75,15 @@
         return call;
     }
 
+    @Override
+    public void check(RegisteredServer server, Consumer<ServerReach> listener) {
+        if (mClosed) {
+            mEventLoop.execute(() -> listener.accept(ServerReach.UNKNOWN));
+        } else {
+            poolOf(server).check(listener);
+        }
+    }
+
     @Override
     public void forget(RegisteredServer server) {
         ServerPool pool = mPools.remove(server.id());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -92,6 +93,20 @@
         open(call);
     }
 
+    /** Opens a connection for nobody, to learn whether the server takes any. */
+    void check(Consumer<ServerReach> listener) {
+        BackendConnection connection;
+        try {
+            connection = mContext.opener().open(this);
+        } catch (ChannelException exception) {
+            mContext.eventLoop().execute(() -> listener.accept(ServerReach.UNKNOWN));
+            return;
+        }
+        mConnections.add(connection);
+        mContext.counts().begun();
+        connection.whenTried(listener);
+    }
+
     /** Counts a connection as idle. */
     void idle(BackendConnection connection) {
         mIdle.addFirst(connection);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -114,6 +114,31 @@
         }
     }
 
+    /**
+     * Requests broke off at a backend server, and a new connection was tried.
+     *
+     * @param server the server
+     * @param ended whether the connection was refused, so that the server has ended
+     * @param requests how many requests broke off there
+     * @param millis how long before the result the first of them did
+     */
+    record ServerEnd(BackendServerId server, boolean ended, int requests, long millis)
+            implements BeliefChange {
+
+        @Override
+        public String event() {
+            return "server-check";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("server", server.value());
+            line.writeStringField("state", ended ? "ended" : "not-known-to-have-ended");
+            line.writeNumberField("requests", requests);
+            line.writeNumberField("millis", millis);
+        }
+    }
+
     /**
      * A zone was evacuated or returned.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -50,6 +50,9 @@
         if (request.mKey != null) {
             line.writeStringField("key", LineText.of(request.mKey));
         }
+        if (request.mFingerprint != null) {
+            line.writeStringField("fingerprint", request.mFingerprint.toString());
+        }
         if (request.mRoute != null) {
             line.writeStringField("route", request.mRoute.value());
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.log;
 
+import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
@@ -31,6 +32,7 @@
     RouteId mRoute;
     RouteKind mKind = RouteKind.NONE;
     String mKey;
+    RequestFingerprint mFingerprint;
     ServiceId mService;
     long mDeadlineNanos;
     long mTargetMillis = UNKNOWN;
@@ -113,6 +115,15 @@
         mKey = key;
     }
 
+    /**
+     * Notes what the request asks for, so that its repeats can be found.
+     *
+     * @param fingerprint its fingerprint
+     */
+    public void fingerprint(RequestFingerprint fingerprint) {
+        mFingerprint = fingerprint;
+    }
+
     /**
      * Notes which routes the decisions rest on.
      *
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/BrokenOffRequests.java
@@ -0,0 +1,87 @@
+package io.masticpond.entry.request;
+
+import io.masticpond.core.crash.RequestFingerprint;
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.time.TimeSource;
+import io.masticpond.entry.backend.BackendConnections;
+import io.masticpond.entry.backend.ServerReach;
+import io.masticpond.entry.log.BeliefChange;
+import io.masticpond.entry.log.DecisionLog;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Finds out whether a backend server ended when requests broke off there, or only their connections
+ * were cut: a new connection is refused, or it opens. One attempt for all that broke off at about
+ * the same time. Traffic thread only.
+ */
+final class BrokenOffRequests {
+
+    /** Takes what is found out. */
+    interface Listener {
+
+        /** Hears that a server ended while it had a request. */
+        void ended(RegisteredServer server, Request request);
+    }
+
+    /** A request that broke off, with the monotonic times of its sending and its end. */
+    record Request(RequestFingerprint fingerprint, long sentNanos, long endedNanos) {}
+
+    /** A process that ends closes its connections one by one, and the listening one among them. */
+    private static final long CHECK_AFTER_MILLIS = 20;
+
+    /** More requests of one server than this tell nothing new. */
+    private static final int MOST_REQUESTS = 64;
+
+    private final EventLoop mEventLoop;
+    private final TimeSource mTimeSource;
+    private final BackendConnections mConnections;
+    private final DecisionLog mLog;
+    private final Map<BackendServerId, List<Request>> mUnderCheck = new HashMap<>();
+
+    BrokenOffRequests(
+            EventLoop eventLoop,
+            TimeSource timeSource,
+            BackendConnections connections,
+            DecisionLog log) {
+        mEventLoop = eventLoop;
+        mTimeSource = timeSource;
+        mConnections = connections;
+        mLog = log;
+    }
+
+    void add(RegisteredServer server, Request request, Listener listener) {
+        List<Request> requests = mUnderCheck.get(server.id());
+        if (requests == null) {
+            requests = new ArrayList<>();
+            mUnderCheck.put(server.id(), requests);
+            mEventLoop.schedule(
+                    () -> mConnections.check(server, reach -> checked(server, reach, listener)),
+                    CHECK_AFTER_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+        if (requests.size() < MOST_REQUESTS) {
+            requests.add(request);
+        }
+    }
+
+    private void checked(RegisteredServer server, ServerReach reach, Listener listener) {
+        List<Request> requests = mUnderCheck.remove(server.id());
+        boolean ended = reach == ServerReach.REFUSED;
+        long sinceNanos = mTimeSource.monotonicNanos() - requests.get(0).endedNanos();
+        mLog.beliefChanged(
+                new BeliefChange.ServerEnd(
+                        server.id(),
+                        ended,
+                        requests.size(),
+                        TimeUnit.NANOSECONDS.toMillis(sinceNanos)));
+        if (ended) {
+            requests.forEach(request -> listener.ended(server, request));
+        }
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -51,6 +51,8 @@
     private final Optional<SpendingCheck> mSpending;
     private final DecisionLog mLog;
     private final EntryAnswers mAnswers;
+    private final Fingerprints mFingerprints = new Fingerprints();
+    private final BrokenOffRequests mBrokenOff;
     private EntryState mState = EntryState.EMPTY;
     private volatile NewsTimes mNewsTimes;
     private final Set<RequestRun> mRuns = new HashSet<>();
@@ -100,6 +102,7 @@
         mSpending = Assert.notNull(spending, "A check of spending");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
+        mBrokenOff = new BrokenOffRequests(eventLoop, timeSource, connections, log);
         mHeld = new HeldRequests(eventLoop, this::heldForLong, this::goneBeforeReady);
     }
 
@@ -314,6 +317,14 @@
         return mPlacer;
     }
 
+    Fingerprints fingerprints() {
+        return mFingerprints;
+    }
+
+    BrokenOffRequests brokenOff() {
+        return mBrokenOff;
+    }
+
     ColdGate coldGate() {
         return mColdGate;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.request;
 
+import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.placement.AvoidReason;
@@ -248,6 +249,9 @@
             return;
         }
         mMayHaveRun = true;
+        if (failure.kind() == CallFailure.Kind.BROKEN_OFF) {
+            noteBreak(server, now);
+        }
         if (failure.kind() == CallFailure.Kind.TIMED_OUT) {
             timeUp();
             return;
@@ -255,6 +259,16 @@
         tryAgainOrEnd("broken-off");
     }
 
+    private void noteBreak(ServerLoad server, long now) {
+        RequestFingerprint fingerprint = mFlow.fingerprints().of(mRequest);
+        mFacts.fingerprint(fingerprint);
+        mFlow.brokenOff()
+                .add(
+                        server.server(),
+                        new BrokenOffRequests.Request(fingerprint, mSentNanos, now),
+                        (ended, request) -> {});
+    }
+
     /** Nothing reached the server, so neither the budget nor the route's attempts are used. */
     private void connectAgain() {
         mSends--;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
@@ -8,17 +8,20 @@
 import io.masticpond.entry.backend.BackendConnections;
 import io.masticpond.entry.backend.BackendRequest;
 import io.masticpond.entry.backend.CallFailure;
+import io.masticpond.entry.backend.ServerReach;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Keeps the calls that a run makes, for a test to answer them as it likes. */
 final class FakeConnections implements BackendConnections {
 
     final List<Call> mCalls = new ArrayList<>();
+    final List<Check> mChecks = new ArrayList<>();
     final List<RegisteredServer> mForgotten = new ArrayList<>();
 
     @Override
@@ -32,6 +35,11 @@
         return call;
     }
 
+    @Override
+    public void check(RegisteredServer server, Consumer<ServerReach> listener) {
+        mChecks.add(new Check(server, listener));
+    }
+
     @Override
     public void forget(RegisteredServer server) {
         mForgotten.add(server);
@@ -44,6 +52,9 @@
         return mCalls.get(mCalls.size() - 1);
     }
 
+    /** One attempt to learn whether a server takes connections. */
+    record Check(RegisteredServer server, Consumer<ServerReach> listener) {}
+
     /** One call. */
     static final class Call implements BackendCall {
 
