--- a/masticpond-command/src/main/java/io/masticpond/command/client/OperatorClient.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/client/OperatorClient.java
@@ -110,6 +110,16 @@
                 address -> request(address, path).post(RequestBody.create(body, JSON)).build());
     }
 
+    /**
+     * Deletes something at the first instance that answers.
+     *
+     * @param path the path with its query, without a slash at its start
+     * @return the answer, or why there is none
+     */
+    public Either<ClientError, JsonNode> delete(String path) {
+        return fromAny(address -> request(address, path).delete().build());
+    }
+
     /**
      * Gets a document from one instance.
      *
--- a/masticpond-command/src/main/java/io/masticpond/command/task/EntryCommand.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/task/EntryCommand.java
@@ -11,7 +11,7 @@
 @Command(
         name = "entry",
         description = {
-            "Ask the instances of the request path (masticpond-entry), which only tell.",
+            "Ask the instances of the request path (masticpond-entry); all but release only tell.",
             "--instances names the addresses of their metrics; no token is needed."
         },
         synopsisSubcommandLabel = "COMMAND")
@@ -25,6 +25,7 @@
         entry.addSubcommand(new EntryVersionsCommand(context));
         entry.addSubcommand(new EntryTimelineCommand(context));
         entry.addSubcommand(new EntryLossesCommand(context));
+        entry.addSubcommand(new EntryReleaseCommand(context));
         EntryShowCommand.all(context)
                 .forEach(spec -> entry.addSubcommand(spec.name(), new CommandLine(spec)));
         return entry;
--- a/masticpond-command/src/main/java/io/masticpond/command/view/EntryDocument.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/view/EntryDocument.java
@@ -71,6 +71,19 @@
     EVACUATIONS(
             "Show the evacuated zones.",
             List.of(Field.words("ZONE", "zone"), Field.numbers("SERVERS", "servers"))),
+    /** The requests under which servers ended. */
+    CRASHES(
+            "Show the requests under which backend servers ended, the rejected ones first.",
+            List.of(
+                    Field.words("FINGERPRINT", "fingerprint"),
+                    Field.words("STATE", "state"),
+                    Field.numbers("ENDS", "ends"),
+                    Field.numbers("SEEN HERE", "ownEnds"),
+                    Field.numbers("REPORTERS", "reporters"),
+                    Field.numbers("TELLERS", "tellers"),
+                    Field.numbers("NEWEST MS", "newestEndMillis"),
+                    Field.numbers("REJECTED", "rejections"),
+                    Field.numbers("LEFT MS", "leftMillis"))),
     /** The retry budgets, the cold servers and the spending caps. */
     BUDGET(
             "Show the instance's part of the retry budgets and spending caps, and who paces"
--- /dev/null
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashOutput.java
@@ -0,0 +1,30 @@
+package io.masticpond.core.crash;
+
+/**
+ * Takes what this instance has to tell of requests under which servers end.
+ *
+ * @since 0.2
+ */
+public interface CrashOutput {
+
+    /**
+     * Tells the few instances that put together what all saw of this request.
+     *
+     * @param message the message
+     */
+    void tellKeepers(CrashMessage message);
+
+    /**
+     * Tells all instances.
+     *
+     * @param message the message
+     */
+    void tellAll(CrashMessage message);
+
+    /**
+     * Hears that something else is believed of a request.
+     *
+     * @param belief what is believed now
+     */
+    void changed(CrashBelief belief);
+}
--- /dev/null
+++ b/masticpond-core/src/test/java/io/masticpond/core/crash/CrashFleet.java
@@ -0,0 +1,145 @@
+package io.masticpond.core.crash;
+
+import io.masticpond.core.support.HashMixer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Predicate;
+
+/** Instances on one simulated clock, with messages that take their time and may be lost. */
+final class CrashFleet {
+
+    private static final int KEEPERS = 3;
+
+    /** Something that happens at a time; of two at one time the first that was planned. */
+    private record Event(long atNanos, long order, Runnable action) {}
+
+    /** One instance. */
+    final class Instance implements CrashOutput {
+
+        private final int mNumber;
+        CrashingRequests mRequests;
+        final List<CrashBelief> mBeliefs = new ArrayList<>();
+        long mMessages;
+        boolean mIsCutOff;
+
+        private Instance(int number) {
+            mNumber = number;
+            restart();
+        }
+
+        /** Starts anew and knows nothing. */
+        void restart() {
+            mRequests = new CrashingRequests(mSettings, this);
+        }
+
+        String name() {
+            return "instance-" + mNumber;
+        }
+
+        boolean rejects(RequestFingerprint request) {
+            return mRequests.rejectedForNanos(request, nowNanos()) > 0;
+        }
+
+        @Override
+        public void tellKeepers(CrashMessage message) {
+            mInstances.stream()
+                    .sorted(Comparator.comparingLong(each -> each.weight(message.request())))
+                    .limit(KEEPERS)
+                    .forEach(each -> send(each, message));
+        }
+
+        private long weight(RequestFingerprint request) {
+            return HashMixer.hash(request + name());
+        }
+
+        @Override
+        public void tellAll(CrashMessage message) {
+            mInstances.forEach(each -> send(each, message));
+        }
+
+        @Override
+        public void changed(CrashBelief belief) {
+            mBeliefs.add(belief);
+        }
+
+        private void send(Instance to, CrashMessage message) {
+            if (to == this || mIsCutOff || to.mIsCutOff || mIsLost.test(message)) {
+                return;
+            }
+            mMessages++;
+            long onTheWay = Duration.ofMillis(1 + mRandom.nextInt(40)).toNanos();
+            after(onTheWay, () -> to.mRequests.heard(name(), message, nowNanos()));
+        }
+    }
+
+    private final CrashSettings mSettings;
+    private final Random mRandom;
+    private final List<Instance> mInstances = new ArrayList<>();
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
+    private Predicate<CrashMessage> mIsLost = message -> false;
+    private long mNowNanos;
+    private long mOrder;
+
+    CrashFleet(int instances, CrashSettings settings, long seed) {
+        mSettings = settings;
+        mRandom = new Random(seed);
+        for (int number = 0; number < instances; number++) {
+            mInstances.add(new Instance(number));
+        }
+        after(Duration.ofSeconds(1).toNanos(), this::tellRejections);
+    }
+
+    /** Each instance tells one other what it rejects, once a second. */
+    private void tellRejections() {
+        for (Instance each : mInstances) {
+            Instance to = mInstances.get(mRandom.nextInt(mInstances.size()));
+            each.mRequests.rejections(nowNanos()).forEach(message -> each.send(to, message));
+        }
+        after(Duration.ofSeconds(1).toNanos(), this::tellRejections);
+    }
+
+    /** Loses a share of all messages. */
+    void lose(double share) {
+        mIsLost = message -> mRandom.nextDouble() < share;
+    }
+
+    Random random() {
+        return mRandom;
+    }
+
+    long nowNanos() {
+        return mNowNanos;
+    }
+
+    List<Instance> instances() {
+        return mInstances;
+    }
+
+    Instance any() {
+        return mInstances.get(mRandom.nextInt(mInstances.size()));
+    }
+
+    void after(long nanos, Runnable action) {
+        mEvents.add(new Event(mNowNanos + nanos, mOrder++, action));
+    }
+
+    void pass(Duration time) {
+        long endNanos = mNowNanos + time.toNanos();
+        while (!mEvents.isEmpty() && mEvents.peek().atNanos() <= endNanos) {
+            Event event = mEvents.remove();
+            mNowNanos = event.atNanos();
+            event.action().run();
+        }
+        mNowNanos = endNanos;
+    }
+
+    long messages() {
+        return mInstances.stream().mapToLong(each -> each.mMessages).sum();
+    }
+}
--- /dev/null
+++ b/masticpond-core/src/test/java/io/masticpond/core/crash/CrashingRequestsTest.java
@@ -0,0 +1,182 @@
+package io.masticpond.core.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.crash.CrashFleet.Instance;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+
+/** A request that ends servers, at instances that each see a part of it. */
+class CrashingRequestsTest {
+
+    private static final RequestFingerprint CRASHING = new RequestFingerprint(1, 2);
+    private static final RequestFingerprint INNOCENT = new RequestFingerprint(3, 4);
+    private static final Duration WORK = Duration.ofMillis(80);
+    private static final Duration KNOWN_AFTER = Duration.ofSeconds(3);
+    private static final int MOST_SENDS = 3;
+    private static final long SEED = 7;
+
+    private int mServers;
+    private int mSends;
+
+    private static CrashFleet fleet(int instances) {
+        return new CrashFleet(instances, CrashSettings.DEFAULT, SEED);
+    }
+
+    /** A client sends the request to an instance, and the server that runs it ends. */
+    private void crash(CrashFleet fleet, Instance at) {
+        if (at.rejects(CRASHING)) {
+            return;
+        }
+        mSends++;
+        end(fleet, at, CRASHING, WORK);
+    }
+
+    private void end(CrashFleet fleet, Instance at, RequestFingerprint request, Duration after) {
+        long sentNanos = fleet.nowNanos();
+        int server = mServers++;
+        fleet.after(
+                after.toNanos(),
+                () -> {
+                    long now = fleet.nowNanos();
+                    at.mRequests.ended(request, server, sentNanos, now, now);
+                });
+    }
+
+    private void repeat(CrashFleet fleet, int times, Duration gap) {
+        for (int time = 0; time < times; time++) {
+            crash(fleet, fleet.any());
+            fleet.pass(gap);
+        }
+    }
+
+    @Example
+    void isRejectedByAllInstancesThoughEachSawItOnceAtMost() {
+        CrashFleet fleet = fleet(95);
+        repeat(fleet, 4, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        assertThat(fleet.instances()).allMatch(each -> each.rejects(CRASHING));
+        assertThat(fleet.instances()).noneMatch(each -> each.rejects(INNOCENT));
+        mSends = 0;
+        repeat(fleet, 200, Duration.ofMillis(100));
+        assertThat(mSends).isZero();
+    }
+
+    @Example
+    void isRejectedInTimeThoughOneMessageOfFiveIsLost() {
+        CrashFleet fleet = fleet(95);
+        fleet.lose(0.2);
+        repeat(fleet, 6, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        mSends = 0;
+        repeat(fleet, 200, Duration.ofMillis(100));
+        assertThat(mSends).isLessThanOrEqualTo(MOST_SENDS);
+    }
+
+    @Example
+    void instanceThatStartsLearnsWhatTheOthersReject() {
+        CrashFleet fleet = fleet(10);
+        repeat(fleet, 5, Duration.ofMillis(400));
+        fleet.pass(Duration.ofMinutes(30));
+        Instance started = fleet.instances().get(4);
+        started.restart();
+        fleet.pass(Duration.ofSeconds(6));
+        assertThat(started.rejects(CRASHING)).isTrue();
+    }
+
+    @Example
+    void instanceThatIsCutOffGoesByWhatItSawItself() {
+        CrashFleet fleet = fleet(10);
+        Instance alone = fleet.instances().get(0);
+        alone.mIsCutOff = true;
+        for (int time = 0; time < 5; time++) {
+            crash(fleet, alone);
+            fleet.pass(Duration.ofMillis(300));
+        }
+        fleet.pass(KNOWN_AFTER);
+        mSends = 0;
+        crash(fleet, alone);
+        assertThat(mSends).isZero();
+        assertThat(alone.rejects(CRASHING)).isTrue();
+    }
+
+    @Example
+    void comesBackThreeTimesADayAtMostAndIsTriedOnceEachTime() {
+        CrashFleet fleet = fleet(10);
+        repeat(fleet, 4, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        mSends = 0;
+        for (int minute = 0; minute < TimeUnit.DAYS.toMinutes(1); minute++) {
+            crash(fleet, fleet.any());
+            fleet.pass(Duration.ofMinutes(1));
+        }
+        assertThat(mSends).isBetween(1, MOST_SENDS);
+    }
+
+    @Example
+    void anAnswerOrAnOperatorReleasesItEverywhere() {
+        CrashFleet fleet = fleet(20);
+        repeat(fleet, 4, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        fleet.instances().get(3).mRequests.answered(CRASHING, fleet.nowNanos());
+        fleet.pass(Duration.ofSeconds(5));
+        assertThat(fleet.instances()).noneMatch(each -> each.rejects(CRASHING));
+        repeat(fleet, 4, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        assertThat(fleet.instances()).allMatch(each -> each.rejects(CRASHING));
+        fleet.instances().get(5).mRequests.release(CRASHING, fleet.nowNanos());
+        fleet.pass(Duration.ofSeconds(5));
+        assertThat(fleet.instances()).noneMatch(each -> each.rejects(CRASHING));
+    }
+
+    @Example
+    void releaseReachesInstancesThatDidNotHearIt() {
+        CrashFleet fleet = fleet(20);
+        repeat(fleet, 4, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        fleet.lose(0.5);
+        fleet.instances().get(5).mRequests.release(CRASHING, fleet.nowNanos());
+        fleet.pass(Duration.ofSeconds(60));
+        assertThat(fleet.instances()).noneMatch(each -> each.rejects(CRASHING));
+    }
+
+    @Example
+    void oneBrokenInstanceRejectsNothing() {
+        CrashFleet fleet = fleet(10);
+        Instance broken = fleet.instances().get(0);
+        for (int time = 0; time < 50; time++) {
+            end(fleet, broken, INNOCENT, WORK);
+            broken.tellAll(new CrashMessage.Verdict(INNOCENT, 9, 3, 0));
+            fleet.pass(Duration.ofMillis(200));
+        }
+        assertThat(fleet.instances().subList(1, 10)).noneMatch(each -> each.rejects(INNOCENT));
+    }
+
+    @Example
+    void floodTakesBoundedMemoryAndPushesOutNothingThatIsRejected() {
+        CrashFleet fleet = fleet(3);
+        repeat(fleet, 5, Duration.ofMillis(400));
+        fleet.pass(KNOWN_AFTER);
+        Instance instance = fleet.instances().get(0);
+        for (int number = 0; number < 5_000; number++) {
+            RequestFingerprint other = new RequestFingerprint(99, number);
+            instance.mRequests.heard(
+                    "flooding", new CrashMessage.End(other, number, 5, 5), fleet.nowNanos());
+        }
+        assertThat(instance.mRequests.beliefs(fleet.nowNanos()))
+                .hasSizeLessThanOrEqualTo(CrashingRequests.MOST_FOLLOWED);
+        assertThat(instance.rejects(CRASHING)).isTrue();
+    }
+
+    @Example
+    void oneEndForgetsItselfAfterAWhile() {
+        CrashFleet fleet = fleet(3);
+        crash(fleet, fleet.instances().get(0));
+        fleet.pass(CrashSettings.DEFAULT.memory().plusMinutes(1));
+        List<Instance> instances = fleet.instances();
+        assertThat(instances).allMatch(each -> each.mRequests.beliefs(fleet.nowNanos()).isEmpty());
+        assertThat(instances).allMatch(each -> each.mRequests.isEmpty());
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.masticpond.core.crash.CrashBelief;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.routing.RoutingConfiguration;
@@ -168,6 +169,27 @@
                                         .put("state", view.state().text()));
     }
 
+    ObjectNode crashes() {
+        ObjectNode document = beginTraffic();
+        ArrayNode crashes = document.putArray("crashes");
+        for (CrashBelief each : mTraffic.crashes()) {
+            ObjectNode crash =
+                    crashes.addObject()
+                            .put("fingerprint", each.request().toString())
+                            .put("state", Spelling.of(each.state()))
+                            .put("ends", each.ends())
+                            .put("ownEnds", each.ownEnds())
+                            .put("reporters", each.reporters())
+                            .put("tellers", each.tellers())
+                            .put("rejections", each.rejections())
+                            .put("leftMillis", Spelling.millis(each.leftNanos()));
+            if (each.newestEndAgoNanos() >= 0) {
+                crash.put("newestEndMillis", Spelling.millis(each.newestEndAgoNanos()));
+            }
+        }
+        return document;
+    }
+
     Either<ControlProblem, ObjectNode> timeline(ControlQuestion question) {
         return question.number(ControlView.BELIEFS, USUAL_BELIEFS, RecentDecisions.KEPT_BELIEFS)
                 .map(beliefs -> timeline(question.parameter(ControlView.REQUEST), beliefs));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlQuestion.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlQuestion.java
@@ -14,9 +14,10 @@
  * What an operator asks, checked.
  *
  * @param view which document
+ * @param isChange whether something is to be changed, not only read
  * @param parameters the parameters, each given once and known to the view
  */
-record ControlQuestion(ControlView view, Map<String, String> parameters) {
+record ControlQuestion(ControlView view, boolean isChange, Map<String, String> parameters) {
 
     /** What the paths of all questions begin with. */
     static final String ROOT = "/v1/";
@@ -48,17 +49,27 @@
                             decoder.path(),
                             String.join(", ", ControlView.paths())));
         }
-        if (!method.equals(HttpMethod.GET)) {
+        if (!method.equals(HttpMethod.GET) && !method.equals(view.get().change())) {
             return Either.left(
                     new ControlProblem(
                             METHOD_NOT_ALLOWED,
                             "method-not-allowed",
-                            "Documents are only read, with GET, but the method was "
+                            "%s is read with GET%s, but the method was "
+                                            .formatted(view.get().path(), otherMethod(view.get()))
                                     + method
                                     + "."));
         }
         return parameters(view.get(), decoder.parameters())
-                .map(parameters -> new ControlQuestion(view.get(), parameters));
+                .map(
+                        parameters ->
+                                new ControlQuestion(
+                                        view.get(), !method.equals(HttpMethod.GET), parameters));
+    }
+
+    private static String otherMethod(ControlView view) {
+        return view.change().equals(HttpMethod.GET)
+                ? " only"
+                : ", or changed with " + view.change();
     }
 
     Optional<String> parameter(String name) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlSurface.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlSurface.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.support.Assert;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.http.OutgoingAnswer;
@@ -14,11 +15,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Either;
+import java.util.Optional;
 
 /**
- * Answers operators with JSON documents below {@code /v1/}; all other paths go on. Nothing can be
- * changed by it. Every question is answered within about a second, and none waits in the way of
- * requests. Control thread only.
+ * Answers operators with JSON documents below {@code /v1/}; all other paths go on. The one thing
+ * that can be changed by it is that a rejected request is released. Every question is answered
+ * within about a second, and none waits in the way of requests. Control thread only.
  *
  * @since 0.2
  */
@@ -63,6 +65,8 @@
                 ControlQuestion.read(request.method(), request.target());
         if (question.isLeft()) {
             refuse(question.getLeft(), responder);
+        } else if (question.get().isChange()) {
+            release(question.get(), responder);
         } else if (question.get().view().needsTraffic()) {
             mReader.read(picture -> answer(question.get(), picture, responder));
         } else {
@@ -70,6 +74,42 @@
         }
     }
 
+    private void release(ControlQuestion question, Responder responder) {
+        Optional<RequestFingerprint> request =
+                question.parameter(ControlView.RELEASE).flatMap(RequestFingerprint::parse);
+        if (request.isEmpty()) {
+            refuse(
+                    ControlProblem.badRequest(
+                            "bad-parameter",
+                            "%s must be the 32 hexadecimal digits of a fingerprint.",
+                            ControlView.RELEASE),
+                    responder);
+            return;
+        }
+        mSources.traffic()
+                .execute(
+                        () -> {
+                            boolean isKnown = mSources.flow().crashes().release(request.get());
+                            mSources.control()
+                                    .execute(() -> released(request.get(), isKnown, responder));
+                        });
+    }
+
+    private void released(RequestFingerprint request, boolean isKnown, Responder responder) {
+        if (isKnown) {
+            ObjectNode document =
+                    Spelling.object()
+                            .put("instance", mSources.self().id().value())
+                            .put("released", request.toString());
+            responder.answer(answer(FOUND, DOCUMENT, document));
+        } else {
+            refuse(
+                    ControlProblem.notFound(
+                            "no-such-request", "No request %s is followed here.", request),
+                    responder);
+        }
+    }
+
     private void answer(
             ControlQuestion question,
             Either<ControlProblem, TrafficPicture> picture,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.control;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.util.Arrays;
 import java.util.List;
@@ -69,6 +70,23 @@
             return true;
         }
     },
+    /** The requests under which servers ended; one of them may be released. */
+    CRASHES(ControlView.RELEASE) {
+        @Override
+        Either<ControlProblem, ObjectNode> show(ControlQuestion question, ControlDocuments from) {
+            return Either.right(from.crashes());
+        }
+
+        @Override
+        boolean needsTraffic() {
+            return true;
+        }
+
+        @Override
+        HttpMethod change() {
+            return HttpMethod.DELETE;
+        }
+    },
     /** The decisions about a request, and the newest changes of what the instance believes. */
     TIMELINE(ControlView.REQUEST, ControlView.BELIEFS) {
         @Override
@@ -78,6 +96,7 @@
     };
 
     static final String SERVICE = "service";
+    static final String RELEASE = "fingerprint";
     static final String REQUEST = "request";
     static final String BELIEFS = "beliefs";
 
@@ -96,6 +115,11 @@
         return false;
     }
 
+    /** Gives the method that changes something rather than reads it; GET if nothing can be. */
+    HttpMethod change() {
+        return HttpMethod.GET;
+    }
+
     /** Names the parameters that the question may have. */
     Set<String> parameters() {
         return mParameters;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.control;
 
+import io.masticpond.core.crash.CrashBelief;
 import io.masticpond.core.fleet.FleetPicture;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.InstanceId;
@@ -24,12 +25,14 @@
  * @param servers the backend servers, by service and id
  * @param budgets the retry budgets
  * @param spendings how spending stands in each shift that is open
+ * @param crashes what is believed of requests under which servers ended
  */
 record TrafficPicture(
         long takenNanos,
         List<ServerPicture> servers,
         Map<ServiceId, RetryBudgetUse> budgets,
-        List<SpendingView> spendings) {
+        List<SpendingView> spendings,
+        List<CrashBelief> crashes) {
 
     private static final Comparator<ServerPicture> ORDER =
             Comparator.<ServerPicture, String>comparing(each -> each.server().service().value())
@@ -39,6 +42,7 @@
         servers = List.copyOf(servers);
         budgets = Map.copyOf(budgets);
         spendings = List.copyOf(spendings);
+        crashes = List.copyOf(crashes);
     }
 
     /** Takes the picture, on the traffic thread. */
@@ -58,7 +62,8 @@
                 nowNanos,
                 servers,
                 limits.budgets(nowNanos),
-                flow.spending().map(SpendingCheck::views).orElse(List.of()));
+                flow.spending().map(SpendingCheck::views).orElse(List.of()),
+                flow.crashes().beliefs());
     }
 
     private static ServerPicture picture(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.log;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.masticpond.core.crash.CrashBelief;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.ServiceId;
@@ -139,6 +140,35 @@
         }
     }
 
+    /**
+     * Something else is believed of a request under which servers ended.
+     *
+     * @param belief what is believed, and on what grounds
+     */
+    record Crashing(CrashBelief belief) implements BeliefChange {
+
+        @Override
+        public String event() {
+            return "crashing-request";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("fingerprint", belief.request().toString());
+            line.writeStringField("state", Words.spell(belief.state()));
+            line.writeNumberField("ends", belief.ends());
+            line.writeNumberField("ownEnds", belief.ownEnds());
+            line.writeNumberField("reporters", belief.reporters());
+            line.writeNumberField("tellers", belief.tellers());
+            if (belief.newestEndAgoNanos() >= 0) {
+                line.writeNumberField(
+                        "newestEndMillis", RequestLine.millis(belief.newestEndAgoNanos()));
+            }
+            line.writeNumberField("rejections", belief.rejections());
+            line.writeNumberField("leftMillis", RequestLine.millis(belief.leftNanos()));
+        }
+    }
+
     /**
      * A zone was evacuated or returned.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -64,6 +64,13 @@
     LOADS_TOLD("loads_told", "Loads of backend servers told to the zone.", true),
     /** Loads of servers heard from the zone. */
     LOADS_HEARD("loads_heard", "Loads of backend servers heard from the zone.", true),
+    /** Ends of servers seen, once for each request that was there. */
+    SERVER_ENDS("server_ends", "Ends of backend servers, once for each request there.", true),
+    /** Requests that were there when a server ended, and are followed for it. */
+    FOLLOWED_REQUESTS(
+            "followed_requests", "Requests followed since servers ended under them.", false),
+    /** Those of them that are rejected now. */
+    REJECTED_REQUESTS("rejected_requests", "Requests rejected as they end servers.", false),
     /** The caps of the shifts that run now, in millionths. */
     SPENDING_CAP("spending_cap_micros", "Caps of the shifts that run now.", false),
     /** What all instances hold or have spent of them, as last read. */
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/CrashMessageCodec.java
@@ -0,0 +1,115 @@
+package io.masticpond.entry.peer;
+
+import io.masticpond.core.crash.CrashMessage;
+import io.masticpond.core.crash.RequestFingerprint;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The layout of datagrams about requests under which backend servers end: a version byte, then for
+ * each message its kind, the fingerprint and what the kind has; ages in milliseconds. It is laid
+ * out by hand for the same reason as {@link PeerMessageCodec}.
+ *
+ * @since 0.2
+ */
+public final class CrashMessageCodec {
+
+    /** Tells these datagrams from those of {@link PeerMessageCodec} and {@link LoadReportCodec}. */
+    public static final int VERSION = 3;
+
+    /** So many messages fit into the greatest datagram, whatever their kinds. */
+    public static final int MOST_MESSAGES = 36;
+
+    /** The greatest number of ends, or of rejections, that is told. */
+    private static final int MOST_COUNTED = 255;
+
+    private static final byte END = 1;
+    private static final byte VERDICT = 2;
+    private static final byte CLEARANCE = 3;
+
+    private CrashMessageCodec() {}
+
+    /**
+     * Writes messages, the first {@link #MOST_MESSAGES} of them.
+     *
+     * @param messages the messages
+     * @param out takes the bytes
+     */
+    public static void write(List<CrashMessage> messages, ByteBuf out) {
+        out.writeByte(VERSION);
+        for (CrashMessage each : messages.subList(0, Math.min(MOST_MESSAGES, messages.size()))) {
+            if (each instanceof CrashMessage.End end) {
+                writeHead(END, end, out);
+                out.writeLong(end.serverHash());
+                out.writeInt(millis(end.sentAgoNanos()));
+                out.writeInt(millis(end.endedAgoNanos()));
+            } else if (each instanceof CrashMessage.Verdict verdict) {
+                writeHead(VERDICT, verdict, out);
+                out.writeByte(Math.min(MOST_COUNTED, verdict.ends()));
+                out.writeByte(Math.min(MOST_COUNTED, verdict.rejections()));
+                out.writeInt(millis(verdict.agoNanos()));
+            } else {
+                writeHead(CLEARANCE, each, out);
+            }
+        }
+    }
+
+    /**
+     * Reads the messages after the version; what is cut short or cannot be is left out with all
+     * behind it.
+     *
+     * @param in the bytes
+     * @return the messages
+     */
+    public static List<CrashMessage> read(ByteBuf in) {
+        List<CrashMessage> messages = new ArrayList<>();
+        try {
+            while (in.isReadable()) {
+                Optional<CrashMessage> message = readOne(in);
+                if (message.isEmpty()) {
+                    break;
+                }
+                messages.add(message.get());
+            }
+        } catch (IndexOutOfBoundsException | IllegalArgumentException broken) {
+            return messages;
+        }
+        return messages;
+    }
+
+    private static Optional<CrashMessage> readOne(ByteBuf in) {
+        byte kind = in.readByte();
+        RequestFingerprint request = new RequestFingerprint(in.readLong(), in.readLong());
+        return switch (kind) {
+            case END ->
+                    Optional.of(
+                            new CrashMessage.End(request, in.readLong(), readAge(in), readAge(in)));
+            case VERDICT ->
+                    Optional.of(
+                            new CrashMessage.Verdict(
+                                    request,
+                                    in.readUnsignedByte(),
+                                    in.readUnsignedByte(),
+                                    readAge(in)));
+            case CLEARANCE -> Optional.of(new CrashMessage.Clearance(request));
+            default -> Optional.empty();
+        };
+    }
+
+    private static void writeHead(byte kind, CrashMessage message, ByteBuf out) {
+        out.writeByte(kind);
+        out.writeLong(message.request().high());
+        out.writeLong(message.request().low());
+    }
+
+    private static long readAge(ByteBuf in) {
+        return TimeUnit.MILLISECONDS.toNanos(in.readUnsignedInt());
+    }
+
+    private static int millis(long nanos) {
+        return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(nanos));
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
@@ -2,7 +2,6 @@
 
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.InstanceId;
-import io.masticpond.core.placement.LoadReport;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
 import io.netty.bootstrap.Bootstrap;
@@ -18,12 +17,15 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,7 +51,8 @@
     private final PeerExchange mExchange;
     private final Map<ServerAddress, InetSocketAddress> mAddresses = new HashMap<>();
     private final Queue<Runnable> mUntold = new ArrayDeque<>();
-    private Consumer<List<LoadReport>> mLoadListener = reports -> {};
+    private final Map<Byte, BiConsumer<ServerAddress, ByteBuf>> mListeners =
+            new ConcurrentHashMap<>();
     private volatile PeerSnapshot mSnapshot;
     private Channel mChannel;
     private boolean mFlushDue;
@@ -154,41 +157,44 @@
     }
 
     /**
-     * Says who takes the loads of backend servers that others tell.
+     * Says who takes the datagrams of another layout than the heartbeats'. To be called before the
+     * start.
      *
-     * @param listener hears them on the control thread
+     * @param version the first byte of these datagrams, which tells them apart
+     * @param listener hears on the control thread who sent one, and the bytes after the version
      */
-    public void hearLoads(Consumer<List<LoadReport>> listener) {
-        mLoadListener = Assert.notNull(listener, "A listener");
+    public void hear(int version, BiConsumer<ServerAddress, ByteBuf> listener) {
+        mListeners.put((byte) version, Assert.notNull(listener, "A listener"));
     }
 
     /**
-     * Tells the other living instances of the own availability zone of loads; what is lost on the
-     * way is not told again. Control thread only.
+     * Sends other instances a datagram; what is lost on the way is not sent again. Control thread
+     * only.
      *
-     * @param reports the loads
+     * @param hearers the instances; this one is left out
+     * @param content writes the version and what follows
      */
-    public void tellLoads(List<LoadReport> reports) {
+    public void tell(Collection<PeerInstance> hearers, Consumer<ByteBuf> content) {
         if (mChannel == null) {
             return;
         }
         ByteBuf buffer = mChannel.alloc().buffer(PeerMessageCodec.MAXIMUM_BYTES);
-        LoadReportCodec.write(reports, buffer);
-        for (PeerInstance neighbor : mSnapshot.inZone(mSelf.place().zone())) {
-            if (!neighbor.id().equals(mSelf.id())) {
-                write(neighbor.internal(), buffer.retainedDuplicate());
+        content.accept(buffer);
+        for (PeerInstance hearer : hearers) {
+            if (!hearer.id().equals(mSelf.id())) {
+                write(hearer.internal(), buffer.retainedDuplicate());
             }
         }
         buffer.release();
     }
 
     /**
-     * Counts the other living instances of the own availability zone.
+     * Gives the living instances of the own availability zone, this one included.
      *
-     * @return how many
+     * @return the instances
      */
-    public int zoneNeighbors() {
-        return Math.max(0, mSnapshot.inZone(mSelf.place().zone()).size() - 1);
+    public List<PeerInstance> ownZone() {
+        return mSnapshot.inZone(mSelf.place().zone());
     }
 
     /** Ends the heartbeats. */
@@ -361,9 +367,12 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             ByteBuf content = packet.content();
-            if (content.isReadable()
-                    && content.getByte(content.readerIndex()) == LoadReportCodec.VERSION) {
-                mLoadListener.accept(LoadReportCodec.read(content.skipBytes(1)));
+            BiConsumer<ServerAddress, ByteBuf> listener =
+                    content.isReadable()
+                            ? mListeners.get(content.getByte(content.readerIndex()))
+                            : null;
+            if (listener != null) {
+                listener.accept(address(packet.sender()), content.skipBytes(1));
                 return;
             }
             PeerMessageCodec.read(content).ifPresent(message -> receive(message, packet.sender()));
@@ -376,10 +385,12 @@
     }
 
     private void receive(PeerMessage message, InetSocketAddress sender) {
-        ServerAddress from =
-                new ServerAddress(sender.getAddress().getHostAddress(), sender.getPort());
         mHeard++;
-        mExchange.receive(message, from, now());
+        mExchange.receive(message, address(sender), now());
         afterwards();
     }
+
+    private static ServerAddress address(InetSocketAddress sender) {
+        return new ServerAddress(sender.getAddress().getHostAddress(), sender.getPort());
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/LoadReportCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/LoadReportCodec.java
@@ -10,11 +10,13 @@
  * The layout of datagrams that tell loads: a version byte, then for each server the hash of its id
  * and three bytes for the requests that run and wait there and for its slots. Counts above 255 are
  * told as 255. It is laid out by hand for the same reason as {@link PeerMessageCodec}.
+ *
+ * @since 0.2
  */
-final class LoadReportCodec {
+public final class LoadReportCodec {
 
     /** Tells these datagrams from those of {@link PeerMessageCodec}. */
-    static final int VERSION = 2;
+    public static final int VERSION = 2;
 
     private static final int REPORT_BYTES = Long.BYTES + 3;
     private static final int MOST = 255;
@@ -24,8 +26,13 @@
 
     private LoadReportCodec() {}
 
-    /** Writes reports, leaving out those that do not fit in. */
-    static void write(List<LoadReport> reports, ByteBuf out) {
+    /**
+     * Writes reports, leaving out those that do not fit in.
+     *
+     * @param reports the reports
+     * @param out takes the bytes
+     */
+    public static void write(List<LoadReport> reports, ByteBuf out) {
         out.writeByte(VERSION);
         for (LoadReport each : reports.subList(0, Math.min(MOST_REPORTS, reports.size()))) {
             out.writeLong(each.serverHash());
@@ -35,8 +42,13 @@
         }
     }
 
-    /** Reads reports after the version; what is cut short or tells no slots is left out. */
-    static List<LoadReport> read(ByteBuf in) {
+    /**
+     * Reads reports after the version; what is cut short or tells no slots is left out.
+     *
+     * @param in the bytes
+     * @return the reports
+     */
+    public static List<LoadReport> read(ByteBuf in) {
         List<LoadReport> reports = new ArrayList<>();
         while (in.readableBytes() >= REPORT_BYTES) {
             long hash = in.readLong();
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashOutlet.java
@@ -0,0 +1,23 @@
+package io.masticpond.entry.request;
+
+import io.masticpond.core.crash.CrashMessage;
+
+/**
+ * Carries messages about requests under which servers end to other instances.
+ *
+ * @since 0.2
+ */
+public interface CrashOutlet {
+
+    /** Carries nothing. */
+    CrashOutlet NONE = (message, toAll) -> {};
+
+    /**
+     * Carries a message, soon and without promise. Traffic thread only.
+     *
+     * @param message the message
+     * @param toAll whether all instances hear it, or those alone that keep what is known of its
+     *     request
+     */
+    void tell(CrashMessage message, boolean toAll);
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.request;
 
+import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.placement.RequestPlacer;
@@ -51,8 +52,7 @@
     private final Optional<SpendingCheck> mSpending;
     private final DecisionLog mLog;
     private final EntryAnswers mAnswers;
-    private final Fingerprints mFingerprints = new Fingerprints();
-    private final BrokenOffRequests mBrokenOff;
+    private final CrashGuard mCrashes;
     private EntryState mState = EntryState.EMPTY;
     private volatile NewsTimes mNewsTimes;
     private final Set<RequestRun> mRuns = new HashSet<>();
@@ -102,7 +102,7 @@
         mSpending = Assert.notNull(spending, "A check of spending");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
-        mBrokenOff = new BrokenOffRequests(eventLoop, timeSource, connections, log);
+        mCrashes = new CrashGuard(eventLoop, timeSource, connections, log, this::rejected);
         mHeld = new HeldRequests(eventLoop, this::heldForLong, this::goneBeforeReady);
     }
 
@@ -317,12 +317,20 @@
         return mPlacer;
     }
 
-    Fingerprints fingerprints() {
-        return mFingerprints;
+    /**
+     * Gives what keeps requests that end servers from further ones.
+     *
+     * @return the guard
+     */
+    public CrashGuard crashes() {
+        return mCrashes;
     }
 
-    BrokenOffRequests brokenOff() {
-        return mBrokenOff;
+    /** Ends the copies of a request that wait at servers, before those run them. */
+    private void rejected(RequestFingerprint request) {
+        for (RequestRun run : List.copyOf(mRuns)) {
+            run.rejected(request);
+        }
     }
 
     ColdGate coldGate() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -31,6 +31,7 @@
  */
 final class RequestRun {
 
+    private static final String ENDS_SERVERS = "ends-servers";
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
 
@@ -63,6 +64,7 @@
     private int mSends;
     private int mConnects;
     private boolean mMayHaveRun;
+    private RequestFingerprint mFingerprint;
     private boolean mDone;
 
     RequestRun(
@@ -110,6 +112,9 @@
     }
 
     private void attempt() {
+        if (endIfRejected()) {
+            return;
+        }
         long now = mFlow.nowNanos();
         List<ServerLoad> servers = mFlow.servers().of(mService);
         Placement placement = mSearch.place(servers, mSends > 0, mTimes.leftNanos(now), now);
@@ -210,6 +215,7 @@
         } else {
             boolean waited = reported.filter(load -> load.waiting() > 0).isPresent();
             mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
+            mFlow.crashes().answered(this::fingerprint);
         }
         if (failed && mRoute.idempotent() && mayTryAgain(now)) {
             answer.body().release();
@@ -260,13 +266,48 @@
     }
 
     private void noteBreak(ServerLoad server, long now) {
-        RequestFingerprint fingerprint = mFlow.fingerprints().of(mRequest);
-        mFacts.fingerprint(fingerprint);
-        mFlow.brokenOff()
-                .add(
+        mFacts.fingerprint(fingerprint());
+        mFlow.crashes()
+                .brokenOff(
                         server.server(),
-                        new BrokenOffRequests.Request(fingerprint, mSentNanos, now),
-                        (ended, request) -> {});
+                        new BrokenOffRequests.Request(fingerprint(), mSentNanos, now));
+    }
+
+    private RequestFingerprint fingerprint() {
+        if (mFingerprint == null) {
+            mFingerprint = mFlow.crashes().fingerprint(mRequest);
+        }
+        return mFingerprint;
+    }
+
+    /** Servers end under requests like this one: it reaches no other, wherever it came to. */
+    private boolean endIfRejected() {
+        long rejectedNanos = mFlow.crashes().rejectedForNanos(this::fingerprint);
+        if (rejectedNanos > 0 && !mDone) {
+            rejected(rejectedNanos);
+        }
+        return mDone;
+    }
+
+    private void rejected(long forNanos) {
+        mFacts.fingerprint(fingerprint());
+        if (mMayHaveRun) {
+            end(ENDS_SERVERS);
+        } else {
+            refuse(ENDS_SERVERS, Duration.ofNanos(forNanos));
+        }
+    }
+
+    /** Hears that a request is rejected from now on; this one may be the same. */
+    void rejected(RequestFingerprint request) {
+        if (mDone || !request.equals(fingerprint())) {
+            return;
+        }
+        if (mCall != null) {
+            mMayHaveRun |= mCall.isWritten();
+            giveUpCall();
+        }
+        rejected(mFlow.crashes().rejectedForNanos(this::fingerprint));
     }
 
     /** Nothing reached the server, so neither the budget nor the route's attempts are used. */
@@ -282,7 +323,9 @@
 
     private void tryAgainOrEnd(String cause) {
         long now = mFlow.nowNanos();
-        boolean allowed = !mMayHaveRun || mRoute.idempotent();
+        boolean allowed =
+                !mMayHaveRun
+                        || mRoute.idempotent() && !mFlow.crashes().isSuspected(this::fingerprint);
         if (allowed && mayTryAgain(now)) {
             retry();
             return;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.settings;
 
+import io.masticpond.core.crash.CrashSettings;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
@@ -28,6 +29,7 @@
  * @param resources what the process may use
  * @param placement how much each thing counts in the choice of a backend server
  * @param log how much is logged
+ * @param crashes when a request counts as one that ends backend servers
  * @param spending what may be spent; without it spending has no cap
  * @since 0.2
  */
@@ -45,6 +47,7 @@
         Resources resources,
         PlacementSettings placement,
         Log log,
+        CrashSettings crashes,
         Optional<SpendingSettings> spending) {
 
     /** Checks that the zone is one of the zones and lies in the region; copies the collections. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.masticpond.core.crash.CrashSettings;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
@@ -137,6 +138,7 @@
                 placement(root.optionalObject("placement")),
                 new EntrySettings.Log(
                         root.optionalObject("log").whole("linesPerSecond", DEFAULT_LINES)),
+                crashes(root.optionalObject("crashes")),
                 spending(root, zones));
     }
 
@@ -237,6 +239,14 @@
                 fields.limit("descriptors", DEFAULT_DESCRIPTORS));
     }
 
+    private static CrashSettings crashes(SettingsFields fields) {
+        CrashSettings fallback = CrashSettings.DEFAULT;
+        return new CrashSettings(
+                fields.whole("ends", fallback.ends()),
+                fields.time("hold", fallback.hold()),
+                fields.time("memory", fallback.memory()));
+    }
+
     private static PlacementSettings placement(SettingsFields fields) {
         PlacementSettings fallback = PlacementSettings.DEFAULT;
         return new PlacementSettings(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
@@ -40,6 +40,8 @@
     RESOURCES("resources", true, EntrySettings::resources),
     /** How a backend server is chosen. */
     PLACEMENT("placement", true, EntrySettings::placement),
+    /** When a request counts as one that ends backend servers. */
+    CRASHES("crashes", true, EntrySettings::crashes),
     /** How much is logged. */
     LOG("log", true, EntrySettings::log);
 
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
@@ -0,0 +1,143 @@
+package io.masticpond.entry.wiring;
+
+import io.masticpond.core.crash.CrashMessage;
+import io.masticpond.core.crash.RequestFingerprint;
+import io.masticpond.core.id.InstanceId;
+import io.masticpond.core.membership.Rendezvous;
+import io.masticpond.core.support.HashMixer;
+import io.masticpond.entry.peer.CrashMessageCodec;
+import io.masticpond.entry.peer.HeartbeatDuty;
+import io.masticpond.entry.peer.PeerInstance;
+import io.masticpond.entry.request.CrashGuard;
+import io.masticpond.entry.request.RequestFlow;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+
+/**
+ * Carries what instances know of requests under which servers end, by the datagrams between them.
+ * The keepers of a request follow from its fingerprint, so that all instances agree without asking.
+ */
+@Singleton
+final class CrashSharing {
+
+    /** One may be down or believed so by some, and a second one proves what the first says. */
+    private static final int KEEPERS = 2;
+
+    /** A keeper in the own zone besides, since a zone that is cut off goes on by itself. */
+    private static final int KEEPERS_IN_ZONE = 1;
+
+    /** Requests that one server's end broke off go in one bundle. */
+    private static final long BUNDLE_MILLIS = 10;
+
+    /** Within a few of these, an instance that starts or missed a datagram knows all the same. */
+    private static final long REPEAT_MILLIS = 1_000;
+
+    /** Messages that wait for an instance at most, three datagrams; a flood loses the rest. */
+    private static final int MOST_WAITING = 3 * CrashMessageCodec.MOST_MESSAGES;
+
+    private final EventLoop mTraffic;
+    private final EventLoop mControl;
+    private final CrashGuard mGuard;
+    private final HeartbeatDuty mPeers;
+    private final PeerInstance mSelf;
+    private final Map<PeerInstance, List<CrashMessage>> mWaiting = new HashMap<>();
+    private long mTurn;
+
+    @Inject
+    CrashSharing(
+            @TrafficThread EventLoop traffic,
+            @ControlThread EventLoop control,
+            RequestFlow flow,
+            HeartbeatDuty peers,
+            PeerInstance self) {
+        mTraffic = traffic;
+        mControl = control;
+        mGuard = flow.crashes();
+        mPeers = peers;
+        mSelf = self;
+        mTurn = HashMixer.hash(self.id().value());
+    }
+
+    /** Begins to tell and to hear. */
+    void start() {
+        mPeers.hear(
+                CrashMessageCodec.VERSION,
+                (sender, content) -> {
+                    List<CrashMessage> messages = CrashMessageCodec.read(content);
+                    mTraffic.execute(() -> mGuard.heard(sender.toString(), messages));
+                });
+        mTraffic.execute(
+                () ->
+                        mGuard.tellBy(
+                                (message, toAll) -> mControl.execute(() -> add(message, toAll))));
+        mTraffic.scheduleWithFixedDelay(
+                this::repeat, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void repeat() {
+        List<CrashMessage> rejections = mGuard.rejections();
+        if (!rejections.isEmpty()) {
+            mControl.execute(() -> tellNext(rejections));
+        }
+    }
+
+    /** Tells one instance after the other, so that each hears from about one each time. */
+    private void tellNext(List<CrashMessage> rejections) {
+        List<PeerInstance> alive = mPeers.alive();
+        if (!alive.isEmpty()) {
+            PeerInstance next = alive.get(Math.floorMod(mTurn++, alive.size()));
+            mPeers.tell(List.of(next), out -> CrashMessageCodec.write(rejections, out));
+        }
+    }
+
+    private void add(CrashMessage message, boolean toAll) {
+        if (mWaiting.isEmpty()) {
+            mControl.schedule(this::tellWaiting, BUNDLE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        for (PeerInstance hearer : toAll ? mPeers.alive() : keepers(message.request())) {
+            List<CrashMessage> waiting =
+                    mWaiting.computeIfAbsent(hearer, each -> new ArrayList<>());
+            if (waiting.size() < MOST_WAITING) {
+                waiting.add(message);
+            }
+        }
+    }
+
+    private Set<PeerInstance> keepers(RequestFingerprint request) {
+        Set<PeerInstance> keepers = new LinkedHashSet<>();
+        keepers.addAll(first(request, mPeers.alive(), KEEPERS));
+        keepers.addAll(first(request, mPeers.ownZone(), KEEPERS_IN_ZONE));
+        return keepers;
+    }
+
+    private static List<PeerInstance> first(
+            RequestFingerprint request, List<PeerInstance> among, int count) {
+        Map<InstanceId, PeerInstance> byId = new HashMap<>();
+        among.forEach(each -> byId.put(each.id(), each));
+        return Rendezvous.order(request.toString(), byId.keySet()).stream()
+                .limit(count)
+                .map(byId::get)
+                .toList();
+    }
+
+    private void tellWaiting() {
+        mWaiting.forEach(
+                (hearer, messages) -> {
+                    for (int from = 0; from < messages.size(); ) {
+                        int to = Math.min(messages.size(), from + CrashMessageCodec.MOST_MESSAGES);
+                        List<CrashMessage> part = messages.subList(from, to);
+                        mPeers.tell(List.of(hearer), out -> CrashMessageCodec.write(part, out));
+                        from = to;
+                    }
+                });
+        mWaiting.clear();
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.crash.CrashBelief;
 import io.masticpond.core.fleet.FleetPicture;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.limit.RetryBudgetUse;
@@ -39,7 +40,8 @@
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
-    private volatile Traffic mTraffic = new Traffic(0, 0, 0, 0, 0, 0, List.of(), Optional.empty());
+    private volatile Traffic mTraffic =
+            new Traffic(0, 0, 0, 0, 0, 0, 0, 0, 0, List.of(), Optional.empty());
 
     /** The figures of the traffic thread. */
     private record Traffic(
@@ -49,6 +51,9 @@
             long opened,
             long loadsTold,
             long loadsHeard,
+            long serverEnds,
+            int followed,
+            long rejected,
             List<RetryBudgetUse> retries,
             Optional<List<SpendingView>> spendings) {
 
@@ -75,6 +80,7 @@
 
     /** Reads what the traffic thread owns, on that thread. */
     void readTraffic() {
+        List<CrashBelief> crashes = mFlow.crashes().beliefs();
         mTraffic =
                 new Traffic(
                         mFlow.open(),
@@ -83,6 +89,9 @@
                         mConnections.opened(),
                         mFlow.placer().shared().told(),
                         mFlow.placer().shared().heardCount(),
+                        mFlow.crashes().ends(),
+                        crashes.size(),
+                        crashes.stream().filter(each -> each.leftNanos() > 0).count(),
                         List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
                         mFlow.spending().map(SpendingCheck::views));
     }
@@ -118,6 +127,9 @@
         values.set(EntryValue.BACKEND_CONNECTIONS_OPENED, traffic.opened());
         values.set(EntryValue.LOADS_TOLD, traffic.loadsTold());
         values.set(EntryValue.LOADS_HEARD, traffic.loadsHeard());
+        values.set(EntryValue.SERVER_ENDS, traffic.serverEnds());
+        values.set(EntryValue.FOLLOWED_REQUESTS, traffic.followed());
+        values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUse::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUse::bound));
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUse::used));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -29,6 +29,7 @@
     private final ProcessNews mNews;
     private final SettingsInForce mSettings;
     private final LoadSharing mLoadSharing;
+    private final CrashSharing mCrashSharing;
 
     @Inject
     EntryInstance(
@@ -41,7 +42,8 @@
             PictureUpdates updates,
             StopSwitch stop,
             SettingsInForce settings,
-            LoadSharing loadSharing) {
+            LoadSharing loadSharing,
+            CrashSharing crashSharing) {
         mNews = news;
         mTraffic = traffic;
         mControl = control;
@@ -52,12 +54,14 @@
         mStop = stop;
         mSettings = settings;
         mLoadSharing = loadSharing;
+        mCrashSharing = crashSharing;
     }
 
     /** Starts all parts; readiness follows once routes and backend servers are known. */
     public void start() {
         mNews.tell(ProcessChange.Kind.STARTED);
         mLoadSharing.start();
+        mCrashSharing.start();
         if (mFlow.spending().isPresent()) {
             mTraffic.execute(mFlow.spending().get()::start);
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.placement.SharedLoads;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.peer.HeartbeatDuty;
+import io.masticpond.entry.peer.LoadReportCodec;
 import io.masticpond.entry.request.RequestFlow;
 import io.netty.channel.EventLoop;
 import java.util.List;
@@ -49,7 +50,12 @@
 
     /** Begins to tell and to hear. */
     void start() {
-        mPeers.hearLoads(reports -> mTraffic.execute(() -> hear(reports)));
+        mPeers.hear(
+                LoadReportCodec.VERSION,
+                (sender, content) -> {
+                    List<LoadReport> reports = LoadReportCodec.read(content);
+                    mTraffic.execute(() -> hear(reports));
+                });
         mTraffic.execute(() -> shared().whenWaiting(this::plan));
     }
 
@@ -62,13 +68,14 @@
     }
 
     private void plan() {
-        long wait = MILLIS_FOR_EACH * mPeers.zoneNeighbors();
+        long wait = MILLIS_FOR_EACH * (mPeers.ownZone().size() - 1);
         wait = Math.max(LEAST_MILLIS, Math.min(MOST_MILLIS, wait));
         mTraffic.schedule(this::tell, wait, TimeUnit.MILLISECONDS);
     }
 
     private void tell() {
         List<LoadReport> reports = shared().take();
-        mControl.execute(() -> mPeers.tellLoads(reports));
+        mControl.execute(
+                () -> mPeers.tell(mPeers.ownZone(), out -> LoadReportCodec.write(reports, out)));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
@@ -4,6 +4,7 @@
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.peer.HeartbeatDuty;
 import io.masticpond.entry.peer.PeerInstance;
+import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.settings.EntrySettings;
 import io.masticpond.entry.settings.SettingsPart;
 import io.netty.channel.EventLoop;
@@ -23,6 +24,7 @@
     private final DirectoryHandler mDirectory;
     private final SharedLimits mLimits;
     private final ServerChooser mChooser;
+    private final RequestFlow mFlow;
     private final StopSwitch mStop;
     private final ProcessNews mNews;
     private EntrySettings mSettings;
@@ -36,6 +38,7 @@
             DirectoryHandler directory,
             SharedLimits limits,
             ServerChooser chooser,
+            RequestFlow flow,
             StopSwitch stop,
             ProcessNews news) {
         mSettings = settings;
@@ -45,6 +48,7 @@
         mDirectory = directory;
         mLimits = limits;
         mChooser = chooser;
+        mFlow = flow;
         mStop = stop;
         mNews = news;
     }
@@ -58,6 +62,7 @@
                 () -> {
                     mLimits.apply(settings.bounds());
                     mChooser.tune(settings.placement());
+                    mFlow.crashes().tune(settings.crashes());
                 });
         mNews.tell(ProcessChange.Kind.RELOADED, SettingsPart.tellChange(mSettings, settings));
         mSettings = settings;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -114,18 +114,21 @@
                             SpendingWiring.desk(
                                     settings, store, self, peers, traffic, control, timeSource));
         }
-        return new RequestFlow(
-                traffic,
-                timeSource,
-                names,
-                connections,
-                new ServerTable(settings.zone(), settings.zones()),
-                new RequestPlacer(chooser, loadGate),
-                limits,
-                limits,
-                route -> split.choose(route).orElse(route.services().get(0).service()),
-                peers::shareholders,
-                spending,
-                log);
+        RequestFlow flow =
+                new RequestFlow(
+                        traffic,
+                        timeSource,
+                        names,
+                        connections,
+                        new ServerTable(settings.zone(), settings.zones()),
+                        new RequestPlacer(chooser, loadGate),
+                        limits,
+                        limits,
+                        route -> split.choose(route).orElse(route.services().get(0).service()),
+                        peers::shareholders,
+                        spending,
+                        log);
+        flow.crashes().tune(settings.crashes());
+        return flow;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/control/TrafficReaderTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/control/TrafficReaderTest.java
@@ -73,7 +73,7 @@
         if (mFails) {
             throw new IllegalStateException("No picture.");
         }
-        return new TrafficPicture(nowNanos, List.of(), Map.of(), List.of());
+        return new TrafficPicture(nowNanos, List.of(), Map.of(), List.of(), List.of());
     }
 
     private void ask(int times) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/peer/HeartbeatDutyTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/HeartbeatDutyTest.java
@@ -118,14 +118,24 @@
         HeartbeatDuty one = duty("one", first, second);
         HeartbeatDuty two = duty("two", second, first);
         BlockingQueue<LoadReport> heard = new LinkedBlockingQueue<>();
-        two.hearLoads(heard::addAll);
+        two.hear(
+                LoadReportCodec.VERSION,
+                (sender, content) -> {
+                    assertThat(sender).isEqualTo(first);
+                    heard.addAll(LoadReportCodec.read(content));
+                });
         one.start().syncUninterruptibly();
         two.start().syncUninterruptibly();
         assertThat(mEvents.poll(60, TimeUnit.SECONDS)).isNotNull();
         assertThat(mEvents.poll(60, TimeUnit.SECONDS)).isNotNull();
-        assertThat(one.zoneNeighbors()).isEqualTo(1);
+        assertThat(one.ownZone()).hasSize(2);
         LoadReport report = new LoadReport(7, new ReportedLoad(5, 3, 5));
-        mGroup.next().execute(() -> one.tellLoads(List.of(report)));
+        mGroup.next()
+                .execute(
+                        () ->
+                                one.tell(
+                                        one.ownZone(),
+                                        out -> LoadReportCodec.write(List.of(report), out)));
         assertThat(heard.poll(60, TimeUnit.SECONDS)).isEqualTo(report);
         assertThat(two.alive()).hasSize(2);
     }
