--- a/masticpond-core/src/main/java/io/masticpond/core/admission/DegradationStep.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/admission/DegradationStep.java
@@ -1,7 +1,7 @@
 package io.masticpond.core.admission;
 
 /**
- * Says what decisions rest on now, from the best picture to the poorest.
+ * Says what decisions rest on now, from the best snapshot to the poorest.
  *
  * @since 0.1
  */
--- a/masticpond-core/src/main/java/io/masticpond/core/admission/WaitEstimator.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/admission/WaitEstimator.java
@@ -19,13 +19,13 @@
     private double mMeanNanos;
     private double mMeanLogarithm;
 
-    /** Starts without a picture; all estimates are 0. */
+    /** Starts without a snapshot; all estimates are 0. */
     WaitEstimator() {
         this(WINDOW);
     }
 
     /**
-     * Starts without a picture.
+     * Starts without a snapshot.
      *
      * @param window how many recent attempts count
      */
--- a/masticpond-core/src/main/java/io/masticpond/core/fleet/FleetPicture.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/fleet/FleetSnapshot.java
@@ -17,18 +17,18 @@
  * @param evacuatedZones zones whose servers must get nothing
  * @since 0.2
  */
-public record FleetPicture(
+public record FleetSnapshot(
         long revision,
         Optional<RoutingConfiguration> routing,
         Map<BackendServerId, RegisteredServer> servers,
         Set<ZoneId> evacuatedZones) {
 
-    /** The picture of an instance that knows nothing yet. */
-    public static final FleetPicture EMPTY =
-            new FleetPicture(0, Optional.empty(), Map.of(), Set.of());
+    /** The snapshot of an instance that knows nothing yet. */
+    public static final FleetSnapshot EMPTY =
+            new FleetSnapshot(0, Optional.empty(), Map.of(), Set.of());
 
     /** Checks the parts and copies the collections. */
-    public FleetPicture {
+    public FleetSnapshot {
         Assert.notNegative(revision, "A revision");
         Assert.notNull(routing, "A routing configuration");
         servers = Map.copyOf(servers);
--- a/masticpond-core/src/main/java/io/masticpond/core/lookup/LookupDecider.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/lookup/LookupDecider.java
@@ -20,7 +20,7 @@
  * Decides which instances a client should use: the nearest first, spread evenly among each zone.
  *
  * <p>Immutable, and so safe for all threads; make a new one when configuration or members change.
- * All instances with the same picture give the same answer to the same client. Instances that are
+ * All instances with the same snapshot give the same answer to the same client. Instances that are
  * leaving, suspect or dead are not named, nor those without a configuration while others have one.
  * Clients spread over regions that are equally near. If there are live instances in two
  * availability zones, the answer holds instances of at least two, and of two regions if there is
@@ -39,7 +39,7 @@
     private final Map<ZoneId, List<List<ZoneQuota>>> mQuotas = new HashMap<>();
 
     /**
-     * Makes a decider for one picture of the system.
+     * Makes a decider for one snapshot of the system.
      *
      * @param configuration the configuration in force
      * @param blocks the table of its client blocks
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -1,6 +1,6 @@
 package io.masticpond.core.placement;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.RegionId;
@@ -17,8 +17,8 @@
 import java.util.Set;
 
 /**
- * The backend servers of all services with their loads, following the picture of the fleet. Touched
- * by one thread only.
+ * The backend servers of all services with their loads, following the snapshot of the fleet.
+ * Touched by one thread only.
  *
  * @since 0.2
  */
@@ -44,16 +44,16 @@
     }
 
     /**
-     * Takes a new picture.
+     * Takes a new snapshot.
      *
-     * @param picture the picture
+     * @param snapshot the snapshot
      * @param nowNanos the monotonic time
      * @return the servers that are gone, or that have started again since
      */
-    public List<RegisteredServer> update(FleetPicture picture, long nowNanos) {
-        List<RegisteredServer> gone = removeOver(picture);
+    public List<RegisteredServer> update(FleetSnapshot snapshot, long nowNanos) {
+        List<RegisteredServer> gone = removeOver(snapshot);
         Map<ServiceId, List<ServerLoad>> services = new HashMap<>();
-        for (RegisteredServer server : picture.servers().values()) {
+        for (RegisteredServer server : snapshot.servers().values()) {
             ServerLoad load = mLoads.get(server.id());
             if (load == null) {
                 load = new ServerLoad(server, distance(server.zone()));
@@ -63,11 +63,11 @@
             }
             services.computeIfAbsent(server.service(), id -> new ArrayList<>()).add(load);
         }
-        coolReturned(picture, nowNanos);
+        coolReturned(snapshot, nowNanos);
         mServices = services;
         mByHash.clear();
         mLoads.values().forEach(load -> mByHash.put(load.hash(), load));
-        mEvacuated = picture.evacuatedZones();
+        mEvacuated = snapshot.evacuatedZones();
         return gone;
     }
 
@@ -106,12 +106,12 @@
         return Optional.ofNullable(mRegions.get(server.zone()));
     }
 
-    private List<RegisteredServer> removeOver(FleetPicture picture) {
+    private List<RegisteredServer> removeOver(FleetSnapshot snapshot) {
         List<RegisteredServer> gone = new ArrayList<>();
         mLoads.values()
                 .removeIf(
                         load -> {
-                            RegisteredServer now = picture.servers().get(load.server().id());
+                            RegisteredServer now = snapshot.servers().get(load.server().id());
                             boolean over = now == null || !now.isSameRun(load.server());
                             if (over) {
                                 load.over();
@@ -123,21 +123,21 @@
     }
 
     /** Servers of a zone that is taken back may be cold before the registry says so. */
-    private void coolReturned(FleetPicture picture, long nowNanos) {
+    private void coolReturned(FleetSnapshot snapshot, long nowNanos) {
         for (ZoneId zone : mEvacuated) {
-            if (picture.evacuatedZones().contains(zone)) {
+            if (snapshot.evacuatedZones().contains(zone)) {
                 continue;
             }
             for (ServerLoad load : mLoads.values()) {
                 if (load.server().zone().equals(zone)) {
-                    load.coldUntil(nowNanos + warmUp(picture, load.server()).toNanos());
+                    load.coldUntil(nowNanos + warmUp(snapshot, load.server()).toNanos());
                 }
             }
         }
     }
 
-    private static Duration warmUp(FleetPicture picture, RegisteredServer server) {
-        return picture.routing()
+    private static Duration warmUp(FleetSnapshot snapshot, RegisteredServer server) {
+        return snapshot.routing()
                 .map(routing -> routing.services().get(server.service()))
                 .map(ServiceRules::warmUp)
                 .orElse(Duration.ZERO);
--- a/masticpond-core/src/main/java/io/masticpond/core/region/HeadroomPicture.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/region/HeadroomSnapshot.java
@@ -4,14 +4,14 @@
 import io.masticpond.core.admission.Headroom;
 
 /** The counts that an admitter last reported, with their age and what was sent since. */
-final class HeadroomPicture {
+final class HeadroomSnapshot {
 
     private final RegionSelectorKnobs mKnobs;
     private Headroom mHeadroom;
     private long mObservedNanos;
     private int mSentSince;
 
-    HeadroomPicture(RegionSelectorKnobs knobs) {
+    HeadroomSnapshot(RegionSelectorKnobs knobs) {
         mKnobs = knobs;
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/region/RegionView.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/region/RegionView.java
@@ -17,7 +17,7 @@
     private static final double WORST_WAIT_SHARE = 0.5;
 
     private final RegionSelectorKnobs mKnobs;
-    private final HeadroomPicture mPicture;
+    private final HeadroomSnapshot mSnapshot;
     private final RegionRamp mRamp;
     private final RegionAvailability mAvailability;
     private final Map<RequestId, Long> mStarted = new HashMap<>();
@@ -32,7 +32,7 @@
         mPlace = place;
         mKnobs = knobs;
         mLink = link;
-        mPicture = new HeadroomPicture(knobs);
+        mSnapshot = new HeadroomSnapshot(knobs);
         mRamp = new RegionRamp(knobs, place.slots(), place.isOwn(), nowNanos);
         mAvailability = new RegionAvailability(knobs);
     }
@@ -56,7 +56,7 @@
         return mStarted.size();
     }
 
-    /** Sets how many instances send to this region from the same picture. */
+    /** Sets how many instances send to this region from the same snapshot. */
     void setSenders(int senders) {
         mSenders = mPlace.isOwn() ? 1 : Math.max(1, senders);
         mFairShare = Math.max(1, mPlace.slots() / Math.max(1, senders));
@@ -64,7 +64,7 @@
     }
 
     void observe(Headroom headroom, long nowNanos) {
-        mPicture.observe(headroom, nowNanos);
+        mSnapshot.observe(headroom, nowNanos);
         mLastTaken = Math.max(1, inFlight());
     }
 
@@ -73,7 +73,7 @@
             mRamp.cool(nowNanos);
         }
         if (!reachable && mAvailability.lost(nowNanos)) {
-            mPicture.forget();
+            mSnapshot.forget();
         }
     }
 
@@ -86,7 +86,7 @@
             return RegionOption.blocked(this, RefusalCause.LINK_FULL, mLink.nanosToToken());
         }
         long backoff = mAvailability.backoffNanos(nowNanos);
-        if (backoff > 0 && mPicture.isOld(nowNanos)) {
+        if (backoff > 0 && mSnapshot.isOld(nowNanos)) {
             return RegionOption.blocked(this, RefusalCause.NO_CAPACITY, backoff);
         }
         if (!withinLimit(nowNanos)) {
@@ -96,8 +96,8 @@
     }
 
     private RegionOption weighTime(RequestHead request, long nowNanos) {
-        boolean unknown = mPicture.isUnknown(nowNanos);
-        long wait = unknown ? 0 : mPicture.waitNanos(mSenders, (long) mWorkNanos);
+        boolean unknown = mSnapshot.isUnknown(nowNanos);
+        long wait = unknown ? 0 : mSnapshot.waitNanos(mSenders, (long) mWorkNanos);
         long travelAndWork = mPlace.roundTripNanos() + (long) mWorkNanos;
         long spare = request.deadlineNanos() - nowNanos - travelAndWork;
         if (spare <= 0 && mPlace.roundTripNanos() >= request.deadlineNanos() - nowNanos) {
@@ -106,7 +106,7 @@
         if (wait > 0 && wait > spare * waitShare(request.priority())) {
             return RegionOption.blocked(this, RefusalCause.NO_CAPACITY, wait);
         }
-        boolean roomy = !unknown && mPicture.hasFreeShare(mSenders, mKnobs.priceReserveShare());
+        boolean roomy = !unknown && mSnapshot.hasFreeShare(mSenders, mKnobs.priceReserveShare());
         boolean heldDown = mAvailability.isHeldDown(nowNanos);
         return new RegionOption(this, wait, wait + travelAndWork, roomy, heldDown, null, 0);
     }
@@ -122,10 +122,10 @@
         if (!mRamp.admits(slotsHeld, mPlace.isOwn(), nowNanos)) {
             return false;
         }
-        if (mPlace.isOwn() || !mPicture.isOld(nowNanos)) {
+        if (mPlace.isOwn() || !mSnapshot.isOld(nowNanos)) {
             return true;
         }
-        if (mPicture.isUnknown(nowNanos)) {
+        if (mSnapshot.isUnknown(nowNanos)) {
             return slotsHeld < mFairShare;
         }
         return inFlight() < Math.max(mLastTaken, mFairShare);
@@ -138,7 +138,7 @@
 
     void chosen(RequestId request, long nowNanos) {
         mStarted.put(request, nowNanos);
-        mPicture.sent();
+        mSnapshot.sent();
         mLink.take();
     }
 
@@ -163,7 +163,7 @@
     }
 
     DegradationStep step(long nowNanos) {
-        return mPicture.step(nowNanos);
+        return mSnapshot.step(nowNanos);
     }
 
     RegionStatus status(ServiceId service, long nowNanos) {
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/SharedLoadsTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/SharedLoadsTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
@@ -84,7 +84,7 @@
     @Example
     void serverThatStartedAgainIsNotFullForWhatItsFormerRunWas() {
         mShared.heard(mServers, List.of(new LoadReport(mServer.hash(), FULL)), 0);
-        mServers.update(picture(1), 0);
+        mServers.update(snapshot(1), 0);
         assertThat(mServers.of(SERVICE).get(0).inFlight(0)).isZero();
     }
 
@@ -96,7 +96,7 @@
                                 PlacementSettings.DEFAULT,
                                 new OutlierJudge(OutlierJudgeSettings.DEFAULT)),
                         LoadGate.OPEN);
-        mServers.update(picture(1), 0);
+        mServers.update(snapshot(1), 0);
         placer.reported(mServer, FULL, 0);
         assertThat(placer.shared().isWaiting()).isFalse();
         placer.reported(mServers.of(SERVICE).get(0), FULL, 0);
@@ -118,13 +118,13 @@
 
     private static ServerTable table(int run) {
         ServerTable table = new ServerTable(ZONE, Map.of(ZONE, new RegionId("r")));
-        table.update(picture(run), 0);
+        table.update(snapshot(run), 0);
         return table;
     }
 
-    private static FleetPicture picture(int run) {
+    private static FleetSnapshot snapshot(int run) {
         RegisteredServer server = server("server-1", run);
-        return new FleetPicture(1 + run, Optional.empty(), Map.of(server.id(), server), Set.of());
+        return new FleetSnapshot(1 + run, Optional.empty(), Map.of(server.id(), server), Set.of());
     }
 
     private static RegisteredServer server(String id, int run) {
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/gateway/LookupTable.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/gateway/LookupTable.java
@@ -16,7 +16,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Answers look-ups from the newest picture; readers are never held up by a change of it.
+ * Answers look-ups from the newest snapshot; readers are never held up by a change of it.
  *
  * @since 0.1
  */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -23,7 +23,7 @@
     private static final int USUAL_BELIEFS = 50;
 
     private final ControlSources mSources;
-    private final TrafficPicture mTraffic;
+    private final TrafficSnapshot mTraffic;
     private final long mNowNanos;
 
     /**
@@ -32,14 +32,14 @@
      * @param sources the parts to ask
      * @param traffic what the traffic thread knows, or null for documents that don't need it
      */
-    ControlDocuments(ControlSources sources, TrafficPicture traffic) {
+    ControlDocuments(ControlSources sources, TrafficSnapshot traffic) {
         mSources = sources;
         mTraffic = traffic;
         mNowNanos = sources.timeSource().monotonicNanos();
     }
 
     FleetDocuments fleet() {
-        return new FleetDocuments(mSources.replica().picture(), this::begin, mNowNanos);
+        return new FleetDocuments(mSources.replica().snapshot(), this::begin, mNowNanos);
     }
 
     ObjectNode status() {
@@ -52,7 +52,7 @@
         document.put("ready", mSources.ready().getAsBoolean());
         document.put("stopping", mSources.stopping().getAsBoolean());
         mSources.replica()
-                .picture()
+                .snapshot()
                 .routing()
                 .map(RoutingConfiguration::version)
                 .ifPresent(version -> document.put("routingVersion", version));
@@ -103,7 +103,7 @@
     Either<ControlProblem, ObjectNode> servers(Optional<String> service) {
         boolean known =
                 service.isEmpty()
-                        || mSources.replica().picture().routing().stream()
+                        || mSources.replica().snapshot().routing().stream()
                                 .flatMap(routing -> routing.services().keySet().stream())
                                 .anyMatch(each -> each.value().equals(service.get()));
         if (!known) {
@@ -141,7 +141,7 @@
                                 .put("left", Spelling.rounded(use.left())));
         ArrayNode cold = document.putArray("coldServers");
         mTraffic.servers().stream()
-                .filter(ServerPicture::cold)
+                .filter(ServerSnapshot::cold)
                 .forEach(each -> ServerDocument.writeCold(each, cold.addObject(), mNowNanos));
         if (!mTraffic.spendings().isEmpty()) {
             writeSpendings(document.putArray("spendings"));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlSurface.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlSurface.java
@@ -51,7 +51,7 @@
                         sources.timeSource(),
                         sources.traffic(),
                         sources.control(),
-                        now -> TrafficPicture.take(sources.flow(), sources.limits(), now));
+                        now -> TrafficSnapshot.take(sources.flow(), sources.limits(), now));
     }
 
     @Override
@@ -68,7 +68,7 @@
         } else if (question.get().isChange()) {
             release(question.get(), responder);
         } else if (question.get().view().needsTraffic()) {
-            mReader.read(picture -> answer(question.get(), picture, responder));
+            mReader.read(snapshot -> answer(question.get(), snapshot, responder));
         } else {
             answer(question.get(), Either.right(null), responder);
         }
@@ -112,10 +112,10 @@
 
     private void answer(
             ControlQuestion question,
-            Either<ControlProblem, TrafficPicture> picture,
+            Either<ControlProblem, TrafficSnapshot> snapshot,
             Responder responder) {
         Either<ControlProblem, ObjectNode> document =
-                picture.map(traffic -> new ControlDocuments(mSources, traffic))
+                snapshot.map(traffic -> new ControlDocuments(mSources, traffic))
                         .flatMap(documents -> question.view().show(question, documents));
         document.peek(found -> responder.answer(answer(FOUND, DOCUMENT, found)))
                 .peekLeft(problem -> refuse(problem, responder));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
@@ -11,7 +11,7 @@
 
 /** The documents that an operator can ask for. */
 enum ControlView {
-    /** The instance itself, and how current its picture is. */
+    /** The instance itself, and how current its snapshot is. */
     STATUS {
         @Override
         Either<ControlProblem, ObjectNode> show(ControlQuestion question, ControlDocuments from) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/FleetDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/FleetDocuments.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.routing.Route;
@@ -17,12 +17,12 @@
 /** Makes the documents that need the copy of the store alone. */
 final class FleetDocuments {
 
-    private final FleetPicture mPicture;
+    private final FleetSnapshot mSnapshot;
     private final Supplier<ObjectNode> mBegin;
     private final long mNowNanos;
 
-    FleetDocuments(FleetPicture picture, Supplier<ObjectNode> begin, long nowNanos) {
-        mPicture = picture;
+    FleetDocuments(FleetSnapshot snapshot, Supplier<ObjectNode> begin, long nowNanos) {
+        mSnapshot = snapshot;
         mBegin = begin;
         mNowNanos = nowNanos;
     }
@@ -30,7 +30,7 @@
     ObjectNode services() {
         ObjectNode document = mBegin.get();
         ArrayNode services = document.putArray("services");
-        mPicture.routing().stream()
+        mSnapshot.routing().stream()
                 .flatMap(routing -> routing.services().values().stream())
                 .sorted(Comparator.comparing(rules -> rules.service().value()))
                 .forEach(rules -> writeService(rules, services.addObject()));
@@ -39,7 +39,7 @@
 
     private void writeService(ServiceRules rules, ObjectNode into) {
         List<RegisteredServer> servers =
-                mPicture.servers().values().stream()
+                mSnapshot.servers().values().stream()
                         .filter(server -> server.service().equals(rules.service()))
                         .toList();
         into.put("service", rules.service().value())
@@ -56,11 +56,12 @@
 
     ObjectNode routes() {
         ObjectNode document = mBegin.get();
-        mPicture.routing()
+        mSnapshot
+                .routing()
                 .map(RoutingConfiguration::version)
                 .ifPresent(version -> document.put("routingVersion", version));
         ArrayNode routes = document.putArray("routes");
-        mPicture.routing().stream()
+        mSnapshot.routing().stream()
                 .flatMap(routing -> routing.routes().stream())
                 .sorted(Comparator.comparing(Route::host).thenComparing(Route::pathPrefix))
                 .forEach(route -> writeRoute(route, routes.addObject()));
@@ -91,7 +92,7 @@
     ObjectNode evacuations() {
         ObjectNode document = mBegin.get();
         ArrayNode zones = document.putArray("evacuations");
-        mPicture.evacuatedZones().stream()
+        mSnapshot.evacuatedZones().stream()
                 .sorted(Comparator.comparing(ZoneId::value))
                 .forEach(
                         zone ->
@@ -100,13 +101,13 @@
                                         .put(
                                                 "servers",
                                                 count(
-                                                        mPicture.servers().values(),
+                                                        mSnapshot.servers().values(),
                                                         server -> server.zone().equals(zone))));
         return document;
     }
 
     private boolean isUsable(RegisteredServer server) {
-        return !server.leaving() && !mPicture.evacuatedZones().contains(server.zone());
+        return !server.leaving() && !mSnapshot.evacuatedZones().contains(server.zone());
     }
 
     private int slots(List<RegisteredServer> servers) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
@@ -8,22 +8,22 @@
 
     private ServerDocument() {}
 
-    static void write(ServerPicture picture, ObjectNode into, long nowNanos) {
-        RegisteredServer server = picture.server();
+    static void write(ServerSnapshot snapshot, ObjectNode into, long nowNanos) {
+        RegisteredServer server = snapshot.server();
         into.put("server", server.id().value())
                 .put("service", server.service().value())
                 .put("zone", server.zone().value())
                 .put("address", server.address().toString())
-                .put("state", state(picture))
+                .put("state", state(snapshot))
                 .put("slots", server.slots())
-                .put("inFlight", Spelling.rounded(picture.inFlight()))
-                .put("own", picture.own())
-                .put("serviceMillis", Spelling.millis((long) picture.serviceNanos()));
-        if (picture.cold()) {
+                .put("inFlight", Spelling.rounded(snapshot.inFlight()))
+                .put("own", snapshot.own())
+                .put("serviceMillis", Spelling.millis((long) snapshot.serviceNanos()));
+        if (snapshot.cold()) {
             into.put("coldMillis", coldMillis(server, nowNanos));
         }
-        picture.avoidReason().ifPresent(reason -> into.put("avoided", Spelling.of(reason)));
-        picture.judgement()
+        snapshot.avoidReason().ifPresent(reason -> into.put("avoided", Spelling.of(reason)));
+        snapshot.judgement()
                 .ifPresent(
                         judgement ->
                                 into.put("penalty", Spelling.rounded(judgement.penalty()))
@@ -34,27 +34,27 @@
                                         .put("meanMillis", Spelling.millis(judgement.meanNanos())));
     }
 
-    static void writeCold(ServerPicture picture, ObjectNode into, long nowNanos) {
-        RegisteredServer server = picture.server();
+    static void writeCold(ServerSnapshot snapshot, ObjectNode into, long nowNanos) {
+        RegisteredServer server = snapshot.server();
         into.put("server", server.id().value())
                 .put("service", server.service().value())
                 .put("zone", server.zone().value())
                 .put("coldMillis", coldMillis(server, nowNanos));
-        picture.owners().forEach(owner -> into.withArray("owners").add(owner.value()));
+        snapshot.owners().forEach(owner -> into.withArray("owners").add(owner.value()));
     }
 
     /** Names the first thing that keeps requests away, or "usable". */
-    private static String state(ServerPicture picture) {
-        if (picture.server().leaving()) {
+    private static String state(ServerSnapshot snapshot) {
+        if (snapshot.server().leaving()) {
             return "leaving";
         }
-        if (picture.evacuated()) {
+        if (snapshot.evacuated()) {
             return "evacuated";
         }
-        if (picture.avoidReason().isPresent()) {
+        if (snapshot.avoidReason().isPresent()) {
             return "avoided";
         }
-        return picture.cold() ? "cold" : "usable";
+        return snapshot.cold() ? "cold" : "usable";
     }
 
     /** Gives the time that it stays cold by the registry; the pace is kept a little longer. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerPicture.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerSnapshot.java
@@ -20,7 +20,7 @@
  * @param avoidReason why requests are kept away for a moment, if they are
  * @param judgement what is held against it, if anything was sent there
  */
-record ServerPicture(
+record ServerSnapshot(
         RegisteredServer server,
         boolean evacuated,
         boolean cold,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficReader.java
@@ -15,13 +15,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Asks the traffic thread for a picture of what it knows: one task at a time, and none while the
- * last picture is fresh, whoever asks how often. Who waits is answered within a bounded time. Used
+ * Asks the traffic thread for a snapshot of what it knows: one task at a time, and none while the
+ * last snapshot is fresh, whoever asks how often. Who waits is answered within a bounded time. Used
  * by the control thread alone.
  */
 final class TrafficReader {
 
-    /** For how long a picture serves all who ask. */
+    /** For how long a snapshot serves all who ask. */
     static final Duration FRESH = Duration.ofMillis(200);
 
     /** How long an answer waits for the traffic thread. */
@@ -35,27 +35,27 @@
     private final TimeSource mTimeSource;
     private final Executor mTraffic;
     private final ScheduledExecutorService mControl;
-    private final LongFunction<TrafficPicture> mTake;
+    private final LongFunction<TrafficSnapshot> mTake;
     private final List<Waiter> mWaiters = new ArrayList<>();
-    private TrafficPicture mPicture;
+    private TrafficSnapshot mSnapshot;
     private boolean mAsked;
 
     TrafficReader(
             TimeSource timeSource,
             Executor traffic,
             ScheduledExecutorService control,
-            LongFunction<TrafficPicture> take) {
+            LongFunction<TrafficSnapshot> take) {
         mTimeSource = timeSource;
         mTraffic = traffic;
         mControl = control;
         mTake = take;
     }
 
-    /** Gives a picture to an answer, now or later, or why there is none. */
-    void read(Consumer<Either<ControlProblem, TrafficPicture>> answer) {
+    /** Gives a snapshot to an answer, now or later, or why there is none. */
+    void read(Consumer<Either<ControlProblem, TrafficSnapshot>> answer) {
         long now = mTimeSource.monotonicNanos();
-        if (mPicture != null && now - mPicture.takenNanos() < FRESH.toNanos()) {
-            answer.accept(Either.right(mPicture));
+        if (mSnapshot != null && now - mSnapshot.takenNanos() < FRESH.toNanos()) {
+            answer.accept(Either.right(mSnapshot));
             return;
         }
         if (mWaiters.size() >= MOST_WAITING) {
@@ -75,22 +75,22 @@
         }
     }
 
-    /** Takes a picture, on the traffic thread. */
+    /** Takes a snapshot, on the traffic thread. */
     private void take() {
-        Either<ControlProblem, TrafficPicture> result;
+        Either<ControlProblem, TrafficSnapshot> result;
         try {
             result = Either.right(mTake.apply(mTimeSource.monotonicNanos()));
         } catch (RuntimeException e) {
-            sLogger.error("CONTROL  No picture of the traffic could be taken.", e);
-            result = Either.left(new ControlProblem(500, "fault", "No picture could be taken."));
+            sLogger.error("CONTROL  No snapshot of the traffic could be taken.", e);
+            result = Either.left(new ControlProblem(500, "fault", "No snapshot could be taken."));
         }
-        Either<ControlProblem, TrafficPicture> taken = result;
+        Either<ControlProblem, TrafficSnapshot> taken = result;
         mControl.execute(() -> took(taken));
     }
 
-    private void took(Either<ControlProblem, TrafficPicture> result) {
+    private void took(Either<ControlProblem, TrafficSnapshot> result) {
         mAsked = false;
-        mPicture = result.getOrNull();
+        mSnapshot = result.getOrNull();
         List<Waiter> waiters = List.copyOf(mWaiters);
         mWaiters.clear();
         for (Waiter waiter : waiters) {
@@ -105,7 +105,7 @@
                     Either.left(
                             ControlProblem.notNow(
                                     "traffic-busy",
-                                    "The traffic thread gave no picture within "
+                                    "The traffic thread gave no snapshot within "
                                             + PATIENCE.toMillis()
                                             + " ms.")));
         }
@@ -114,10 +114,10 @@
     /** An answer that waits. */
     private static final class Waiter {
 
-        private final Consumer<Either<ControlProblem, TrafficPicture>> mAnswer;
+        private final Consumer<Either<ControlProblem, TrafficSnapshot>> mAnswer;
         private Future<?> mTimeout;
 
-        Waiter(Consumer<Either<ControlProblem, TrafficPicture>> answer) {
+        Waiter(Consumer<Either<ControlProblem, TrafficSnapshot>> answer) {
             mAnswer = answer;
         }
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficPicture.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -1,7 +1,7 @@
 package io.masticpond.entry.control;
 
 import io.masticpond.core.crash.CrashBelief;
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.ServiceId;
@@ -27,38 +27,38 @@
  * @param spendings how spending stands in each shift that is open
  * @param crashes what is believed of requests under which servers ended
  */
-record TrafficPicture(
+record TrafficSnapshot(
         long takenNanos,
-        List<ServerPicture> servers,
+        List<ServerSnapshot> servers,
         Map<ServiceId, RetryBudgetUse> budgets,
         List<SpendingView> spendings,
         List<CrashBelief> crashes) {
 
-    private static final Comparator<ServerPicture> ORDER =
-            Comparator.<ServerPicture, String>comparing(each -> each.server().service().value())
+    private static final Comparator<ServerSnapshot> ORDER =
+            Comparator.<ServerSnapshot, String>comparing(each -> each.server().service().value())
                     .thenComparing(each -> each.server().id().value());
 
-    TrafficPicture {
+    TrafficSnapshot {
         servers = List.copyOf(servers);
         budgets = Map.copyOf(budgets);
         spendings = List.copyOf(spendings);
         crashes = List.copyOf(crashes);
     }
 
-    /** Takes the picture, on the traffic thread. */
-    static TrafficPicture take(RequestFlow flow, LimitFigures limits, long nowNanos) {
-        FleetPicture fleet = flow.state().picture();
+    /** Takes the snapshot, on the traffic thread. */
+    static TrafficSnapshot take(RequestFlow flow, LimitFigures limits, long nowNanos) {
+        FleetSnapshot fleet = flow.state().snapshot();
         TreeSet<ServiceId> services =
                 new TreeSet<>(Comparator.comparing((ServiceId service) -> service.value()));
         fleet.servers().values().forEach(server -> services.add(server.service()));
-        List<ServerPicture> servers = new ArrayList<>();
+        List<ServerSnapshot> servers = new ArrayList<>();
         for (ServiceId service : services) {
             for (ServerLoad load : flow.servers().of(service)) {
-                servers.add(picture(flow, limits, load, nowNanos));
+                servers.add(snapshot(flow, limits, load, nowNanos));
             }
         }
         servers.sort(ORDER);
-        return new TrafficPicture(
+        return new TrafficSnapshot(
                 nowNanos,
                 servers,
                 limits.budgets(nowNanos),
@@ -66,14 +66,14 @@
                 flow.crashes().beliefs());
     }
 
-    private static ServerPicture picture(
+    private static ServerSnapshot snapshot(
             RequestFlow flow, LimitFigures limits, ServerLoad load, long nowNanos) {
         RegisteredServer server = load.server();
         boolean cold = limits.isCold(server, nowNanos);
         Optional<ServiceRules> rules = flow.state().rules(server.service());
         List<InstanceId> owners =
                 cold && rules.isPresent() ? limits.owners(server, rules.get()) : List.of();
-        return new ServerPicture(
+        return new ServerSnapshot(
                 server,
                 flow.servers().isEvacuated(server.zone()),
                 cold,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/Readiness.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/Readiness.java
@@ -9,20 +9,20 @@
  */
 public final class Readiness {
 
-    private final BooleanSupplier mPictureUsable;
+    private final BooleanSupplier mSnapshotUsable;
     private final BooleanSupplier mListening;
     private final BooleanSupplier mStopping;
 
     /**
      * Joins the reasons.
      *
-     * @param pictureUsable whether routes and backend servers are known well enough to serve
+     * @param snapshotUsable whether routes and backend servers are known well enough to serve
      * @param listening whether clients can connect
      * @param stopping whether a planned stop has begun
      */
     public Readiness(
-            BooleanSupplier pictureUsable, BooleanSupplier listening, BooleanSupplier stopping) {
-        mPictureUsable = pictureUsable;
+            BooleanSupplier snapshotUsable, BooleanSupplier listening, BooleanSupplier stopping) {
+        mSnapshotUsable = snapshotUsable;
         mListening = listening;
         mStopping = stopping;
     }
@@ -35,6 +35,6 @@
     public boolean isReady() {
         return !mStopping.getAsBoolean()
                 && mListening.getAsBoolean()
-                && mPictureUsable.getAsBoolean();
+                && mSnapshotUsable.getAsBoolean();
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -56,7 +56,7 @@
     }
 
     /**
-     * The first picture of the backend servers, in place of a line for each.
+     * The first snapshot of the backend servers, in place of a line for each.
      *
      * @param servers how many are registered
      * @param leaving how many of them are leaving
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/FleetPictureLog.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/FleetSnapshotLog.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.log;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ZoneId;
@@ -11,41 +11,41 @@
 import java.util.Set;
 
 /**
- * Logs how one picture of routes and backend servers differs from the one before. One thread at a
+ * Logs how one snapshot of routes and backend servers differs from the one before. One thread at a
  * time.
  *
  * @since 0.2
  */
-public final class FleetPictureLog {
+public final class FleetSnapshotLog {
 
     private final DecisionLog mLog;
     private final Set<BackendServerId> mCold = new HashSet<>();
-    private FleetPicture mPicture = FleetPicture.EMPTY;
+    private FleetSnapshot mSnapshot = FleetSnapshot.EMPTY;
 
     /**
      * Starts from knowing nothing.
      *
      * @param log where changes go
      */
-    public FleetPictureLog(DecisionLog log) {
+    public FleetSnapshotLog(DecisionLog log) {
         mLog = Assert.notNull(log, "A log");
     }
 
     /**
-     * Logs what another picture changes. The first backend servers together are one line.
+     * Logs what another snapshot changes. The first backend servers together are one line.
      *
-     * @param picture the picture in force from now on
+     * @param snapshot the snapshot in force from now on
      * @param source where the news came from
      * @param nowNanos the monotonic time
      */
-    public void changed(FleetPicture picture, NewsSource source, long nowNanos) {
-        FleetPicture before = mPicture;
-        mPicture = picture;
+    public void changed(FleetSnapshot snapshot, NewsSource source, long nowNanos) {
+        FleetSnapshot before = mSnapshot;
+        mSnapshot = snapshot;
         logRouting(before, source);
         logZones(before, source);
-        if (before.servers().isEmpty() && picture.servers().size() > 1) {
+        if (before.servers().isEmpty() && snapshot.servers().size() > 1) {
             logFirst(source, nowNanos);
-        } else if (!before.servers().equals(picture.servers())) {
+        } else if (!before.servers().equals(snapshot.servers())) {
             logServers(before, source, nowNanos);
         }
         logWarmed(nowNanos);
@@ -62,7 +62,7 @@
         }
         mCold.removeIf(
                 id -> {
-                    RegisteredServer server = mPicture.servers().get(id);
+                    RegisteredServer server = mSnapshot.servers().get(id);
                     if (server != null && server.isCold(nowNanos)) {
                         return false;
                     }
@@ -73,39 +73,39 @@
                 });
     }
 
-    private void logRouting(FleetPicture before, NewsSource source) {
+    private void logRouting(FleetSnapshot before, NewsSource source) {
         long former = version(before);
-        long version = version(mPicture);
+        long version = version(mSnapshot);
         if (version != former) {
             mLog.beliefChanged(
-                    new BeliefChange.Routing(former, version, mPicture.revision(), source));
+                    new BeliefChange.Routing(former, version, mSnapshot.revision(), source));
         }
     }
 
-    private static long version(FleetPicture picture) {
-        return picture.routing().map(RoutingConfiguration::version).orElse(RequestRecord.UNKNOWN);
+    private static long version(FleetSnapshot snapshot) {
+        return snapshot.routing().map(RoutingConfiguration::version).orElse(RequestRecord.UNKNOWN);
     }
 
-    private void logZones(FleetPicture before, NewsSource source) {
-        for (ZoneId zone : mPicture.evacuatedZones()) {
+    private void logZones(FleetSnapshot before, NewsSource source) {
+        for (ZoneId zone : mSnapshot.evacuatedZones()) {
             if (!before.evacuatedZones().contains(zone)) {
                 logZone(zone, true, source);
             }
         }
         for (ZoneId zone : before.evacuatedZones()) {
-            if (!mPicture.evacuatedZones().contains(zone)) {
+            if (!mSnapshot.evacuatedZones().contains(zone)) {
                 logZone(zone, false, source);
             }
         }
     }
 
     private void logZone(ZoneId zone, boolean evacuated, NewsSource source) {
-        mLog.beliefChanged(new BeliefChange.Zone(zone, evacuated, mPicture.revision(), source));
+        mLog.beliefChanged(new BeliefChange.Zone(zone, evacuated, mSnapshot.revision(), source));
     }
 
     private void logFirst(NewsSource source, long nowNanos) {
         int leaving = 0;
-        for (RegisteredServer server : mPicture.servers().values()) {
+        for (RegisteredServer server : mSnapshot.servers().values()) {
             if (server.leaving()) {
                 leaving++;
             }
@@ -115,15 +115,15 @@
         }
         mLog.beliefChanged(
                 new BeliefChange.Registry(
-                        mPicture.servers().size(),
+                        mSnapshot.servers().size(),
                         leaving,
                         mCold.size(),
-                        mPicture.revision(),
+                        mSnapshot.revision(),
                         source));
     }
 
-    private void logServers(FleetPicture before, NewsSource source, long nowNanos) {
-        for (RegisteredServer server : mPicture.servers().values()) {
+    private void logServers(FleetSnapshot before, NewsSource source, long nowNanos) {
+        for (RegisteredServer server : mSnapshot.servers().values()) {
             RegisteredServer former = before.servers().get(server.id());
             if (former == null) {
                 logServer(server, ServerState.SEEN, source);
@@ -138,7 +138,7 @@
             }
         }
         for (RegisteredServer former : before.servers().values()) {
-            if (!mPicture.servers().containsKey(former.id())) {
+            if (!mSnapshot.servers().containsKey(former.id())) {
                 logServer(former, ServerState.GONE, source);
             }
         }
@@ -151,7 +151,7 @@
                         server.service(),
                         server.zone(),
                         state,
-                        mPicture.revision(),
+                        mSnapshot.revision(),
                         source));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -136,7 +136,7 @@
     }
 
     /**
-     * Notes which picture of the backend servers the decisions rest on.
+     * Notes which snapshot of the backend servers the decisions rest on.
      *
      * @param revision the revision of the store
      * @param ageNanos how old the news is, or {@link #UNKNOWN}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -20,7 +20,7 @@
             "backend_connections_opened", "Connections to backend servers ever begun.", true),
     /** The version of the routes in force. */
     ROUTING_VERSION("routing_version", "Version of the routes in force.", false),
-    /** The revision of the store that the picture rests on. */
+    /** The revision of the store that the snapshot rests on. */
     REGISTRY_REVISION("registry_revision", "Revision of the store that is known.", false),
     /** How long ago the routes were confirmed. */
     ROUTING_AGE("routing_age_seconds", "Time since the routes were confirmed.", false),
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/HeartbeatDuty.java
@@ -133,7 +133,7 @@
      * Tells how far this instance is; others hear a change of readiness at once.
      *
      * @param ready whether it takes new clients
-     * @param revision the revision of the platform's store that its picture rests on
+     * @param revision the revision of the platform's store that its snapshot rests on
      */
     public void update(boolean ready, long revision) {
         run(
@@ -283,7 +283,7 @@
                 });
     }
 
-    /** Publishes the picture and sets the timers that are due before the next heartbeat. */
+    /** Publishes the snapshot and sets the timers that are due before the next heartbeat. */
     private void afterwards() {
         long now = now();
         if (mExchange.hasSpread() && !mFlushDue) {
@@ -333,7 +333,7 @@
         mChannel.writeAndFlush(new DatagramPacket(buffer, address), mChannel.voidPromise());
     }
 
-    /** Keeps what the listener must hear until the picture that it may look at is published. */
+    /** Keeps what the listener must hear until the snapshot that it may look at is published. */
     private PeerListener kept(PeerListener listener) {
         return new PeerListener() {
             @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerExchange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerExchange.java
@@ -139,7 +139,7 @@
                 mTable.watched(now).stream().filter(r -> r.verdict() != Verdict.GONE).toList());
     }
 
-    /** Tells, once, whether the picture changed since this was asked last. */
+    /** Tells, once, whether the snapshot changed since this was asked last. */
     boolean takeChanged() {
         boolean changed = mChanged || mTable.takeChanged();
         mChanged = false;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerInstance.java
@@ -15,7 +15,7 @@
  * @param entry where it takes requests of clients
  * @param internal where it hears heartbeats (UDP) and serves its peers (TCP)
  * @param ready whether it takes new clients; false while it starts and from a planned stop on
- * @param revision the revision of the platform's store that its picture rests on
+ * @param revision the revision of the platform's store that its snapshot rests on
  * @since 0.2
  */
 public record PeerInstance(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerListener.java
@@ -3,7 +3,7 @@
 import io.masticpond.core.id.InstanceId;
 
 /**
- * Hears of instances that come and go, on the control thread, once the picture shows it.
+ * Hears of instances that come and go, on the control thread, once the snapshot shows it.
  *
  * @since 0.2
  */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerTable.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerTable.java
@@ -172,7 +172,7 @@
         return members;
     }
 
-    /** Gives the picture for others. */
+    /** Gives the snapshot for others. */
     PeerSnapshot snapshot(PeerInstance self, int unknownSeeds, long now) {
         List<PeerInstance> alive = new ArrayList<>();
         Set<InstanceId> suspects = new TreeSet<>();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.replica;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.support.Assert;
@@ -15,10 +15,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps this instance's picture of routes, servers and evacuations up to date from the platform's
+ * Keeps this instance's snapshot of routes, servers and evacuations up to date from the platform's
  * store, and from peers while the store is lost to it.
  *
- * <p>All methods but {@link #picture}, {@link #revision} and {@link #isUsable} belong to the
+ * <p>All methods but {@link #snapshot}, {@link #revision} and {@link #isUsable} belong to the
  * control thread.
  *
  * @since 0.2
@@ -30,7 +30,7 @@
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final ReplicaSettings.Outage mSettings;
-    private final PictureListener mListener;
+    private final SnapshotListener mListener;
     private final StoreHealth mHealth;
     private final StoreScout mScout;
     private final RoutingTable mRouting;
@@ -49,7 +49,7 @@
     private Runnable mGraceTimer = () -> {};
     private Runnable mWarmTimer = () -> {};
     private boolean mStopped;
-    private volatile FleetPicture mPicture = FleetPicture.EMPTY;
+    private volatile FleetSnapshot mSnapshot = FleetSnapshot.EMPTY;
     private volatile long mRevision;
     private volatile boolean mUsable;
 
@@ -59,13 +59,13 @@
      * @param context the store, clocks and times
      * @param probe looks whether the store answers
      * @param translator reads the documents
-     * @param listener hears each new picture, on the control thread
+     * @param listener hears each new snapshot, on the control thread
      */
     public FleetReplica(
             ReplicaContext context,
             StoreProbe probe,
             DocumentTranslator translator,
-            PictureListener listener) {
+            SnapshotListener listener) {
         mContext = context;
         mScheduler = context.scheduler();
         mTime = context.time();
@@ -204,7 +204,7 @@
         }
     }
 
-    /** Stops all calls; the picture stays as it is. */
+    /** Stops all calls; the snapshot stays as it is. */
     public void stop() {
         mStopped = true;
         mFollowers.forEach(CategoryFollower::rest);
@@ -216,12 +216,12 @@
     }
 
     /**
-     * Gives the newest picture. Safe for all threads.
+     * Gives the newest snapshot. Safe for all threads.
      *
-     * @return the picture
+     * @return the snapshot
      */
-    public FleetPicture picture() {
-        return mPicture;
+    public FleetSnapshot snapshot() {
+        return mSnapshot;
     }
 
     /**
@@ -341,8 +341,8 @@
     }
 
     private void tell(CopySource source, long nowNanos) {
-        mPicture =
-                new FleetPicture(
+        mSnapshot =
+                new FleetSnapshot(
                         mRevision,
                         mRouting.routing(),
                         mServers.servers(mRouting::warmUp, nowNanos),
@@ -350,7 +350,7 @@
         mWarmTimer.run();
         mServers.untilNextDue(mRouting::warmUp, nowNanos)
                 .ifPresent(left -> mWarmTimer = mScheduler.schedule(left, this::tellWarm));
-        mListener.changed(mPicture, source);
+        mListener.changed(mSnapshot, source);
     }
 
     private void tellWarm() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/EntryState.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/EntryState.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.request;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RouteTable;
@@ -9,34 +9,34 @@
 import java.util.Optional;
 
 /**
- * The picture that requests are decided on, with the routes ready for look-up.
+ * The snapshot that requests are decided on, with the routes ready for look-up.
  *
- * @param picture the picture
+ * @param snapshot the snapshot
  * @param routes the routes, or empty before the first version is known
  * @since 0.2
  */
-public record EntryState(FleetPicture picture, Optional<RouteTable> routes) {
+public record EntryState(FleetSnapshot snapshot, Optional<RouteTable> routes) {
 
     /** Nothing is known yet. */
-    public static final EntryState EMPTY = new EntryState(FleetPicture.EMPTY, Optional.empty());
+    public static final EntryState EMPTY = new EntryState(FleetSnapshot.EMPTY, Optional.empty());
 
     /**
-     * Makes the state of a picture; the routes are kept if their version is the same.
+     * Makes the state of a snapshot; the routes are kept if their version is the same.
      *
-     * @param picture the new picture
+     * @param snapshot the new snapshot
      * @param before the state before
      * @return the state
      */
-    public static EntryState of(FleetPicture picture, EntryState before) {
-        Optional<RoutingConfiguration> routing = picture.routing();
+    public static EntryState of(FleetSnapshot snapshot, EntryState before) {
+        Optional<RoutingConfiguration> routing = snapshot.routing();
         if (routing.isEmpty()) {
-            return new EntryState(picture, Optional.empty());
+            return new EntryState(snapshot, Optional.empty());
         }
         boolean same =
-                before.picture.routing().isPresent()
-                        && before.picture.routing().get().version() == routing.get().version();
+                before.snapshot.routing().isPresent()
+                        && before.snapshot.routing().get().version() == routing.get().version();
         return new EntryState(
-                picture, same ? before.routes : Optional.of(new RouteTable(routing.get())));
+                snapshot, same ? before.routes : Optional.of(new RouteTable(routing.get())));
     }
 
     /**
@@ -57,6 +57,6 @@
      * @return the rules, or empty if the configuration has none
      */
     public Optional<ServiceRules> rules(ServiceId service) {
-        return picture.routing().map(routing -> routing.services().get(service));
+        return snapshot.routing().map(routing -> routing.services().get(service));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/HeldRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/HeldRequests.java
@@ -12,15 +12,15 @@
 
 /**
  * Requests that reached an instance before it knew its first routes and servers. Clients connect as
- * soon as an instance listens, some tenths of a second before its picture is there; refusing them
+ * soon as an instance listens, some tenths of a second before its snapshot is there; refusing them
  * would cost them one of their few tries, and all would come back together. So each waits for the
- * picture, a short time and never near its deadline, and is refused as before if that does not
+ * snapshot, a short time and never near its deadline, and is refused as before if that does not
  * come. Traffic thread only.
  */
 final class HeldRequests {
 
     /**
-     * The longest wait. A start needs 0.35 s from its first client to its picture; a client that
+     * The longest wait. A start needs 0.35 s from its first client to its snapshot; a client that
      * has been kept for longer is told to come back.
      */
     static final Duration LONGEST = Duration.ofMillis(400);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -108,25 +108,25 @@
     }
 
     /**
-     * Takes a new picture.
+     * Takes a new snapshot.
      *
-     * @param state the picture with its routes
+     * @param state the snapshot with its routes
      */
     public void update(EntryState state) {
         mState = state;
-        for (RegisteredServer gone : mServers.update(state.picture(), nowNanos())) {
+        for (RegisteredServer gone : mServers.update(state.snapshot(), nowNanos())) {
             mConnections.forget(gone);
             mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
-        mPlacer.chooser().judge().retain(state.picture().servers().keySet());
-        mKnewServers |= !state.picture().servers().isEmpty();
+        mPlacer.chooser().judge().retain(state.snapshot().servers().keySet());
+        mKnewServers |= !state.snapshot().servers().isEmpty();
         if (isReady()) {
             mHeld.release(this::decide);
         }
     }
 
     /**
-     * Takes when the picture was last confirmed. Safe for all threads.
+     * Takes when the snapshot was last confirmed. Safe for all threads.
      *
      * @param times the times
      */
@@ -135,7 +135,7 @@
     }
 
     /**
-     * Gives the picture that requests are decided on.
+     * Gives the snapshot that requests are decided on.
      *
      * @return the state
      */
@@ -222,7 +222,7 @@
         boolean known = times != null;
         facts.routing(version(), known ? now - times.routingNanos() : RequestRecord.UNKNOWN);
         facts.registry(
-                mState.picture().revision(),
+                mState.snapshot().revision(),
                 known ? now - times.registryNanos() : RequestRecord.UNKNOWN);
     }
 
@@ -273,7 +273,7 @@
     }
 
     private long version() {
-        return mState.picture()
+        return mState.snapshot()
                 .routing()
                 .map(routing -> routing.version())
                 .orElse(RequestRecord.UNKNOWN);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
@@ -81,7 +81,7 @@
                 listed -> heartbeats.known(InstanceDocuments.readAll(listed)));
     }
 
-    /** The copy tells of each picture those who ask the copy, so they are joined after it. */
+    /** The copy tells of each snapshot those who ask the copy, so they are joined after it. */
     @Provides
     @Singleton
     static FleetReplica replica(
@@ -92,13 +92,13 @@
             PeerInstance self,
             HeartbeatDuty heartbeats,
             DecisionLog log,
-            Lazy<PictureUpdates> updates) {
+            Lazy<SnapshotUpdates> updates) {
         FleetReplica replica =
                 new FleetReplica(
                         context,
                         platform.storeProbe(control, settings),
                         new KnownZonesTranslator(platform.translator(), settings.zones().keySet()),
-                        (picture, source) -> updates.get().pictureChanged(picture, source));
+                        (snapshot, source) -> updates.get().snapshotChanged(snapshot, source));
         replica.addStoreListener(new StoreNewsLog(log));
         HeardRevisions heard = new HeardRevisions(heartbeats, self.id());
         RelayClient client = new RelayClient(control);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -1,7 +1,7 @@
 package io.masticpond.entry.wiring;
 
 import io.masticpond.core.crash.CrashBelief;
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.routing.RoutingConfiguration;
@@ -99,7 +99,7 @@
     /** Sets all figures, on the control thread. */
     void set(EntryValues values) {
         setTraffic(values);
-        setFleet(values, mControl.replica().picture());
+        setFleet(values, mControl.replica().snapshot());
         setReplica(values, mControl.replica().status());
         values.set(EntryValue.REGISTRY_REVISION, mControl.replica().revision());
         values.set(EntryValue.INSTANCES_ALIVE, mControl.heartbeats().alive().size());
@@ -155,16 +155,16 @@
         values.set(value, running.stream().mapToLong(micros).sum());
     }
 
-    private void setFleet(EntryValues values, FleetPicture picture) {
+    private void setFleet(EntryValues values, FleetSnapshot snapshot) {
         long now = mTimeSource.monotonicNanos();
-        Collection<RegisteredServer> servers = picture.servers().values();
-        picture.routing()
+        Collection<RegisteredServer> servers = snapshot.servers().values();
+        snapshot.routing()
                 .map(RoutingConfiguration::version)
                 .ifPresent(version -> values.set(EntryValue.ROUTING_VERSION, version));
         values.set(EntryValue.SERVERS, servers.size());
         values.set(EntryValue.LEAVING_SERVERS, count(servers, RegisteredServer::leaving));
         values.set(EntryValue.COLD_SERVERS, count(servers, server -> server.isCold(now)));
-        values.set(EntryValue.EVACUATED_ZONES, picture.evacuatedZones().size());
+        values.set(EntryValue.EVACUATED_ZONES, snapshot.evacuatedZones().size());
     }
 
     private static long count(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -24,7 +24,7 @@
     private final ControlSide mControlSide;
     private final RequestFlow mFlow;
     private final EntryListeners mListeners;
-    private final PictureUpdates mUpdates;
+    private final SnapshotUpdates mUpdates;
     private final StopSwitch mStop;
     private final ProcessNews mNews;
     private final SettingsInForce mSettings;
@@ -39,7 +39,7 @@
             ControlSide controlSide,
             RequestFlow flow,
             EntryListeners listeners,
-            PictureUpdates updates,
+            SnapshotUpdates updates,
             StopSwitch stop,
             SettingsInForce settings,
             LoadSharing loadSharing,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProcessModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProcessModule.java
@@ -5,7 +5,7 @@
 import dagger.Provides;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.log.DecisionLog;
-import io.masticpond.entry.log.FleetPictureLog;
+import io.masticpond.entry.log.FleetSnapshotLog;
 import io.masticpond.entry.log.LineCounts;
 import io.masticpond.entry.log.RecentDecisions;
 import io.masticpond.entry.metrics.EntryMetrics;
@@ -87,8 +87,8 @@
 
     @Provides
     @Singleton
-    static FleetPictureLog pictureLog(RecentDecisions decisions) {
-        return new FleetPictureLog(decisions);
+    static FleetSnapshotLog snapshotLog(RecentDecisions decisions) {
+        return new FleetSnapshotLog(decisions);
     }
 
     private static EventLoopGroup group(String name) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SharedLimits.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SharedLimits.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.wiring;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
@@ -72,8 +72,8 @@
         mBudgets.values().forEach(budget -> budget.tune(mRetrySettings));
     }
 
-    void update(FleetPicture picture, long nowNanos) {
-        mPacer.update(picture.servers().values(), candidates(), nowNanos);
+    void update(FleetSnapshot snapshot, long nowNanos) {
+        mPacer.update(snapshot.servers().values(), candidates(), nowNanos);
         mWitness.observe(nowNanos, mPeers.shareholders());
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/PictureUpdates.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SnapshotUpdates.java
@@ -1,11 +1,11 @@
 package io.masticpond.entry.wiring;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceSplit;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.lifecycle.Readiness;
-import io.masticpond.entry.log.FleetPictureLog;
+import io.masticpond.entry.log.FleetSnapshotLog;
 import io.masticpond.entry.log.NewsSource;
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.replica.CopySource;
@@ -17,11 +17,11 @@
 
 /** Hands what the control thread learns to the traffic thread, the logs and the peers. */
 @Singleton
-final class PictureUpdates {
+final class SnapshotUpdates {
 
     private final EventLoop mTraffic;
     private final TimeSource mTimeSource;
-    private final FleetPictureLog mLog;
+    private final FleetSnapshotLog mLog;
     private final ControlSide mControlSide;
     private final RequestFlow mFlow;
     private final SharedLimits mLimits;
@@ -32,10 +32,10 @@
     private boolean mToldReady;
 
     @Inject
-    PictureUpdates(
+    SnapshotUpdates(
             @TrafficThread EventLoop traffic,
             TimeSource timeSource,
-            FleetPictureLog log,
+            FleetSnapshotLog log,
             ControlSide controlSide,
             RequestFlow flow,
             SharedLimits limits,
@@ -55,11 +55,11 @@
         mNews = news;
     }
 
-    /** Takes a new picture and who told it, on the control thread. */
-    void pictureChanged(FleetPicture picture, CopySource told) {
-        picture.routing().map(RoutingConfiguration::limits).ifPresent(mListeners::limit);
-        mTraffic.execute(() -> follow(picture));
-        mLog.changed(picture, source(told), mTimeSource.monotonicNanos());
+    /** Takes a new snapshot and who told it, on the control thread. */
+    void snapshotChanged(FleetSnapshot snapshot, CopySource told) {
+        snapshot.routing().map(RoutingConfiguration::limits).ifPresent(mListeners::limit);
+        mTraffic.execute(() -> follow(snapshot));
+        mLog.changed(snapshot, source(told), mTimeSource.monotonicNanos());
         tellStatus();
     }
 
@@ -71,13 +71,13 @@
         };
     }
 
-    private void follow(FleetPicture picture) {
+    private void follow(FleetSnapshot snapshot) {
         EntryState before = mFlow.state();
-        EntryState state = EntryState.of(picture, before);
+        EntryState state = EntryState.of(snapshot, before);
         mFlow.update(state);
-        mLimits.update(picture, mTimeSource.monotonicNanos());
+        mLimits.update(snapshot, mTimeSource.monotonicNanos());
         if (!state.routes().equals(before.routes())) {
-            picture.routing().ifPresent(this::configure);
+            snapshot.routing().ifPresent(this::configure);
         }
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/control/TrafficReaderTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/control/TrafficReaderTest.java
@@ -20,13 +20,13 @@
     private final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
     private final EmbeddedChannel mControl = new EmbeddedChannel();
     private final Queue<Runnable> mTraffic = new ArrayDeque<>();
-    private final List<Either<ControlProblem, TrafficPicture>> mAnswers = new ArrayList<>();
+    private final List<Either<ControlProblem, TrafficSnapshot>> mAnswers = new ArrayList<>();
     private boolean mFails;
     private final TrafficReader mReader =
             new TrafficReader(mTime, mTraffic::add, mControl.eventLoop(), this::take);
 
     @Example
-    void manyQuestionsAreOneTaskAndOnePictureWhileItIsFresh() {
+    void manyQuestionsAreOneTaskAndOneSnapshotWhileItIsFresh() {
         ask(5);
         assertThat(mTraffic).hasSize(1);
         runTraffic();
@@ -58,7 +58,7 @@
     }
 
     @Example
-    void pictureThatFailsIsSaidAndTheNextQuestionAsksAgain() {
+    void snapshotThatFailsIsSaidAndTheNextQuestionAsksAgain() {
         mFails = true;
         ask(1);
         runTraffic();
@@ -69,11 +69,11 @@
         assertThat(mAnswers.get(1).isRight()).isTrue();
     }
 
-    private TrafficPicture take(long nowNanos) {
+    private TrafficSnapshot take(long nowNanos) {
         if (mFails) {
-            throw new IllegalStateException("No picture.");
+            throw new IllegalStateException("No snapshot.");
         }
-        return new TrafficPicture(nowNanos, List.of(), Map.of(), List.of(), List.of());
+        return new TrafficSnapshot(nowNanos, List.of(), Map.of(), List.of(), List.of());
     }
 
     private void ask(int times) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/FleetPictureLogTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/FleetSnapshotLogTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
@@ -21,13 +21,13 @@
 import net.jqwik.api.Example;
 
 /** Tests which changes of belief are told. */
-final class FleetPictureLogTest {
+final class FleetSnapshotLogTest {
 
     private static final ZoneId ZONE = new ZoneId("z1");
 
     private final List<BeliefChange> mChanges = new ArrayList<>();
-    private final FleetPictureLog mLog =
-            new FleetPictureLog(
+    private final FleetSnapshotLog mLog =
+            new FleetSnapshotLog(
                     new DecisionLog() {
                         @Override
                         public void requestEnded(RequestRecord request) {}
@@ -47,7 +47,7 @@
     @Example
     void theFirstServersAreOneLine() {
         mLog.changed(
-                picture(3, 1, Set.of(), server("b1", true, 0), server("b2", false, 500)),
+                snapshot(3, 1, Set.of(), server("b1", true, 0), server("b2", false, 500)),
                 NewsSource.PEER,
                 0);
         assertThat(mChanges)
@@ -59,13 +59,13 @@
     @Example
     void eachLaterChangeIsOneLineAndNothingIsToldTwice() {
         RegisteredServer stays = server("b1", false, 0);
-        mLog.changed(picture(3, 1, Set.of(), stays, server("b2", false, 0)), NewsSource.STORE, 0);
+        mLog.changed(snapshot(3, 1, Set.of(), stays, server("b2", false, 0)), NewsSource.STORE, 0);
         mChanges.clear();
-        FleetPicture next =
-                picture(4, 2, Set.of(ZONE), server("b1", true, 0), server("b3", false, 500));
+        FleetSnapshot next =
+                snapshot(4, 2, Set.of(ZONE), server("b1", true, 0), server("b3", false, 500));
         mLog.changed(next, NewsSource.STORE, 0);
         mLog.changed(next, NewsSource.STORE, 10);
-        assertThat(mChanges.stream().map(FleetPictureLogTest::brief))
+        assertThat(mChanges.stream().map(FleetSnapshotLogTest::brief))
                 .containsExactlyInAnyOrder(
                         "1 to 2", "evacuated true", "b1 LEAVING", "b3 SEEN", "b3 COLD", "b2 GONE");
     }
@@ -73,14 +73,14 @@
     @Example
     void serversThatWarmUpAndZonesThatReturnAreTold() {
         RegisteredServer cold = server("b1", false, 500);
-        mLog.changed(picture(3, 1, Set.of(ZONE), cold), NewsSource.STORE, 0);
+        mLog.changed(snapshot(3, 1, Set.of(ZONE), cold), NewsSource.STORE, 0);
         mChanges.clear();
         mLog.logWarmed(499);
         assertThat(mChanges).isEmpty();
         mLog.logWarmed(500);
         mLog.logWarmed(501);
-        mLog.changed(picture(5, 1, Set.of(), cold), NewsSource.STORE, 600);
-        assertThat(mChanges.stream().map(FleetPictureLogTest::brief))
+        mLog.changed(snapshot(5, 1, Set.of(), cold), NewsSource.STORE, 600);
+        assertThat(mChanges.stream().map(FleetSnapshotLogTest::brief))
                 .containsExactly("b1 WARM", "evacuated false");
     }
 
@@ -97,14 +97,14 @@
         return change.toString();
     }
 
-    private static FleetPicture picture(
+    private static FleetSnapshot snapshot(
             long revision, long version, Set<ZoneId> evacuated, RegisteredServer... servers) {
         Map<BackendServerId, RegisteredServer> byId =
                 Stream.of(servers)
                         .collect(Collectors.toMap(RegisteredServer::id, Function.identity()));
         RoutingConfiguration routing =
                 new RoutingConfiguration(version, List.of(), Map.of(), RequestLimits.DEFAULT);
-        return new FleetPicture(revision, Optional.of(routing), byId, evacuated);
+        return new FleetSnapshot(revision, Optional.of(routing), byId, evacuated);
     }
 
     private static RegisteredServer server(String id, boolean leaving, long coldUntilNanos) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/FleetReplicaTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/FleetReplicaTest.java
@@ -30,11 +30,11 @@
         assertThat(instance.version()).isEqualTo(5);
         assertThat(instance.isLeaving("s1")).isTrue();
         assertThat(instance.servers()).containsExactly("s1");
-        assertThat(instance.mReplica.picture().evacuatedZones())
+        assertThat(instance.mReplica.snapshot().evacuatedZones())
                 .containsExactly(new ZoneId("zone-a"));
         mStore.delete(Category.EVACUATIONS, "zone-a");
         mFixture.pass(1_000);
-        assertThat(instance.mReplica.picture().evacuatedZones()).isEmpty();
+        assertThat(instance.mReplica.snapshot().evacuatedZones()).isEmpty();
         assertThat(instance.mOutages).isEmpty();
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/HostileStoreTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/HostileStoreTest.java
@@ -54,7 +54,7 @@
                         context(),
                         new ListProbe(this),
                         new FakeTranslator(),
-                        (picture, source) -> {});
+                        (snapshot, source) -> {});
         replica.start();
         mScheduler.pass(Duration.ofMillis(1_700));
         // One for each category, and one that looks whether the store is there.
@@ -96,7 +96,7 @@
                         context(),
                         new ListProbe(this),
                         new FakeTranslator(),
-                        (picture, source) -> {});
+                        (snapshot, source) -> {});
         replica.start();
         mScheduler.pass(Duration.ofSeconds(10));
         replica.stop();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/ReplicaFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/ReplicaFixture.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.replica;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.InstanceId;
@@ -78,7 +78,7 @@
 
         final Feed mFeed = mStore.feed();
         final FleetReplica mReplica;
-        final List<FleetPicture> mPictures = new ArrayList<>();
+        final List<FleetSnapshot> mSnapshots = new ArrayList<>();
         final List<CopySource> mSources = new ArrayList<>();
         final List<String> mOutages = new ArrayList<>();
         final List<ServerAddress> mAsked = new ArrayList<>();
@@ -110,12 +110,12 @@
                     new RelayFallback.Place(new ZoneId("zone-a"), new RegionId("north")));
         }
 
-        private void changed(FleetPicture picture, CopySource source) {
-            mPictures.add(picture);
+        private void changed(FleetSnapshot snapshot, CopySource source) {
+            mSnapshots.add(snapshot);
             mSources.add(source);
         }
 
-        /** Tells who told the newest picture. */
+        /** Tells who told the newest snapshot. */
         CopySource newestSource() {
             return mSources.get(mSources.size() - 1);
         }
@@ -213,21 +213,21 @@
         }
 
         Set<String> servers() {
-            return mReplica.picture().servers().keySet().stream()
+            return mReplica.snapshot().servers().keySet().stream()
                     .map(BackendServerId::value)
                     .collect(Collectors.toSet());
         }
 
         long version() {
-            return mReplica.picture().routing().orElseThrow().version();
+            return mReplica.snapshot().routing().orElseThrow().version();
         }
 
         boolean isLeaving(String name) {
-            return mReplica.picture().servers().get(new BackendServerId(name)).leaving();
+            return mReplica.snapshot().servers().get(new BackendServerId(name)).leaving();
         }
 
         long coldUntil(String name) {
-            return mReplica.picture().servers().get(new BackendServerId(name)).coldUntilNanos();
+            return mReplica.snapshot().servers().get(new BackendServerId(name)).coldUntilNanos();
         }
 
         @Override
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/RestartedServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/RestartedServerTest.java
@@ -16,7 +16,7 @@
     private final Instance mInstance = mFixture.start();
 
     private int run() {
-        return mInstance.mReplica.picture().servers().get(new BackendServerId(SERVER)).run();
+        return mInstance.mReplica.snapshot().servers().get(new BackendServerId(SERVER)).run();
     }
 
     private void writes(String entry) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreRelayTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreRelayTest.java
@@ -76,7 +76,7 @@
                 .allMatch(
                         instance ->
                                 instance.mReplica
-                                        .picture()
+                                        .snapshot()
                                         .evacuatedZones()
                                         .contains(new ZoneId("zone-b")));
         assertThat(others()).allMatch(instance -> instance.mFeed.calls() == 6);
@@ -85,7 +85,7 @@
     }
 
     @Example
-    void eachPictureSaysWhoToldIt() {
+    void eachSnapshotSaysWhoToldIt() {
         startZone();
         assertAllHearThatItLeaves("s1", mAll);
         assertThat(watchers())
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -35,8 +35,8 @@
 
     static final HeaderNames NAMES =
             new HeaderNames("Id", "Wait", "Key", "Seal", "For", "Load", "Not-Run", "Retry-After");
-    static final ServiceId SERVICE = FakePicture.SERVICE;
-    static final ZoneId ZONE = FakePicture.ZONE;
+    static final ServiceId SERVICE = FakeSnapshot.SERVICE;
+    static final ZoneId ZONE = FakeSnapshot.ZONE;
 
     final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
     final EmbeddedChannel mChannel = new EmbeddedChannel();
@@ -79,7 +79,7 @@
                         mDecisions);
         flow.update(
                 EntryState.of(
-                        FakePicture.of(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
+                        FakeSnapshot.of(idempotent, attempts, false, Set.of()), EntryState.EMPTY));
         return flow;
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakePicture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeSnapshot.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.request;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
@@ -19,15 +19,15 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** A picture of one route and its three backend servers. */
-final class FakePicture {
+/** A snapshot of one route and its three backend servers. */
+final class FakeSnapshot {
 
     static final ServiceId SERVICE = new ServiceId("reader");
     static final ZoneId ZONE = new ZoneId("a");
 
-    private FakePicture() {}
+    private FakeSnapshot() {}
 
-    static FleetPicture of(
+    static FleetSnapshot of(
             boolean idempotent, int attempts, boolean leaving, Set<ZoneId> evacuated) {
         Route route =
                 new Route(
@@ -49,7 +49,7 @@
             ServerAddress address = new ServerAddress("127.0.0.1", 1_000 + i);
             servers.put(id, new RegisteredServer(id, SERVICE, address, ZONE, 2, leaving, 0));
         }
-        return new FleetPicture(
+        return new FleetSnapshot(
                 1,
                 Optional.of(
                         new RoutingConfiguration(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/HeldRequestsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/HeldRequestsTest.java
@@ -15,7 +15,7 @@
 
 /**
  * All clients come back at once to instances that have just started: their requests go on in order
- * when the picture is there, and none waits for long.
+ * when the snapshot is there, and none waits for long.
  */
 class HeldRequestsTest {
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -197,11 +197,11 @@
     @Example
     void leavingAndEvacuatedServersGetNothing() {
         RequestFlow flow = flow(true, 2);
-        flow.update(EntryState.of(FakePicture.of(true, 2, true, Set.of()), flow.state()));
+        flow.update(EntryState.of(FakeSnapshot.of(true, 2, true, Set.of()), flow.state()));
         handle(flow);
         assertThat(mResponder.status()).isEqualTo(503);
         FakeResponder second = new FakeResponder();
-        flow.update(EntryState.of(FakePicture.of(true, 2, false, Set.of(ZONE)), flow.state()));
+        flow.update(EntryState.of(FakeSnapshot.of(true, 2, false, Set.of(ZONE)), flow.state()));
         flow.handle(request(), second);
         assertThat(second.status()).isEqualTo(503);
         assertThat(mConnections.mCalls).isEmpty();
@@ -216,7 +216,7 @@
         flow.update(EntryState.EMPTY);
         handle(flow);
         passTime(HeldRequests.LONGEST.minusMillis(1));
-        assertThat(mResponder.mAnswers).as("a picture may still come").isEmpty();
+        assertThat(mResponder.mAnswers).as("a snapshot may still come").isEmpty();
         passTime(Duration.ofMillis(1));
         assertThat(mResponder.status()).isEqualTo(503);
         assertThat(mResponder.mAnswers.get(0).headers().get("Retry-After")).isNotNull();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RestartedServerFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RestartedServerFlowTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.placement.ServerLoad;
@@ -55,11 +55,11 @@
     }
 
     private static void startAgain(RequestFlow flow, BackendServerId id) {
-        FleetPicture before = flow.state().picture();
+        FleetSnapshot before = flow.state().snapshot();
         Map<BackendServerId, RegisteredServer> servers = new HashMap<>(before.servers());
         servers.computeIfPresent(id, (same, server) -> server.withRun(server.run() + 1));
         flow.update(
                 EntryState.of(
-                        new FleetPicture(2, before.routing(), servers, Set.of()), flow.state()));
+                        new FleetSnapshot(2, before.routing(), servers, Set.of()), flow.state()));
     }
 }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/DecisionWorld.java
@@ -1,6 +1,6 @@
 package io.masticpond.measure.decision;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
@@ -94,7 +94,7 @@
     }
 
     private void startInstances() {
-        FleetPicture picture = picture();
+        FleetSnapshot snapshot = snapshot();
         int number = 0;
         for (int zone = 0; zone < mShape.instances().length; zone++) {
             List<ModelInstance> instances = new ArrayList<>();
@@ -103,7 +103,7 @@
                         new ModelInstance(
                                 mZones.get(zone),
                                 mRegions,
-                                picture,
+                                snapshot,
                                 mVariant,
                                 Arrays.stream(mShape.instances()).sum(),
                                 mSeed + number++,
@@ -117,15 +117,15 @@
         }
     }
 
-    private FleetPicture picture() {
+    private FleetSnapshot snapshot() {
         Map<BackendServerId, RegisteredServer> servers = new LinkedHashMap<>();
         mServers.forEach((id, server) -> servers.put(id, server.server()));
-        return new FleetPicture(mRevision++, Optional.empty(), servers, mEvacuated);
+        return new FleetSnapshot(mRevision++, Optional.empty(), servers, mEvacuated);
     }
 
-    private void tellPicture() {
-        FleetPicture picture = picture();
-        mInstances.values().forEach(zone -> zone.forEach(i -> i.update(picture, now())));
+    private void tellSnapshot() {
+        FleetSnapshot snapshot = snapshot();
+        mInstances.values().forEach(zone -> zone.forEach(i -> i.update(snapshot, now())));
     }
 
     DecisionTally play() {
@@ -160,14 +160,14 @@
 
     void forgetDead() {
         mServers.values().removeIf(ModelServer::isDead);
-        tellPicture();
+        tellSnapshot();
     }
 
     void evacuate(int zone, boolean out) {
         boolean changed =
                 out ? mEvacuated.add(mZones.get(zone)) : mEvacuated.remove(mZones.get(zone));
         if (changed) {
-            tellPicture();
+            tellSnapshot();
         }
     }
 
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelInstance.java
@@ -1,6 +1,6 @@
 package io.masticpond.measure.decision;
 
-import io.masticpond.core.fleet.FleetPicture;
+import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
@@ -36,7 +36,7 @@
     ModelInstance(
             ZoneId zone,
             Map<ZoneId, RegionId> regions,
-            FleetPicture picture,
+            FleetSnapshot snapshot,
             DecisionVariant variant,
             int instances,
             long seed,
@@ -53,7 +53,7 @@
                                 RandomSource.XO_RO_SHI_RO_128_PP.create(seed)));
         mInstances = instances;
         mStartNanos = nowNanos;
-        update(picture, nowNanos);
+        update(snapshot, nowNanos);
     }
 
     ZoneId zone() {
@@ -68,9 +68,9 @@
         return mPlacer;
     }
 
-    void update(FleetPicture picture, long nowNanos) {
-        mServers.update(picture, nowNanos);
-        mPlacer.chooser().judge().retain(picture.servers().keySet());
+    void update(FleetSnapshot snapshot, long nowNanos) {
+        mServers.update(snapshot, nowNanos);
+        mPlacer.chooser().judge().retain(snapshot.servers().keySet());
     }
 
     void hear(List<LoadReport> reports, long nowNanos) {
