Tell instances that start what is rejected before clients come, and check silent servers twice

Cause: an instance that starts heard of rejected requests in turn only, from two others within some 2 to 10 s; after a kill of many instances each new one could send such a request once more. And a check whose packet was lost told nothing, so that the end was not counted.

Change: three others, agreed by rendezvous hashing, tell an instance within 250 ms after they hear it; a check without a result is made once more after 100 ms.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/BrokenOffRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/BrokenOffRequests.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Finds out whether a backend server ended when requests broke off there, or only their connections
@@ -35,6 +36,9 @@
     /** A process that ends closes its connections one by one, and the listening one among them. */
     private static final long CHECK_AFTER_MILLIS = 20;
 
+    /** A lost packet leaves a check without a result; one more try finds most of them. */
+    private static final long CHECK_AGAIN_MILLIS = 100;
+
     /** More requests of one server than this tell nothing new. */
     private static final int MOST_REQUESTS = 64;
 
@@ -60,16 +64,26 @@
         if (requests == null) {
             requests = new ArrayList<>();
             mUnderCheck.put(server.id(), requests);
-            mEventLoop.schedule(
-                    () -> mConnections.check(server, reach -> checked(server, reach, listener)),
-                    CHECK_AFTER_MILLIS,
-                    TimeUnit.MILLISECONDS);
+            check(server, CHECK_AFTER_MILLIS, reach -> checkedOnce(server, reach, listener));
         }
         if (requests.size() < MOST_REQUESTS) {
             requests.add(request);
         }
     }
 
+    private void check(RegisteredServer server, long afterMillis, Consumer<ServerReach> taker) {
+        mEventLoop.schedule(
+                () -> mConnections.check(server, taker), afterMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkedOnce(RegisteredServer server, ServerReach reach, Listener listener) {
+        if (reach == ServerReach.UNKNOWN) {
+            check(server, CHECK_AGAIN_MILLIS, again -> checked(server, again, listener));
+        } else {
+            checked(server, reach, listener);
+        }
+    }
+
     private void checked(RegisteredServer server, ServerReach reach, Listener listener) {
         List<Request> requests = mUnderCheck.remove(server.id());
         boolean ended = reach == ServerReach.REFUSED;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,8 +38,14 @@
     /** Requests that one server's end broke off go in one bundle. */
     private static final long BUNDLE_MILLIS = 10;
 
-    /** Within a few of these, an instance that starts or missed a datagram knows all the same. */
-    private static final long REPEAT_MILLIS = 1_000;
+    /** An instance that starts is told so soon after it is heard, before clients come to it. */
+    private static final long LOOK_MILLIS = 250;
+
+    /** With each so many looks another instance is told, so that lost datagrams are made up for. */
+    private static final int LOOKS_FOR_A_REPEAT = 4;
+
+    /** So many tell an instance that starts; it believes two. */
+    private static final int TELLERS = 3;
 
     /** Messages that wait for an instance at most, three datagrams; a flood loses the rest. */
     private static final int MOST_WAITING = 3 * CrashMessageCodec.MOST_MESSAGES;
@@ -49,6 +56,9 @@
     private final HeartbeatDuty mPeers;
     private final PeerInstance mSelf;
     private final Map<PeerInstance, List<CrashMessage>> mWaiting = new HashMap<>();
+    private Set<Long> mKnown = Set.of();
+    private List<PeerInstance> mAlive = List.of();
+    private long mLooks;
     private long mTurn;
 
     @Inject
@@ -79,14 +89,48 @@
                         mGuard.tellBy(
                                 (message, toAll) -> mControl.execute(() -> add(message, toAll))));
         mTraffic.scheduleWithFixedDelay(
-                this::repeat, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+                this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void repeat() {
+    private void look() {
         List<CrashMessage> rejections = mGuard.rejections();
         if (!rejections.isEmpty()) {
-            mControl.execute(() -> tellNext(rejections));
+            mControl.execute(
+                    () -> {
+                        tellStarted(rejections);
+                        if (mLooks++ % LOOKS_FOR_A_REPEAT == 0) {
+                            tellNext(rejections);
+                        }
+                    });
+        }
+    }
+
+    /** Tells the instances that started since the last look, a few tellers to each. */
+    private void tellStarted(List<CrashMessage> rejections) {
+        List<PeerInstance> alive = mPeers.alive();
+        if (alive == mAlive) {
+            return;
+        }
+        Set<Long> known = new HashSet<>();
+        for (PeerInstance each : alive) {
+            long run = each.incarnation() + HashMixer.hash(each.id().value());
+            known.add(run);
+            if (!mKnown.contains(run) && tellers(each, alive).contains(mSelf.id())) {
+                mPeers.tell(List.of(each), out -> CrashMessageCodec.write(rejections, out));
+            }
         }
+        mAlive = alive;
+        mKnown = known;
+    }
+
+    /** Names who tells an instance that starts: the first few of the others, the same for all. */
+    private static List<InstanceId> tellers(PeerInstance started, List<PeerInstance> alive) {
+        List<InstanceId> others =
+                alive.stream()
+                        .map(PeerInstance::id)
+                        .filter(id -> !id.equals(started.id()))
+                        .toList();
+        return Rendezvous.order(started.id().value(), others).stream().limit(TELLERS).toList();
     }
 
     /** Tells one instance after the other, so that each hears from about one each time. */
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/CrashingRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/CrashingRequestFlowTest.java
@@ -133,6 +133,28 @@
         assertThat(flow.crashes().ends()).isEqualTo(5);
     }
 
+    @Example
+    void checkWithoutResultIsMadeOnceMore() {
+        RequestFlow flow = flow(false, 1);
+        ask(flow);
+        breakOff(ServerReach.UNKNOWN);
+        passTime(Duration.ofMillis(100));
+        assertThat(mConnections.mChecks).hasSize(1);
+        mConnections.mChecks.remove(0).listener().accept(ServerReach.REFUSED);
+        assertThat(flow.crashes().ends()).isEqualTo(1);
+        ask(flow);
+        breakOff(ServerReach.UNKNOWN);
+        breakOffChecks(ServerReach.UNKNOWN);
+        assertThat(mConnections.mChecks).isEmpty();
+        assertThat(flow.crashes().ends()).isEqualTo(1);
+    }
+
+    private void breakOffChecks(ServerReach reach) {
+        passTime(Duration.ofMillis(100));
+        mConnections.mChecks.remove(0).listener().accept(reach);
+        passTime(Duration.ofSeconds(1));
+    }
+
     @Example
     void answerClearsWhatWasThereByChance() {
         RequestFlow flow = flow(true, 2);
