--- a/masticpond-core/src/main/java/io/masticpond/core/crash/CrashingRequests.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashingRequests.java
@@ -160,7 +160,7 @@
      */
     public void answered(RequestFingerprint request, long nowNanos) {
         CrashSuspect suspect = current(request, nowNanos);
-        if (suspect == null || suspect.marks().isEmpty() && suspect.tellers() == 0) {
+        if (suspect == null || (suspect.marks().isEmpty() && suspect.tellers() == 0)) {
             return;
         }
         tellCleared(suspect);
@@ -228,7 +228,7 @@
     private void add(String reporter, CrashMessage.End end, long nowNanos) {
         long endedNanos = nowNanos - end.endedAgoNanos();
         CrashSuspect suspect = follow(end.request(), nowNanos);
-        if (suspect == null || suspect.wasClearedAfter(endedNanos)) {
+        if (suspect.wasClearedAfter(endedNanos)) {
             return;
         }
         suspect.marks().add(reporter, end.serverHash(), nowNanos - end.sentAgoNanos(), endedNanos);
@@ -237,9 +237,6 @@
 
     private void heardVerdict(String teller, CrashMessage.Verdict verdict, long nowNanos) {
         CrashSuspect suspect = follow(verdict.request(), nowNanos);
-        if (suspect == null) {
-            return;
-        }
         if (suspect.wasClearedAfter(nowNanos - verdict.agoNanos())) {
             if (nowNanos - suspect.mTouchedNanos >= CLEAR_AGAIN_NANOS) {
                 suspect.mTouchedNanos = nowNanos;
--- a/masticpond-core/src/main/java/io/masticpond/core/crash/EndMarks.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/EndMarks.java
@@ -21,7 +21,7 @@
      * Servers that end at one moment are seen to within this time, and two instances learn of one
      * end by their own clocks and ways as far apart.
      */
-    static final long SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
+    private static final long SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
     /** A server that ends again has started in between, which takes longer. */
     private static final long SAME_END_NANOS = TimeUnit.SECONDS.toNanos(1);
