Tell in the log which limit a server named with which answer

Ruled out: a metric would not do, since servers and instances have to be told apart; the whole header as text would let a server write into the log. Change: the head of each answer is heard as soon as it arrives, also of one that fails afterwards; the line of a request names the limit of each attempt, or that it was malformed. No decision changes.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
@@ -65,6 +65,11 @@
         return mState != State.AWAITING || mSawForeign;
     }
 
+    /** Tells whether the head of the answer to this request came. */
+    boolean hasHead() {
+        return mHead != null;
+    }
+
     /** Tells whether an answer to another request was left out. */
     boolean sawForeign() {
         return mSawForeign;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCallListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCallListener.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.backend;
 
+import io.netty.handler.codec.http.HttpHeaders;
+
 /**
  * Hears how a call ends: exactly one of the two, unless the call was cancelled.
  *
@@ -7,6 +9,13 @@
  */
 public interface BackendCallListener {
 
+    /**
+     * The head of the server's answer has arrived; the answer may still fail.
+     *
+     * @param headers the headers of the answer
+     */
+    default void answerBegan(HttpHeaders headers) {}
+
     /**
      * The server answered in whole, with any status.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -199,7 +199,11 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (expectsBytes() && message instanceof HttpObject part) {
+                boolean hadHead = mAssembler.hasHead();
                 mAssembler.accept(part, mEnding, mOrderly);
+                if (!hadHead && mAssembler.hasHead()) {
+                    mCall.answerBegan(mAssembler.headers());
+                }
             }
         } finally {
             ReferenceCountUtil.release(message);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.request.Verdict;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -67,6 +68,12 @@
         mWritten = true;
     }
 
+    void answerBegan(HttpHeaders headers) {
+        if (!mEnded) {
+            tell(() -> mListener.answerBegan(headers));
+        }
+    }
+
     void answer(BackendAnswer answer) {
         if (mEnded) {
             answer.body().release();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.serverlimit.LimitHeader;
 
 /** One send to a backend server. */
 final class Attempt {
@@ -13,6 +14,7 @@
     AttemptResult mResult = AttemptResult.OPEN;
     int mStatus;
     long mEndNanos;
+    LimitHeader mLimit = LimitHeader.ABSENT;
 
     Attempt(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
         mServer = server;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.log;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.masticpond.core.serverlimit.LimitHeader;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
@@ -105,11 +106,21 @@
                 line.writeNumberField("status", attempt.mStatus);
             }
             line.writeNumberField("millis", millis(attempt.mEndNanos - attempt.mSentNanos));
+            writeLimit(line, attempt.mLimit);
             line.writeEndObject();
         }
         line.writeEndArray();
     }
 
+    private static void writeLimit(JsonGenerator line, LimitHeader limit) throws IOException {
+        switch (limit.kind()) {
+            case LIMITED -> line.writeNumberField("limit", rounded(limit.perSecond()));
+            case MALFORMED -> line.writeStringField("limit", "malformed");
+            case ABSENT -> {}
+            default -> throw new IllegalStateException("The kind is unknown.");
+        }
+    }
+
     private void writeChoice(JsonGenerator line) throws IOException {
         line.writeNumberField("weighed", request.mWeighed.weighed());
         line.writeArrayFieldStart("candidates");
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.serverlimit.LimitHeader;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.Map;
@@ -246,6 +247,19 @@
         mAttempts[mAttemptCount++] = new Attempt(server, zone, cold, nowNanos);
     }
 
+    /**
+     * Notes what the answer to the newest attempt says about the server's limit; does nothing if
+     * there is no attempt.
+     *
+     * @param limit what it says
+     */
+    public void limitNamed(LimitHeader limit) {
+        Attempt attempt = lastAttempt();
+        if (attempt != null) {
+            attempt.mLimit = limit;
+        }
+    }
+
     /**
      * Notes how the newest attempt ended; does nothing if there is none.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -4,6 +4,7 @@
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCallListener;
 import io.masticpond.entry.backend.CallFailure;
+import io.netty.handler.codec.http.HttpHeaders;
 
 /** Hears the end of one attempt, and leaves it aside if the request has ended before. */
 final class AttemptListener implements BackendCallListener {
@@ -16,6 +17,11 @@
         mAttempted = attempted;
     }
 
+    @Override
+    public void answerBegan(HttpHeaders headers) {
+        mRun.answerBegan(headers);
+    }
+
     @Override
     public void answered(BackendAnswer answer) {
         if (mRun.isDone()) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -9,6 +9,7 @@
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.serverlimit.LimitHeader;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
 import io.masticpond.entry.backend.BackendRequest;
@@ -18,6 +19,7 @@
 import io.masticpond.entry.http.Responder;
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.RequestRecord;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
@@ -176,6 +178,11 @@
                                 new AttemptListener(this, chosen));
     }
 
+    /** Takes what the head of an answer says; the rest of the answer may never come. */
+    void answerBegan(HttpHeaders headers) {
+        mFacts.limitNamed(LimitHeader.parse(headers.getAll(mFlow.names().serverLimit())));
+    }
+
     void answered(ServerLoad server, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         attemptOver(server);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
@@ -11,6 +11,7 @@
  * @param seal the backend server's proof that an answer is its own
  * @param expectedServer the id of the only backend server that may run a request
  * @param serverLoad running requests, waiting requests and slots of a backend server
+ * @param serverLimit how many requests a second a backend server takes from all instances
  * @param notExecuted says that the backend server did not run the request
  * @param retryAfter after how many seconds the client may come back
  * @param credential carries a client's key and nothing else; never leaves the instance
@@ -24,6 +25,7 @@
         String seal,
         String expectedServer,
         String serverLoad,
+        String serverLimit,
         String notExecuted,
         String retryAfter,
         String credential,
@@ -37,6 +39,7 @@
         Assert.hasText(seal, "The header of the seal");
         Assert.hasText(expectedServer, "The header of the expected server");
         Assert.hasText(serverLoad, "The header of the server's load");
+        Assert.hasText(serverLimit, "The header of the server's limit");
         Assert.hasText(notExecuted, "The header of what was not executed");
         Assert.hasText(retryAfter, "The header of the time to come back");
         Assert.hasText(credential, "The header of the credential");
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -7,6 +7,8 @@
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.serverlimit.LimitHeader;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -77,6 +79,23 @@
         assertThat(line.has("registryAgeMillis")).isFalse();
     }
 
+    @Example
+    void theLineTellsWhichLimitAServerNamed() {
+        RequestRecord request = new RequestRecord("r1", 0);
+        request.sent(FIRST, ZONE, false, 0);
+        request.limitNamed(LimitHeader.parse(List.of("0.25")));
+        request.sent(SECOND, ZONE, false, 0);
+        request.limitNamed(LimitHeader.parse(List.of("soon")));
+        request.sent(SECOND, ZONE, false, 0);
+        request.limitNamed(LimitHeader.ABSENT);
+        request.answered(200, 0);
+        write(request);
+        JsonNode attempts = mOutput.lines().get(0).path("attempts");
+        assertThat(attempts.get(0).path("limit").asDouble()).isEqualTo(0.25);
+        assertThat(attempts.get(1).path("limit").asText()).isEqualTo("malformed");
+        assertThat(attempts.get(2).has("limit")).isFalse();
+    }
+
     @Example
     void aRetryLineKeepsWhatWasTrueWhenItWasLogged() {
         RequestRecord request = new RequestRecord("r1", 0);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -43,6 +43,7 @@
                     "Seal",
                     "For",
                     "Load",
+                    "Limit",
                     "Not-Run",
                     "Retry-After",
                     "Credential",
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -239,6 +239,7 @@
                     "Seal",
                     "For",
                     "Load",
+                    "Limit",
                     "Not-Run",
                     "Come-Back",
                     "Credential",
