--- a/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
@@ -26,6 +26,8 @@
     /** The part of the longest pause that chance may take off. */
     private static final double CHANCE = 1.0 / 3;
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     /** The longest pause as a part of the time that the client has left. */
     private static final long PART_OF_TIME_LEFT = 3;
 
@@ -73,6 +75,41 @@
                 : refuse(wait - Math.max(0, limit), leftNanos, wait, limit);
     }
 
+    /**
+     * Decides on a request for servers that take a bounded rate, whatever their load: what the more
+     * urgent ones bring is left to them, and the rest is shared by chance.
+     *
+     * @param priority its priority
+     * @param perSecond the rate
+     * @param nowNanos the monotonic time
+     * @return whether it is admitted
+     */
+    public boolean admits(int priority, double perSecond, long nowNanos) {
+        double urgent = mTraffic.moreUrgentPerSecond(priority, nowNanos);
+        if (urgent <= 0) {
+            return true;
+        }
+        double own = Math.max(mTraffic.perSecond(priority, nowNanos), Double.MIN_NORMAL);
+        return mRandom.nextDouble() < (perSecond - urgent) / own;
+    }
+
+    /**
+     * Tells when a client should return that such servers do not take: when as many requests as
+     * come in a second have been served.
+     *
+     * @param perSecond the rate, 0 if this instance may send nothing
+     * @param leftNanos the time until the request's deadline
+     * @param nowNanos the monotonic time
+     * @return nanoseconds
+     */
+    public long retryAfterNanos(double perSecond, long leftNanos, long nowNanos) {
+        if (perSecond <= 0) {
+            return refuse(mSettings.blindPause().toNanos(), leftNanos, 0, 0).retryAfterNanos();
+        }
+        double seconds = Math.max(1, mTraffic.perSecond(nowNanos)) / perSecond;
+        return refuse((long) (seconds * NANOS_PER_SECOND), leftNanos, 0, 0).retryAfterNanos();
+    }
+
     private long limitNanos(Route route, ServiceLoad load, long leftNanos) {
         long byDeadline = (long) (leftNanos * mSettings.deadlinePart()) - load.meanServiceNanos();
         int rank = mTraffic.rank(route.priority());
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/ColdPacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/ColdPacer.java
@@ -5,10 +5,8 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
-import io.masticpond.core.membership.Rendezvous;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.support.Assert;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,7 +38,7 @@
     private static final double FIRST_WARMTH = 0.1;
 
     private ColdPacerSettings mSettings;
-    private final Function<ZoneId, Optional<RegionId>> mRegions;
+    private final OwnerOrder mOrder;
     private final Map<BackendServerId, ColdState> mStates = new HashMap<>();
     private List<OwnerCandidate> mCandidates = List.of();
     private long mCandidatesSinceNanos;
@@ -53,7 +51,7 @@
      */
     public ColdPacer(ColdPacerSettings settings, Function<ZoneId, Optional<RegionId>> regions) {
         mSettings = Assert.notNull(settings, "Settings of a pacer");
-        mRegions = Assert.notNull(regions, "The regions of zones");
+        mOrder = new OwnerOrder(regions);
     }
 
     /**
@@ -211,24 +209,7 @@
     }
 
     private List<InstanceId> owners(RegisteredServer server, int count) {
-        List<InstanceId> sameZone = new ArrayList<>();
-        List<InstanceId> sameRegion = new ArrayList<>();
-        List<InstanceId> others = new ArrayList<>();
-        Optional<RegionId> region = mRegions.apply(server.zone());
-        for (OwnerCandidate candidate : mCandidates) {
-            if (candidate.zone().equals(server.zone())) {
-                sameZone.add(candidate.id());
-            } else if (region.isPresent() && region.equals(mRegions.apply(candidate.zone()))) {
-                sameRegion.add(candidate.id());
-            } else {
-                others.add(candidate.id());
-            }
-        }
-        String key = server.id().value();
-        List<InstanceId> order = new ArrayList<>(Rendezvous.order(key, sameZone));
-        order.addAll(Rendezvous.order(key, sameRegion));
-        order.addAll(Rendezvous.order(key, others));
-        return order.subList(0, Math.min(count, order.size()));
+        return mOrder.first(server, mCandidates, count);
     }
 
     /** What is known of one server that is or was cold. */
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/PriorityTraffic.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/PriorityTraffic.java
@@ -1,6 +1,5 @@
 package io.masticpond.core.limit;
 
-import java.time.Duration;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.TreeMap;
@@ -23,7 +22,9 @@
     private static final double LEAST_SHARE = 0.05;
 
     /** Requests before this count little, so that a priority that went away gives its rank back. */
-    private static final double MEMORY_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final double MEMORY_SECONDS = 5;
+
+    private static final double MEMORY_NANOS = MEMORY_SECONDS * 1e9;
 
     /** A count below this is as good as none and is forgotten. */
     private static final double LEAST_COUNT = 0.01;
@@ -72,6 +73,28 @@
         return present;
     }
 
+    /** Gives how many requests of a priority come in a second. */
+    double perSecond(int priority, long nowNanos) {
+        fade(nowNanos);
+        return mCounts.getOrDefault(priority, 0.0) / MEMORY_SECONDS;
+    }
+
+    /** Gives how many requests come in a second. */
+    double perSecond(long nowNanos) {
+        fade(nowNanos);
+        return mAll / MEMORY_SECONDS;
+    }
+
+    /** Gives how many requests that are more urgent come in a second. */
+    double moreUrgentPerSecond(int priority, long nowNanos) {
+        fade(nowNanos);
+        double count = 0;
+        for (Map.Entry<Integer, Double> each : mCounts.entrySet()) {
+            count += each.getKey() < priority ? each.getValue() : 0;
+        }
+        return count / MEMORY_SECONDS;
+    }
+
     private boolean isPresent(double count) {
         return count >= LEAST_SHARE * mAll;
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Refuses at arrival what the backend servers could not answer in time.
@@ -33,6 +34,31 @@
      */
     default void retain(RoutingConfiguration configuration) {}
 
+    /**
+     * Decides on a request that only servers with limits may take, by its urgency: the more urgent
+     * ones are left what they need.
+     *
+     * @param request what is known of it
+     * @param perSecond the requests a second that this instance may send to these servers
+     * @param nowNanos the monotonic time
+     * @return whether it may be sent if there is a permit
+     */
+    default boolean admits(PlacedRequest request, double perSecond, long nowNanos) {
+        return true;
+    }
+
+    /**
+     * Tells when a client should return whose request these servers do not take now.
+     *
+     * @param request what is known of it
+     * @param perSecond the requests a second that this instance may send to these servers
+     * @param nowNanos the monotonic time
+     * @return the time until then
+     */
+    default long retryAfterNanos(PlacedRequest request, double perSecond, long nowNanos) {
+        return TimeUnit.SECONDS.toNanos(1);
+    }
+
     /**
      * Decides on a request.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/Placement.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/Placement.java
@@ -23,6 +23,13 @@
      */
     record Refused(AdmissionAnswer answer) implements Placement {}
 
+    /**
+     * It is refused, since the servers that may take it have named limits, which are used up.
+     *
+     * @param retryAfterNanos when the client should return
+     */
+    record Limited(long retryAfterNanos) implements Placement {}
+
     /** No server may take it. */
     record Nowhere() implements Placement {}
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/PriorityLoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/PriorityLoadGate.java
@@ -59,6 +59,16 @@
         return answer.admitted() ? Optional.empty() : Optional.of(answer);
     }
 
+    @Override
+    public boolean admits(PlacedRequest request, double perSecond, long nowNanos) {
+        return limit(request.service()).admits(request.route().priority(), perSecond, nowNanos);
+    }
+
+    @Override
+    public long retryAfterNanos(PlacedRequest request, double perSecond, long nowNanos) {
+        return limit(request.service()).retryAfterNanos(perSecond, request.leftNanos(), nowNanos);
+    }
+
     private AdmissionLimit limit(ServiceId service) {
         return mLimits.computeIfAbsent(service, id -> new AdmissionLimit(mSettings, mRandom));
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
@@ -21,6 +22,8 @@
 public final class RequestPlacer {
 
     private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+    private static final long MISDIRECTED_AVOID_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long UNREACHABLE_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
     private final ServerChooser mChooser;
     private final LoadGate mGate;
@@ -104,6 +107,10 @@
     public Placement place(
             PlacedRequest request, List<ServerLoad> servers, Candidates candidates, long nowNanos) {
         List<ServerLoad> usable = usable(servers, candidates);
+        OptionalDouble limited = candidates.limitedPerSecond();
+        if (limited.isPresent() && !mGate.admits(request, limited.getAsDouble(), nowNanos)) {
+            return nowhere(request, candidates, nowNanos);
+        }
         Placement placement = choose(request, usable, candidates, nowNanos);
         if (!(placement instanceof Placement.Placed placed)) {
             return placement;
@@ -112,7 +119,7 @@
         if (refusal.isEmpty()) {
             return placed;
         }
-        usable.removeIf(candidates::isCold);
+        usable.removeIf(candidates::isPaced);
         Optional<ServerChoice> other =
                 mChooser.otherHome(usable, request, placed.choice().load(), nowNanos);
         if (other.isPresent() && mGate.refuse(request, other.get().load(), nowNanos).isEmpty()) {
@@ -141,16 +148,24 @@
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
-    /** Chooses a server; a cold one needs a permit, and is left out if there is none. */
+    private Placement nowhere(PlacedRequest request, Candidates candidates, long nowNanos) {
+        OptionalDouble limited = candidates.limitedPerSecond();
+        return limited.isPresent()
+                ? new Placement.Limited(
+                        mGate.retryAfterNanos(request, limited.getAsDouble(), nowNanos))
+                : new Placement.Nowhere();
+    }
+
+    /** Chooses a server; a paced one needs a permit, and is left out if there is none. */
     private Placement choose(
             PlacedRequest request, List<ServerLoad> usable, Candidates candidates, long nowNanos) {
         while (true) {
             Optional<ServerChoice> choice = mChooser.choose(usable, request, nowNanos);
             if (choice.isEmpty()) {
-                return new Placement.Nowhere();
+                return nowhere(request, candidates, nowNanos);
             }
             ServerLoad load = choice.get().load();
-            if (!candidates.isCold(load) || candidates.tryPermit(load)) {
+            if (!candidates.isPaced(load) || candidates.tryPermit(load)) {
                 return new Placement.Placed(choice.get());
             }
             usable.remove(load);
@@ -201,6 +216,26 @@
         mChooser.judge().failed(load.server().service(), load.server().id(), nowNanos);
     }
 
+    /**
+     * Takes that a server is not the one that the registry names at its address.
+     *
+     * @param load the server
+     * @param nowNanos the monotonic time
+     */
+    public void misdirected(ServerLoad load, long nowNanos) {
+        load.avoidUntil(nowNanos + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
+    }
+
+    /**
+     * Takes that no connection to a server could be opened.
+     *
+     * @param load the server
+     * @param nowNanos the monotonic time
+     */
+    public void unreachable(ServerLoad load, long nowNanos) {
+        load.avoidUntil(nowNanos + UNREACHABLE_AVOID_NANOS, AvoidReason.UNREACHABLE);
+    }
+
     /**
      * Takes that a server turned a request away. One that is full is left alone for a moment. One
      * that had room is judged beside its peers: if it alone turns requests away it is avoided, but
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -81,8 +81,13 @@
         return mServices.getOrDefault(service, List.of());
     }
 
-    /** Finds a server by the hash of its id; null if it is unknown. */
-    ServerLoad byHash(long hash) {
+    /**
+     * Finds a server by the hash of its id, as other instances name it.
+     *
+     * @param hash the hash
+     * @return the server, or null if it is unknown
+     */
+    public ServerLoad byHash(long hash) {
         return mByHash.get(hash);
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.serverlimit.LimitBelief;
 
 /** Writes what is believed of a backend server. */
 final class ServerDocument {
@@ -23,6 +24,7 @@
             into.put("coldMillis", coldMillis(server, nowNanos));
         }
         snapshot.avoidReason().ifPresent(reason -> into.put("avoided", Spelling.of(reason)));
+        snapshot.limit().ifPresent(limit -> writeLimit(limit, into));
         snapshot.judgement()
                 .ifPresent(
                         judgement ->
@@ -34,6 +36,14 @@
                                         .put("meanMillis", Spelling.millis(judgement.meanNanos())));
     }
 
+    private static void writeLimit(LimitBelief limit, ObjectNode into) {
+        into.put("limitPerSecond", Spelling.rounded(limit.perSecond()))
+                .put("limitSenders", limit.senders())
+                .put("limitOwnPerSecond", Spelling.rounded(limit.ownPerSecond()))
+                .put("limitSource", limit.isOwn() ? "answer" : "peer")
+                .put("limitAgeMillis", Spelling.millis(limit.ageNanos()));
+    }
+
     static void writeCold(ServerSnapshot snapshot, ObjectNode into, long nowNanos) {
         RegisteredServer server = snapshot.server();
         into.put("server", server.id().value())
@@ -54,6 +64,9 @@
         if (snapshot.avoidReason().isPresent()) {
             return "avoided";
         }
+        if (snapshot.limit().isPresent()) {
+            return "limited";
+        }
         return snapshot.cold() ? "cold" : "usable";
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerSnapshot.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.limit.ServerJudgement;
 import io.masticpond.core.placement.AvoidReason;
+import io.masticpond.core.serverlimit.LimitBelief;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,6 +19,7 @@
  * @param inFlight the requests of all instances there, as far as known
  * @param serviceNanos the typical time of a request there, 0 if none was answered
  * @param avoidReason why requests are kept away for a moment, if they are
+ * @param limit what is believed of the limit that it names, if it names one
  * @param judgement what is held against it, if anything was sent there
  */
 record ServerSnapshot(
@@ -29,4 +31,5 @@
         double inFlight,
         double serviceNanos,
         Optional<AvoidReason> avoidReason,
+        Optional<LimitBelief> limit,
         Optional<ServerJudgement> judgement) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -3,16 +3,19 @@
 import io.masticpond.core.crash.CrashBelief;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.serverlimit.LimitBelief;
 import io.masticpond.core.spending.SpendingView;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.SpendingCheck;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,10 +56,17 @@
         TreeSet<ServiceId> services =
                 new TreeSet<>(Comparator.comparing((ServiceId service) -> service.value()));
         fleet.servers().values().forEach(server -> services.add(server.service()));
+        Map<BackendServerId, LimitBelief> named = new HashMap<>();
+        for (LimitBelief each : flow.serverLimits().beliefs()) {
+            if (each.isLimited()) {
+                named.put(each.server(), each);
+            }
+        }
         List<ServerSnapshot> servers = new ArrayList<>();
         for (ServiceId service : services) {
             for (ServerLoad load : flow.servers().of(service)) {
-                servers.add(snapshot(flow, limits, load, nowNanos));
+                LimitBelief limit = named.get(load.server().id());
+                servers.add(snapshot(flow, limits, load, limit, nowNanos));
             }
         }
         servers.sort(ORDER);
@@ -70,7 +80,11 @@
     }
 
     private static ServerSnapshot snapshot(
-            RequestFlow flow, LimitFigures limits, ServerLoad load, long nowNanos) {
+            RequestFlow flow,
+            LimitFigures limits,
+            ServerLoad load,
+            LimitBelief limit,
+            long nowNanos) {
         RegisteredServer server = load.server();
         boolean cold = limits.isCold(server, nowNanos);
         Optional<ServiceRules> rules = flow.state().rules(server.service());
@@ -85,6 +99,7 @@
                 load.inFlight(nowNanos),
                 load.serviceNanos(),
                 load.avoidReason(nowNanos),
+                Optional.ofNullable(limit),
                 flow.placer().chooser().judge().judgement(server.service(), server.id(), nowNanos));
     }
 }
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptList.java
@@ -0,0 +1,36 @@
+package io.masticpond.entry.log;
+
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.ZoneId;
+import java.util.Arrays;
+
+/** The sends of one request, in order; takes no memory before the first. */
+final class AttemptList {
+
+    private static final int USUAL = 2;
+
+    private Attempt[] mAttempts;
+    private int mCount;
+
+    void add(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
+        if (mAttempts == null) {
+            mAttempts = new Attempt[USUAL];
+        } else if (mCount == mAttempts.length) {
+            mAttempts = Arrays.copyOf(mAttempts, 2 * mCount);
+        }
+        mAttempts[mCount++] = new Attempt(server, zone, cold, sentNanos);
+    }
+
+    int size() {
+        return mCount;
+    }
+
+    Attempt get(int index) {
+        return mAttempts[index];
+    }
+
+    /** Gives the newest, or null if there is none. */
+    Attempt last() {
+        return mCount == 0 ? null : mAttempts[mCount - 1];
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.serverlimit.LimitBelief;
 import java.io.IOException;
 
 /**
@@ -169,6 +170,52 @@
         }
     }
 
+    /**
+     * Something else is believed of the limit that a backend server names.
+     *
+     * @param belief what is believed, and on what grounds
+     */
+    record ServerLimit(LimitBelief belief) implements BeliefChange {
+
+        @Override
+        public String event() {
+            return "server-limit";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("server", belief.server().value());
+            line.writeStringField("service", belief.service().value());
+            line.writeStringField("state", belief.isLimited() ? "limited" : "lifted");
+            if (belief.isLimited()) {
+                line.writeNumberField("perSecond", RequestLine.rounded(belief.perSecond()));
+                line.writeNumberField("senders", belief.senders());
+                line.writeNumberField("ownPerSecond", RequestLine.rounded(belief.ownPerSecond()));
+            }
+            line.writeStringField("source", belief.isOwn() ? "answer" : "peer");
+            line.writeNumberField("ageMillis", RequestLine.millis(belief.ageNanos()));
+        }
+    }
+
+    /**
+     * A backend server names something that is no limit.
+     *
+     * @param server the server
+     */
+    record MalformedLimit(BackendServerId server) implements BeliefChange {
+
+        @Override
+        public String event() {
+            return "server-limit";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("server", server.value());
+            line.writeStringField("state", "malformed");
+        }
+    }
+
     /**
      * A zone was evacuated or returned.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
@@ -14,6 +14,8 @@
     COLD,
     /** It is as full as this instance lets it become. */
     FULL,
+    /** It has named a limit, and this instance may send it nothing now. */
+    LIMITED,
     /** The route may not be served in its region. */
     NOT_HOME,
     /** It failed lately. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -92,8 +92,8 @@
 
     private void writeAttempts(JsonGenerator line) throws IOException {
         line.writeArrayFieldStart("attempts");
-        for (int index = 0; index < request.mAttemptCount; index++) {
-            Attempt attempt = request.mAttempts[index];
+        for (int index = 0; index < request.mAttempts.size(); index++) {
+            Attempt attempt = request.mAttempts.get(index);
             line.writeStartObject();
             line.writeStringField("server", attempt.mServer.value());
             line.writeStringField("zone", attempt.mZone.value());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -7,7 +7,6 @@
 import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.serverlimit.LimitHeader;
-import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.Map;
 
@@ -26,7 +25,6 @@
     /** Stands for an age, version or budget that is not known. */
     public static final long UNKNOWN = -1;
 
-    private static final int USUAL_ATTEMPTS = 2;
     private static final int FIRST_ERROR_STATUS = 500;
 
     final String mRequestId;
@@ -46,8 +44,7 @@
     long mPeersAgeNanos = UNKNOWN;
     final WeighedServers mWeighed = new WeighedServers();
     Map<Exclusion, Integer> mExcluded;
-    Attempt[] mAttempts;
-    int mAttemptCount;
+    final AttemptList mAttempts = new AttemptList();
     double mRetryBudget = UNKNOWN;
     long mWaitNanos = UNKNOWN;
     long mLongestWaitNanos;
@@ -239,12 +236,7 @@
      * @param nowNanos the monotonic time
      */
     public void sent(BackendServerId server, ZoneId zone, boolean cold, long nowNanos) {
-        if (mAttempts == null) {
-            mAttempts = new Attempt[USUAL_ATTEMPTS];
-        } else if (mAttemptCount == mAttempts.length) {
-            mAttempts = Arrays.copyOf(mAttempts, 2 * mAttemptCount);
-        }
-        mAttempts[mAttemptCount++] = new Attempt(server, zone, cold, nowNanos);
+        mAttempts.add(server, zone, cold, nowNanos);
     }
 
     /**
@@ -254,7 +246,7 @@
      * @param limit what it says
      */
     public void limitNamed(LimitHeader limit) {
-        Attempt attempt = lastAttempt();
+        Attempt attempt = mAttempts.last();
         if (attempt != null) {
             attempt.mLimit = limit;
         }
@@ -268,7 +260,7 @@
      * @param nowNanos the monotonic time
      */
     public void attemptEnded(AttemptResult result, int status, long nowNanos) {
-        Attempt attempt = lastAttempt();
+        Attempt attempt = mAttempts.last();
         if (attempt == null) {
             return;
         }
@@ -338,7 +330,7 @@
     public boolean isPlain() {
         return mOutcome == RequestOutcome.ANSWERED
                 && mStatus < FIRST_ERROR_STATUS
-                && mAttemptCount <= 1;
+                && mAttempts.size() <= 1;
     }
 
     /**
@@ -374,7 +366,7 @@
      * @return the count
      */
     public int attempts() {
-        return mAttemptCount;
+        return mAttempts.size();
     }
 
     /**
@@ -384,7 +376,7 @@
      * @return how
      */
     public AttemptResult attemptResult(int index) {
-        return mAttempts[index].mResult;
+        return mAttempts.get(index).mResult;
     }
 
     /**
@@ -394,12 +386,7 @@
      * @return nanoseconds from the send to its end
      */
     public long attemptNanos(int index) {
-        return mAttempts[index].mEndNanos - mAttempts[index].mSentNanos;
-    }
-
-    /** Gives the newest attempt, or null if there is none. */
-    Attempt lastAttempt() {
-        return mAttemptCount == 0 ? null : mAttempts[mAttemptCount - 1];
+        return mAttempts.get(index).mEndNanos - mAttempts.get(index).mSentNanos;
     }
 
     private void end(RequestOutcome outcome, String cause, int status, long nowNanos) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RetryLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RetryLine.java
@@ -13,8 +13,8 @@
 
     RetryLine(RequestRecord request) {
         mRequest = request;
-        mAttempts = request.mAttemptCount;
-        mFailed = request.lastAttempt();
+        mAttempts = request.mAttempts.size();
+        mFailed = request.mAttempts.last();
         mRetryBudget = request.mRetryBudget;
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -71,6 +71,12 @@
             "followed_requests", "Requests followed since servers ended under them.", false),
     /** Those of them that are rejected now. */
     REJECTED_REQUESTS("rejected_requests", "Requests rejected as they end servers.", false),
+    /** Backend servers whose limit is kept. */
+    LIMITED_SERVERS("limited_backend_servers", "Backend servers that name a limit.", false),
+    /** What this instance may send to them. */
+    LIMITED_RATE("limited_rate", "Requests a second that this instance may send to them.", false),
+    /** Answers that named something which is no limit. */
+    MALFORMED_LIMITS("malformed_limits", "Answers with a limit that is no number.", true),
     /** Workspaces in force. */
     WORKSPACES("workspaces", "Workspaces in force.", false),
     /** Their keys. */
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/LimitReportCodec.java
@@ -0,0 +1,80 @@
+package io.masticpond.entry.peer;
+
+import io.masticpond.core.serverlimit.LimitReport;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The layout of datagrams that tell the limits of backend servers: a version byte, a byte that says
+ * whether the hearer passes news on to its zone, then for each server the hash of its id, its limit
+ * and two ages in milliseconds. It is laid out by hand for the same reason as {@link
+ * PeerMessageCodec}.
+ *
+ * @since 0.2
+ */
+public final class LimitReportCodec {
+
+    /** Tells these datagrams from those of the other layouts. */
+    public static final int VERSION = 6;
+
+    private static final int REPORT_BYTES = 2 * Long.BYTES + 2 * Integer.BYTES;
+
+    /** So many reports fit into the greatest datagram. */
+    public static final int MOST_REPORTS = (PeerMessageCodec.MAXIMUM_BYTES - 2) / REPORT_BYTES;
+
+    /**
+     * One datagram.
+     *
+     * @param passOn whether the hearer passes news on to its zone
+     * @param reports the reports
+     */
+    public record Content(boolean passOn, List<LimitReport> reports) {}
+
+    private LimitReportCodec() {}
+
+    /**
+     * Writes a datagram, with the first {@link #MOST_REPORTS} of its reports.
+     *
+     * @param content the datagram
+     * @param out takes the bytes
+     */
+    public static void write(Content content, ByteBuf out) {
+        out.writeByte(VERSION).writeBoolean(content.passOn());
+        int count = Math.min(MOST_REPORTS, content.reports().size());
+        for (LimitReport each : content.reports().subList(0, count)) {
+            out.writeLong(each.serverHash()).writeDouble(each.perSecond());
+            out.writeInt(millis(each.sentAgoNanos())).writeInt(millis(each.heardAgoNanos()));
+        }
+    }
+
+    /**
+     * Reads a datagram after the version; reports that are cut short or cannot be are left out.
+     *
+     * @param in the bytes
+     * @return the datagram
+     */
+    public static Content read(ByteBuf in) {
+        boolean passOn = in.isReadable() && in.readBoolean();
+        List<LimitReport> reports = new ArrayList<>();
+        while (in.readableBytes() >= REPORT_BYTES) {
+            long hash = in.readLong();
+            double perSecond = in.readDouble();
+            long sentAgo = nanos(in.readUnsignedInt());
+            long heardAgo = nanos(in.readUnsignedInt());
+            if (perSecond >= 0 && sentAgo >= heardAgo) {
+                reports.add(new LimitReport(hash, perSecond, sentAgo, heardAgo));
+            }
+        }
+        return new Content(passOn, reports);
+    }
+
+    private static int millis(long nanos) {
+        return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(nanos));
+    }
+
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -1,25 +1,40 @@
 package io.masticpond.entry.request;
 
 import io.masticpond.core.placement.ServerLoad;
+import io.masticpond.core.serverlimit.LimitHeader;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCallListener;
 import io.masticpond.entry.backend.CallFailure;
+import io.masticpond.entry.log.RequestRecord;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** Hears the end of one attempt, and leaves it aside if the request has ended before. */
 final class AttemptListener implements BackendCallListener {
 
+    private final RequestFlow mFlow;
     private final RequestRun mRun;
+    private final RequestRecord mFacts;
     private final ServerLoad mAttempted;
+    private final long mSentNanos;
 
-    AttemptListener(RequestRun run, ServerLoad attempted) {
+    AttemptListener(
+            RequestFlow flow,
+            RequestRun run,
+            RequestRecord facts,
+            ServerLoad attempted,
+            long sentNanos) {
+        mFlow = flow;
         mRun = run;
+        mFacts = facts;
         mAttempted = attempted;
+        mSentNanos = sentNanos;
     }
 
     @Override
     public void answerBegan(HttpHeaders headers) {
-        mRun.answerBegan(headers);
+        LimitHeader limit = LimitHeader.parse(headers.getAll(mFlow.names().serverLimit()));
+        mFacts.limitNamed(limit);
+        mFlow.serverLimits().answered(mAttempted, limit, mSentNanos);
     }
 
     @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -52,6 +52,7 @@
     private final IntSupplier mShareholders;
     private final Optional<SpendingCheck> mSpending;
     private final WorkspaceDoor mDoor;
+    private final ServerLimitGate mServerLimits;
     private final DecisionLog mLog;
     private final EntryAnswers mAnswers;
     private final CrashGuard mCrashes;
@@ -77,6 +78,7 @@
      * @param shareholders among how many instances common limits are divided
      * @param spending pays for attempts, if spending has a cap
      * @param door lets in the callers of workspaces
+     * @param serverLimits keeps the limits that servers name
      * @param log takes what was decided
      */
     public RequestFlow(
@@ -92,6 +94,7 @@
             IntSupplier shareholders,
             Optional<SpendingCheck> spending,
             WorkspaceDoor door,
+            ServerLimitGate serverLimits,
             DecisionLog log) {
         mEventLoop = Assert.notNull(eventLoop, "An event loop");
         mTimeSource = Assert.notNull(timeSource, "A time source");
@@ -105,6 +108,7 @@
         mShareholders = Assert.notNull(shareholders, "A count of shareholders");
         mSpending = Assert.notNull(spending, "A check of spending");
         mDoor = Assert.notNull(door, "A door");
+        mServerLimits = Assert.notNull(serverLimits, "A gate of server limits");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
         mCrashes = new CrashGuard(eventLoop, timeSource, connections, log, this::rejected);
@@ -120,6 +124,7 @@
         mState = state;
         for (RegisteredServer gone : mServers.update(state.snapshot(), nowNanos())) {
             mConnections.forget(gone);
+            mServerLimits.forget(gone);
             mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
         mPlacer.chooser().judge().retain(state.snapshot().servers().keySet());
@@ -344,6 +349,15 @@
         return mCrashes;
     }
 
+    /**
+     * Gives what keeps the limits that backend servers name.
+     *
+     * @return the gate
+     */
+    public ServerLimitGate serverLimits() {
+        return mServerLimits;
+    }
+
     /** Ends the copies of a request that wait at servers, before those run them. */
     private void rejected(RequestFingerprint request) {
         for (RequestRun run : List.copyOf(mRuns)) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -3,13 +3,11 @@
 import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
-import io.masticpond.core.placement.AvoidReason;
 import io.masticpond.core.placement.Placement;
 import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.routing.Route;
-import io.masticpond.core.serverlimit.LimitHeader;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
 import io.masticpond.entry.backend.BackendRequest;
@@ -19,7 +17,6 @@
 import io.masticpond.entry.http.Responder;
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.RequestRecord;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
@@ -38,8 +35,6 @@
     /** Connections that fail are no sends; still, no request tries more servers than this. */
     private static final int MOST_CONNECTS = 4;
 
-    private static final long MISDIRECTED_AVOID_NANOS = TimeUnit.SECONDS.toNanos(10);
-    private static final long UNREACHABLE_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final Duration COME_BACK = Duration.ofMillis(100);
 
     private final RequestFlow mFlow;
@@ -124,6 +119,11 @@
             refuseForLoad(refused.answer(), servers, now);
             return;
         }
+        if (placement instanceof Placement.Limited limited) {
+            Duration comeBack = Duration.ofNanos(limited.retryAfterNanos());
+            endRejected(Rejection.unavailable("server-limits", comeBack));
+            return;
+        }
         if (!(placement instanceof Placement.Placed placed)) {
             end("no-backend-server");
             return;
@@ -175,12 +175,7 @@
                                 chosen.server(),
                                 mFlow.mostConnections(mService),
                                 request,
-                                new AttemptListener(this, chosen));
-    }
-
-    /** Takes what the head of an answer says; the rest of the answer may never come. */
-    void answerBegan(HttpHeaders headers) {
-        mFacts.limitNamed(LimitHeader.parse(headers.getAll(mFlow.names().serverLimit())));
+                                new AttemptListener(mFlow, this, mFacts, chosen, now));
     }
 
     void answered(ServerLoad server, BackendAnswer answer) {
@@ -226,7 +221,7 @@
 
     private void turnedAway(ServerLoad server, int status, Optional<ReportedLoad> told, long now) {
         if (status == MISDIRECTED) {
-            server.avoidUntil(now + MISDIRECTED_AVOID_NANOS, AvoidReason.MISDIRECTED);
+            mFlow.placer().misdirected(server, now);
         } else {
             mFlow.placer().turnedAway(server, told, now);
         }
@@ -238,7 +233,7 @@
         attemptOver(server);
         mFacts.attemptEnded(AttemptResult.of(failure), 0, now);
         if (failure.kind() == CallFailure.Kind.NOT_CONNECTED) {
-            server.avoidUntil(now + UNREACHABLE_AVOID_NANOS, AvoidReason.UNREACHABLE);
+            mFlow.placer().unreachable(server, now);
         }
         if (failure.kind() != CallFailure.Kind.NO_CONNECTION_FREE) {
             mFlow.placer().failed(server, now);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -50,12 +51,21 @@
     Placement place(List<ServerLoad> servers, boolean sentBefore, long leftNanos, long now) {
         mWithoutPermit.clear();
         mFacts.weigh();
+        Usable candidates = new Usable(now, true);
+        Placement placement = place(servers, sentBefore, leftNanos, candidates);
+        if (placement instanceof Placement.Nowhere && candidates.mSawReturning) {
+            return place(servers, sentBefore, leftNanos, new Usable(now, false));
+        }
+        return placement;
+    }
+
+    private Placement place(
+            List<ServerLoad> servers, boolean sentBefore, long leftNanos, Usable candidates) {
         PlacedRequest request = placed(leftNanos);
-        Candidates candidates = new Usable(now);
         RequestPlacer placer = mFlow.placer();
         return sentBefore
-                ? placer.placeAgain(request, servers, candidates, now)
-                : placer.place(request, servers, candidates, now);
+                ? placer.placeAgain(request, servers, candidates, candidates.mNow)
+                : placer.place(request, servers, candidates, candidates.mNow);
     }
 
     private PlacedRequest placed(long leftNanos) {
@@ -131,14 +141,59 @@
     private final class Usable implements Candidates {
 
         private final long mNow;
-
-        Usable(long now) {
+        private final boolean mHeedsReturn;
+        private final ServerLimitGate mLimits = mFlow.serverLimits();
+        private double mLimitedPerSecond;
+        private boolean mSawLimited;
+        private boolean mSawUnlimited;
+        private boolean mSawReturning;
+
+        Usable(long now, boolean heedsReturn) {
             mNow = now;
+            mHeedsReturn = heedsReturn;
         }
 
         @Override
         public boolean isUsable(ServerLoad load) {
-            return ServerSearch.this.isUsable(load, mNow);
+            if (!ServerSearch.this.isUsable(load, mNow)) {
+                return false;
+            }
+            if (mLimits.isEmpty()) {
+                mSawUnlimited = true;
+                return true;
+            }
+            boolean isUsable = mLimits.isLimited(load, mNow) ? hasPermit(load) : takesKey(load);
+            if (!isUsable) {
+                mFacts.excluded(Exclusion.LIMITED);
+            }
+            return isUsable;
+        }
+
+        private boolean hasPermit(ServerLoad load) {
+            mSawLimited = true;
+            mLimitedPerSecond += mLimits.ownPerSecond(load, mNow);
+            return mLimits.hasPermit(load, mNow);
+        }
+
+        /** A server whose limit was lifted takes more and more of the keys. */
+        private boolean takesKey(ServerLoad load) {
+            mSawUnlimited = true;
+            double share = mHeedsReturn ? mLimits.share(load, mNow) : 1;
+            boolean takes = share >= 1 || HashMixer.fraction(mKeyHash, load.hash()) < share;
+            mSawReturning |= !takes;
+            return takes;
+        }
+
+        @Override
+        public boolean isPaced(ServerLoad load) {
+            return isCold(load) || mLimits.isLimited(load, mNow);
+        }
+
+        @Override
+        public OptionalDouble limitedPerSecond() {
+            return mSawLimited && !mSawUnlimited
+                    ? OptionalDouble.of(mLimitedPerSecond)
+                    : OptionalDouble.empty();
         }
 
         @Override
@@ -150,7 +205,8 @@
         public boolean tryPermit(ServerLoad load) {
             Optional<ServiceRules> rules = mFlow.state().rules(mService);
             if (rules.isPresent()
-                    && mFlow.coldGate().tryAcquire(load.server(), rules.get(), mNow)) {
+                    && mFlow.coldGate().tryAcquire(load.server(), rules.get(), mNow)
+                    && mLimits.tryPermit(load, mNow)) {
                 return true;
             }
             mWithoutPermit.add(load.server().id());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.placement.PlacementSettings;
+import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.support.Assert;
 import java.time.Duration;
 import java.util.List;
@@ -30,6 +31,7 @@
  * @param placement how much each thing counts in the choice of a backend server
  * @param log how much is logged
  * @param crashes when a request counts as one that ends backend servers
+ * @param serverLimits how far the limits that backend servers name may be exceeded
  * @param workspaces how strictly keys and rates of workspaces are kept
  * @param spending what may be spent; without it spending has no cap
  * @since 0.2
@@ -49,6 +51,7 @@
         PlacementSettings placement,
         Log log,
         CrashSettings crashes,
+        ServerLimitSettings serverLimits,
         WorkspaceSettings workspaces,
         Optional<SpendingSettings> spending) {
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -9,6 +9,7 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.SharedRateSettings;
 import io.masticpond.core.placement.PlacementSettings;
+import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.entry.json.JsonTree;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -140,6 +141,7 @@
                 new EntrySettings.Log(
                         root.optionalObject("log").whole("linesPerSecond", DEFAULT_LINES)),
                 crashes(root.optionalObject("crashes")),
+                serverLimits(root.optionalObject("serverLimits")),
                 workspaces(root.optionalObject("workspaces")),
                 spending(root, zones));
     }
@@ -249,6 +251,17 @@
                 fields.time("memory", fallback.memory()));
     }
 
+    private static ServerLimitSettings serverLimits(SettingsFields fields) {
+        ServerLimitSettings fallback = ServerLimitSettings.DEFAULT;
+        return new ServerLimitSettings(
+                fields.time("window", fallback.window()),
+                fields.fraction("tolerance", fallback.tolerance()),
+                fields.fraction("burst", fallback.burst()),
+                fields.time("settling", fallback.settling()),
+                fields.time("memory", fallback.memory()),
+                fields.time("ramp", fallback.ramp()));
+    }
+
     private static WorkspaceSettings workspaces(SettingsFields fields) {
         WorkspaceSettings fallback = WorkspaceSettings.DEFAULT;
         Duration revocation = fields.time("revocation", fallback.revocation());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
@@ -42,6 +42,8 @@
     PLACEMENT("placement", true, EntrySettings::placement),
     /** When a request counts as one that ends backend servers. */
     CRASHES("crashes", true, EntrySettings::crashes),
+    /** How far the limits that backend servers name may be exceeded. */
+    SERVER_LIMITS("serverLimits", true, EntrySettings::serverLimits),
     /** How strictly keys and rates of workspaces are kept. */
     WORKSPACES("workspaces", true, EntrySettings::workspaces),
     /** How much is logged. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
@@ -2,8 +2,6 @@
 
 import io.masticpond.core.crash.CrashMessage;
 import io.masticpond.core.crash.RequestFingerprint;
-import io.masticpond.core.id.InstanceId;
-import io.masticpond.core.membership.Rendezvous;
 import io.masticpond.core.support.HashMixer;
 import io.masticpond.entry.peer.CrashMessageCodec;
 import io.masticpond.entry.peer.HeartbeatDuty;
@@ -13,7 +11,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,9 +41,6 @@
     /** With each so many looks another instance is told, so that lost datagrams are made up for. */
     private static final int LOOKS_FOR_A_REPEAT = 4;
 
-    /** So many tell an instance that starts; it believes two. */
-    private static final int TELLERS = 3;
-
     /** Messages that wait for an instance at most, three datagrams; a flood loses the rest. */
     private static final int MOST_WAITING = 3 * CrashMessageCodec.MOST_MESSAGES;
 
@@ -54,10 +48,8 @@
     private final EventLoop mControl;
     private final CrashGuard mGuard;
     private final HeartbeatDuty mPeers;
-    private final PeerInstance mSelf;
     private final Map<PeerInstance, List<CrashMessage>> mWaiting = new HashMap<>();
-    private Set<Long> mKnown = Set.of();
-    private List<PeerInstance> mAlive = List.of();
+    private final StartedPeers mStarted;
     private long mLooks;
     private long mTurn;
 
@@ -72,7 +64,7 @@
         mControl = control;
         mGuard = flow.crashes();
         mPeers = peers;
-        mSelf = self;
+        mStarted = new StartedPeers(self.id());
         mTurn = HashMixer.hash(self.id().value());
     }
 
@@ -105,32 +97,10 @@
         }
     }
 
-    /** Tells the instances that started since the last look, a few tellers to each. */
     private void tellStarted(List<CrashMessage> rejections) {
-        List<PeerInstance> alive = mPeers.alive();
-        if (alive == mAlive) {
-            return;
-        }
-        Set<Long> known = new HashSet<>();
-        for (PeerInstance each : alive) {
-            long run = each.incarnation() + HashMixer.hash(each.id().value());
-            known.add(run);
-            if (!mKnown.contains(run) && tellers(each, alive).contains(mSelf.id())) {
-                mPeers.tell(List.of(each), out -> CrashMessageCodec.write(rejections, out));
-            }
+        for (PeerInstance each : mStarted.look(mPeers.alive())) {
+            mPeers.tell(List.of(each), out -> CrashMessageCodec.write(rejections, out));
         }
-        mAlive = alive;
-        mKnown = known;
-    }
-
-    /** Names who tells an instance that starts: the first few of the others, the same for all. */
-    private static List<InstanceId> tellers(PeerInstance started, List<PeerInstance> alive) {
-        List<InstanceId> others =
-                alive.stream()
-                        .map(PeerInstance::id)
-                        .filter(id -> !id.equals(started.id()))
-                        .toList();
-        return Rendezvous.order(started.id().value(), others).stream().limit(TELLERS).toList();
     }
 
     /** Tells one instance after the other, so that each hears from about one each time. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.routing.RoutingConfiguration;
+import io.masticpond.core.serverlimit.LimitBelief;
 import io.masticpond.core.spending.SpendingView;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionCounts;
@@ -17,6 +18,7 @@
 import io.masticpond.entry.replica.CategoryStatus;
 import io.masticpond.entry.replica.ReplicaStatus;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.ServerLimitGate;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.request.WorkspaceDoor;
 import java.time.Instant;
@@ -44,7 +46,8 @@
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
     private volatile Traffic mTraffic =
-            new Traffic(0, 0, 0, 0, 0, 0, 0, 0, 0, List.of(), Optional.empty(), Keys.NONE);
+            new Traffic(
+                    0, 0, 0, 0, 0, 0, 0, 0, 0, List.of(), Optional.empty(), Keys.NONE, Limits.NONE);
 
     /** The figures of workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -60,6 +63,20 @@
         }
     }
 
+    /** The figures of the limits that backend servers name. */
+    private record Limits(long servers, double ownPerSecond, long malformed) {
+
+        static final Limits NONE = new Limits(0, 0, 0);
+
+        static Limits of(ServerLimitGate gate) {
+            List<LimitBelief> beliefs = gate.beliefs();
+            return new Limits(
+                    beliefs.stream().filter(LimitBelief::isLimited).count(),
+                    beliefs.stream().mapToDouble(LimitBelief::ownPerSecond).sum(),
+                    gate.malformed());
+        }
+    }
+
     /** The figures of the traffic thread. */
     private record Traffic(
             int open,
@@ -73,7 +90,8 @@
             long rejected,
             List<RetryBudgetUse> retries,
             Optional<List<SpendingView>> spendings,
-            Keys keys) {
+            Keys keys,
+            Limits limits) {
 
         double sum(ToDoubleFunction<RetryBudgetUse> figure) {
             return retries.stream().mapToDouble(figure).sum();
@@ -112,7 +130,8 @@
                         crashes.stream().filter(each -> each.leftNanos() > 0).count(),
                         List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
                         mFlow.spending().map(SpendingCheck::views),
-                        Keys.of(mFlow.door()));
+                        Keys.of(mFlow.door()),
+                        Limits.of(mFlow.serverLimits()));
     }
 
     /** Sets all figures, on the control thread. */
@@ -148,6 +167,9 @@
         values.set(EntryValue.LOADS_HEARD, traffic.loadsHeard());
         values.set(EntryValue.SERVER_ENDS, traffic.serverEnds());
         values.set(EntryValue.FOLLOWED_REQUESTS, traffic.followed());
+        values.set(EntryValue.LIMITED_SERVERS, traffic.limits().servers());
+        values.set(EntryValue.LIMITED_RATE, traffic.limits().ownPerSecond());
+        values.set(EntryValue.MALFORMED_LIMITS, traffic.limits().malformed());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUse::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUse::bound));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -32,6 +32,7 @@
     private final CrashSharing mCrashSharing;
     private final ProofSharing mProofSharing;
     private final RateSharing mRateSharing;
+    private final LimitSharing mLimitSharing;
 
     @Inject
     EntryInstance(
@@ -47,7 +48,8 @@
             LoadSharing loadSharing,
             CrashSharing crashSharing,
             ProofSharing proofSharing,
-            RateSharing rateSharing) {
+            RateSharing rateSharing,
+            LimitSharing limitSharing) {
         mNews = news;
         mTraffic = traffic;
         mControl = control;
@@ -61,6 +63,7 @@
         mCrashSharing = crashSharing;
         mProofSharing = proofSharing;
         mRateSharing = rateSharing;
+        mLimitSharing = limitSharing;
     }
 
     /** Starts all parts; readiness follows once routes and backend servers are known. */
@@ -70,6 +73,7 @@
         mCrashSharing.start();
         mProofSharing.start();
         mRateSharing.start();
+        mLimitSharing.start();
         if (mFlow.spending().isPresent()) {
             mTraffic.execute(mFlow.spending().get()::start);
         }
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
@@ -0,0 +1,156 @@
+package io.masticpond.entry.wiring;
+
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.serverlimit.LimitReport;
+import io.masticpond.core.support.HashMixer;
+import io.masticpond.entry.peer.HeartbeatDuty;
+import io.masticpond.entry.peer.LimitReportCodec;
+import io.masticpond.entry.peer.PeerInstance;
+import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.ServerLimitGate;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+
+/**
+ * Carries the limits that backend servers name between instances. A change is told at once to the
+ * own zone and to two instances of each other zone, who pass it on; besides, each tells one other
+ * in turn what it knows, which mends what was lost.
+ */
+@Singleton
+final class LimitSharing {
+
+    /** The servers of a service name their limits at about the same time. */
+    private static final long BUNDLE_MILLIS = 100;
+
+    /** A bundle waits so long for each instance that gets it: 50 datagrams a second at most. */
+    private static final long MILLIS_FOR_EACH = 20;
+
+    private static final long LOOK_MILLIS = 250;
+    private static final int LOOKS_FOR_A_REPEAT = 4;
+
+    /** One may be down without having been noticed. */
+    private static final int RELAYS = 2;
+
+    private final EventLoop mTraffic;
+    private final EventLoop mControl;
+    private final RequestFlow mFlow;
+    private final ServerLimitGate mLimits;
+    private final HeartbeatDuty mPeers;
+    private final PeerInstance mSelf;
+    private final StartedPeers mStarted;
+    private final Map<Long, LimitReport> mWaiting = new HashMap<>();
+    private boolean mIsPlanned;
+    private long mLooks;
+    private long mTurn;
+
+    @Inject
+    LimitSharing(
+            @TrafficThread EventLoop traffic,
+            @ControlThread EventLoop control,
+            RequestFlow flow,
+            HeartbeatDuty peers,
+            PeerInstance self) {
+        mTraffic = traffic;
+        mControl = control;
+        mFlow = flow;
+        mLimits = flow.serverLimits();
+        mPeers = peers;
+        mSelf = self;
+        mStarted = new StartedPeers(self.id());
+        mTurn = HashMixer.hash(self.id().value());
+    }
+
+    /** Begins to tell and to hear. */
+    void start() {
+        mPeers.hear(
+                LimitReportCodec.VERSION,
+                (sender, content) -> {
+                    LimitReportCodec.Content told = LimitReportCodec.read(content);
+                    mTraffic.execute(() -> hear(told));
+                });
+        mTraffic.execute(() -> mLimits.tellBy(report -> mControl.execute(() -> add(report))));
+        mTraffic.scheduleWithFixedDelay(
+                this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void hear(LimitReportCodec.Content told) {
+        List<LimitReport> news = mLimits.heard(mFlow.servers(), told.reports());
+        if (told.passOn() && !news.isEmpty()) {
+            mControl.execute(() -> tell(mPeers.ownZone(), false, news));
+        }
+    }
+
+    private void look() {
+        mLimits.look();
+        List<LimitReport> reports = mLimits.reports();
+        mControl.execute(
+                () -> {
+                    List<PeerInstance> started = mStarted.look(mPeers.alive());
+                    if (!reports.isEmpty()) {
+                        tell(started, false, reports);
+                        tellNext(reports);
+                    }
+                });
+    }
+
+    private void tellNext(List<LimitReport> reports) {
+        List<PeerInstance> alive = mPeers.alive();
+        if (mLooks++ % LOOKS_FOR_A_REPEAT == 0 && !alive.isEmpty()) {
+            PeerInstance next = alive.get(Math.floorMod(mTurn++, alive.size()));
+            tell(List.of(next), false, reports);
+        }
+    }
+
+    private void add(LimitReport report) {
+        mWaiting.put(report.serverHash(), report);
+        if (!mIsPlanned) {
+            mIsPlanned = true;
+            mControl.schedule(this::tellWaiting, BUNDLE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Tells what waits; the next bundle may follow when this one's datagrams are paid for. */
+    private void tellWaiting() {
+        if (mWaiting.isEmpty()) {
+            mIsPlanned = false;
+            return;
+        }
+        List<LimitReport> reports = List.copyOf(mWaiting.values());
+        mWaiting.clear();
+        List<PeerInstance> relays = relays();
+        List<PeerInstance> zone = mPeers.ownZone();
+        tell(zone, false, reports);
+        tell(relays, true, reports);
+        long rest = MILLIS_FOR_EACH * (zone.size() + relays.size());
+        mControl.schedule(this::tellWaiting, rest, TimeUnit.MILLISECONDS);
+    }
+
+    private List<PeerInstance> relays() {
+        Map<ZoneId, List<PeerInstance>> zones = new HashMap<>();
+        for (PeerInstance each : mPeers.alive()) {
+            if (!each.zone().equals(mSelf.zone())) {
+                zones.computeIfAbsent(each.zone(), zone -> new ArrayList<>()).add(each);
+            }
+        }
+        List<PeerInstance> relays = new ArrayList<>();
+        zones.forEach(
+                (zone, members) ->
+                        relays.addAll(PeerOrder.first("limits/" + zone.value(), members, RELAYS)));
+        return relays;
+    }
+
+    private void tell(List<PeerInstance> hearers, boolean passOn, List<LimitReport> reports) {
+        for (int from = 0; from < reports.size(); from += LimitReportCodec.MOST_REPORTS) {
+            int to = Math.min(reports.size(), from + LimitReportCodec.MOST_REPORTS);
+            LimitReportCodec.Content content =
+                    new LimitReportCodec.Content(passOn, reports.subList(from, to));
+            mPeers.tell(hearers, out -> LimitReportCodec.write(content, out));
+        }
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
@@ -64,6 +64,7 @@
                     mChooser.tune(settings.placement());
                     mFlow.crashes().tune(settings.crashes());
                     mFlow.door().tune(settings.workspaces());
+                    mFlow.serverLimits().tune(settings.serverLimits());
                 });
         mNews.tell(ProcessChange.Kind.RELOADED, SettingsPart.tellChange(mSettings, settings));
         mSettings = settings;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SharedLimits.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SharedLimits.java
@@ -127,7 +127,8 @@
         return budget;
     }
 
-    private List<OwnerCandidate> candidates() {
+    /** Gives the instances that are alive, the same list until it changes. */
+    List<OwnerCandidate> candidates() {
         List<PeerInstance> alive = mPeers.alive();
         if (alive != mAlive) {
             mAlive = alive;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.OutlierJudge;
 import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.limit.OwnerCandidate;
 import io.masticpond.core.limit.SharedRates;
 import io.masticpond.core.placement.PriorityLoadGate;
 import io.masticpond.core.placement.RequestPlacer;
@@ -21,6 +22,7 @@
 import io.masticpond.entry.peer.PeerView;
 import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.ServerLimitGate;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.request.WorkspaceDoor;
 import io.masticpond.entry.settings.EntrySettings;
@@ -102,6 +104,25 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 2)::nextDouble);
     }
 
+    @Provides
+    @Singleton
+    static ServerLimitGate serverLimits(
+            EntrySettings settings,
+            PeerInstance self,
+            SharedLimits limits,
+            PeerView peers,
+            TimeSource timeSource,
+            DecisionLog log) {
+        return new ServerLimitGate(
+                settings.serverLimits(),
+                new OwnerCandidate(self.id(), self.zone()),
+                settings.zones(),
+                limits::candidates,
+                peers::shareholders,
+                timeSource,
+                log);
+    }
+
     @Provides
     @Singleton
     static RequestFlow flow(
@@ -119,6 +140,7 @@
             PeerInstance self,
             EntryMetrics metrics,
             WorkspaceDoor door,
+            ServerLimitGate serverLimits,
             @ControlThread EventLoop control,
             DecisionLog log) {
         Optional<SpendingCheck> spending = Optional.empty();
@@ -143,6 +165,7 @@
                         peers::shareholders,
                         spending,
                         door,
+                        serverLimits,
                         log);
         flow.crashes().tune(settings.crashes());
         return flow;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -80,7 +80,7 @@
     }
 
     @Example
-    void theLineTellsWhichLimitAServerNamed() {
+    void limitsThatServersNameAreTold() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.sent(FIRST, ZONE, false, 0);
         request.limitNamed(LimitHeader.parse(List.of("0.25")));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -2,11 +2,13 @@
 
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.OutlierJudge;
 import io.masticpond.core.limit.OutlierJudgeSettings;
+import io.masticpond.core.limit.OwnerCandidate;
 import io.masticpond.core.limit.SharedRates;
 import io.masticpond.core.placement.LoadGate;
 import io.masticpond.core.placement.PlacementSettings;
@@ -14,6 +16,7 @@
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.core.placement.ServerTable;
 import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.time.ManualTimeSource;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.log.DecisionLog;
@@ -27,6 +30,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -68,6 +72,18 @@
                     new SharedRates(WorkspaceSettings.DEFAULT.rates()),
                     () -> 0);
 
+    final OwnerCandidate mSelf = new OwnerCandidate(new InstanceId("self"), ZONE);
+    List<OwnerCandidate> mInstances = List.of(mSelf);
+    final ServerLimitGate mServerLimits =
+            new ServerLimitGate(
+                    ServerLimitSettings.DEFAULT,
+                    mSelf,
+                    Map.of(ZONE, new RegionId("r")),
+                    () -> mInstances,
+                    () -> mInstances.size(),
+                    mTime,
+                    mDecisions);
+
     void passTime(Duration time) {
         mTime.advance(time);
         mChannel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
@@ -97,6 +113,7 @@
                         () -> 1,
                         mSpending,
                         mDoor,
+                        mServerLimits,
                         mDecisions);
         flow.update(
                 EntryState.of(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeSnapshot.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeSnapshot.java
@@ -27,6 +27,12 @@
 
     private FakeSnapshot() {}
 
+    /** The same routes after all servers have gone. */
+    static FleetSnapshot withoutServers() {
+        FleetSnapshot all = of(true, 2, false, Set.of());
+        return new FleetSnapshot(2, all.routing(), Map.of(), Set.of());
+    }
+
     static FleetSnapshot of(
             boolean idempotent, int attempts, boolean leaving, Set<ZoneId> evacuated) {
         Route route =
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
@@ -0,0 +1,260 @@
+package io.masticpond.entry.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.InstanceId;
+import io.masticpond.core.limit.AdmissionLimitSettings;
+import io.masticpond.core.limit.OwnerCandidate;
+import io.masticpond.core.placement.PriorityLoadGate;
+import io.masticpond.core.request.Verdict;
+import io.masticpond.core.serverlimit.LimitBelief;
+import io.masticpond.core.serverlimit.LimitReport;
+import io.masticpond.core.support.HashMixer;
+import io.masticpond.entry.backend.CallFailure;
+import io.masticpond.entry.http.IncomingRequest;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Guards against ways to a backend server that go round the limit which it names. */
+class ServerLimitFlowTest extends AbstractRequestFlowTest {
+
+    private static final Set<String> ALL = Set.of("server-0", "server-1", "server-2");
+    private static final Duration STEP = Duration.ofMillis(20);
+
+    /** The bound that users state, of one limit in a window of 4 s. */
+    private static final double TOLERANCE = 1.5;
+
+    private static final int WINDOW_SECONDS = 4;
+    private static final int BURST = 5;
+
+    private final List<FakeResponder> mAnswers = new ArrayList<>();
+    private int mCount;
+
+    private FakeResponder ask(RequestFlow flow, String key) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Host", "host").set("Id", "r" + mCount++).set("Wait", "800");
+        if (key != null) {
+            headers.set("Key", key);
+        }
+        long now = mTime.monotonicNanos();
+        FakeResponder responder = new FakeResponder();
+        flow.handle(
+                new IncomingRequest(
+                        HttpMethod.GET, "/a/x", headers, Unpooled.EMPTY_BUFFER, now, now),
+                responder);
+        mAnswers.add(responder);
+        return responder;
+    }
+
+    /** Answers the calls that are open, the limited servers with their limit. */
+    private void answerAll(int from, Set<String> limited, String limit) {
+        for (FakeConnections.Call call :
+                List.copyOf(mConnections.mCalls.subList(from, mConnections.mCalls.size()))) {
+            if (limited.contains(call.mServer.id().value())) {
+                call.answer(200, "Seal", "s", "Limit", limit);
+            } else {
+                call.answer(200, "Seal", "s");
+            }
+        }
+    }
+
+    /** Asks with many keys for a time; gives how many calls each server got. */
+    private long[] press(RequestFlow flow, Duration time, Set<String> limited, String limit) {
+        int before = mConnections.mCalls.size();
+        for (long at = 0; at < time.toMillis(); at += STEP.toMillis()) {
+            int from = mConnections.mCalls.size();
+            ask(flow, "key-" + mCount % 40);
+            passTime(STEP);
+            answerAll(from, limited, limit);
+        }
+        return IntStream.range(0, ALL.size())
+                .mapToLong(
+                        number ->
+                                mConnections.mCalls.stream()
+                                        .skip(before)
+                                        .filter(call -> isAt(call, number))
+                                        .count())
+                .toArray();
+    }
+
+    private static boolean isAt(FakeConnections.Call call, int number) {
+        return call.mServer.id().equals(new BackendServerId("server-" + number));
+    }
+
+    private static double bound(double limit) {
+        return TOLERANCE * WINDOW_SECONDS * limit + BURST;
+    }
+
+    private RequestFlow settled(boolean idempotent) {
+        RequestFlow flow = flow(idempotent, 2);
+        flow.serverLimits().look();
+        passTime(Duration.ofSeconds(2));
+        return flow;
+    }
+
+    @Example
+    void limitIsKeptAndUsedWhileOthersTakeTheRest() {
+        for (boolean idempotent : List.of(true, false)) {
+            RequestFlow flow = settled(idempotent);
+            press(flow, Duration.ofSeconds(1), Set.of("server-0"), "2.5");
+            long[] calls = press(flow, Duration.ofSeconds(4), Set.of("server-0"), "2.5");
+            assertThat((double) calls[0]).isBetween(5.0, bound(2.5));
+            assertThat(calls[1] + calls[2]).isGreaterThan(150);
+        }
+        assertThat(mAnswers).allMatch(answer -> answer.status() == 200);
+    }
+
+    @Example
+    void secondSendsAndRequestsWithoutKeyAreCountedToo() {
+        RequestFlow flow = settled(true);
+        press(flow, Duration.ofSeconds(1), Set.of("server-0"), "2.5");
+        int before = mConnections.mCalls.size();
+        for (int request = 0; request < 100; request++) {
+            int from = mConnections.mCalls.size();
+            ask(flow, null);
+            passTime(STEP);
+            FakeConnections.Call first = mConnections.mCalls.get(from);
+            if (!isAt(first, 0)) {
+                first.fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+                from++;
+            }
+            answerAll(from, Set.of("server-0"), "2.5");
+            passTime(STEP);
+        }
+        long limited =
+                mConnections.mCalls.stream().skip(before).filter(call -> isAt(call, 0)).count();
+        assertThat((double) limited).isLessThanOrEqualTo(bound(2.5));
+    }
+
+    @Example
+    void refusalsErrorsAndAnswersThatBreakOffNameTheLimitToo() {
+        for (int status : List.of(500, 503, 429, 200)) {
+            RequestFlow flow = settled(false);
+            ask(flow, "k");
+            HttpHeaders headers = new DefaultHttpHeaders().set("Limit", "0.5");
+            if (status == 200) {
+                mConnections.last().mListener.answerBegan(headers);
+                mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+            } else {
+                mConnections.last().answer(status, "Limit", "0.5", "Not-Run", "1");
+            }
+            assertThat(flow.serverLimits().beliefs())
+                    .as("status %d", status)
+                    .anyMatch(belief -> belief.isLimited() && belief.perSecond() == 0.5);
+            passTime(Duration.ofSeconds(3));
+        }
+    }
+
+    @Example
+    void answersInAnotherOrderNeitherLiftNorRaiseTheLimit() {
+        RequestFlow flow = settled(true);
+        ask(flow, "k");
+        ask(flow, "k");
+        ask(flow, "k");
+        List<FakeConnections.Call> calls = List.copyOf(mConnections.mCalls);
+        calls.get(0).answer(200, "Seal", "s", "Limit", "2");
+        calls.get(1).answer(200, "Seal", "s");
+        calls.get(2).answer(200, "Seal", "s", "Limit", "9");
+        assertThat(only(flow).perSecond()).as("made in an unknown order").isEqualTo(2);
+        passTime(Duration.ofSeconds(1));
+        ask(flow, "k");
+        mConnections.last().answer(200, "Seal", "s", "Limit", "9");
+        assertThat(only(flow).perSecond()).as("sent after that was known").isEqualTo(9);
+        passTime(Duration.ofSeconds(1));
+        ask(flow, "k");
+        mConnections.last().answer(200, "Seal", "s");
+        assertThat(only(flow).isLimited()).isFalse();
+    }
+
+    private static LimitBelief only(RequestFlow flow) {
+        assertThat(flow.serverLimits().beliefs()).hasSize(1);
+        return flow.serverLimits().beliefs().get(0);
+    }
+
+    @Example
+    void malformedLimitSaysNothingAndIsCounted() {
+        RequestFlow flow = settled(true);
+        ask(flow, "k");
+        mConnections.last().answer(200, "Seal", "s", "Limit", "NaN");
+        assertThat(flow.serverLimits().beliefs()).isEmpty();
+        ask(flow, "k");
+        mConnections.last().answer(200, "Seal", "s", "Limit", "2");
+        passTime(Duration.ofSeconds(1));
+        ask(flow, "k");
+        mConnections.last().answer(200, "Seal", "s", "Limit", "soon");
+        assertThat(only(flow).perSecond()).isEqualTo(2);
+        assertThat(flow.serverLimits().malformed()).isEqualTo(2);
+    }
+
+    @Example
+    void instanceThatIsNoSenderLeavesTheServerOutAndHearsOfItsReturn() {
+        for (int number = 0; number < 60; number++) {
+            ArrayList<OwnerCandidate> more = new ArrayList<>(mInstances);
+            more.add(new OwnerCandidate(new InstanceId("other-" + number), ZONE));
+            mInstances = more;
+        }
+        RequestFlow flow = settled(true);
+        long hash = HashMixer.hash("server-0");
+        flow.serverLimits().heard(flow.servers(), List.of(new LimitReport(hash, 0.5, 0, 0)));
+        boolean isSender = only(flow).ownPerSecond() > 0;
+        long[] calls = press(flow, Duration.ofSeconds(4), Set.of("server-0"), "0.5");
+        assertThat(calls[0]).isLessThanOrEqualTo(isSender ? 2 : 0);
+        LimitReport lifted = new LimitReport(hash, Double.POSITIVE_INFINITY, 0, 0);
+        assertThat(flow.serverLimits().heard(flow.servers(), List.of(lifted))).hasSize(1);
+        assertThat(flow.serverLimits().heard(flow.servers(), List.of(lifted)))
+                .as("no news the second time")
+                .isEmpty();
+        long[] first = press(flow, Duration.ofMillis(400), Set.of(), "");
+        press(flow, Duration.ofSeconds(2), Set.of(), "");
+        long[] later = press(flow, Duration.ofMillis(400), Set.of(), "");
+        assertThat(first[0]).as("keys return one by one").isLessThan(later[0]);
+    }
+
+    @Example
+    void whatNoServerTakesIsRejectedAtOnceWithTheTimeToReturn() {
+        mLoadGate =
+                new PriorityLoadGate(
+                        AdmissionLimitSettings.DEFAULT,
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(4L));
+        RequestFlow flow = settled(true);
+        press(flow, Duration.ofSeconds(3), ALL, "2.5");
+        mAnswers.clear();
+        long[] calls = press(flow, Duration.ofSeconds(4), ALL, "2.5");
+        for (long each : calls) {
+            assertThat((double) each).isBetween(8.0, bound(2.5));
+        }
+        List<FakeResponder> rejected =
+                mAnswers.stream().filter(answer -> answer.status() != 200).toList();
+        assertThat(rejected).isNotEmpty().allMatch(answer -> answer.status() == 503);
+        JsonNode line =
+                mDecisions.ofRequest("r" + (mCount - 1)).isEmpty()
+                        ? null
+                        : mDecisions.ofRequest("r" + (mCount - 1)).get(0);
+        assertThat(line).isNotNull();
+        String pause = rejected.get(0).mAnswers.get(0).headers().get("Retry-After");
+        assertThat(Double.parseDouble(pause)).isBetween(0.01, 0.8 / 3);
+        long[] after = press(flow, Duration.ofSeconds(4), Set.of(), "");
+        assertThat(after[0] + after[1] + after[2]).as("lifted by answers").isGreaterThan(100);
+    }
+
+    @Example
+    void limitEndsWithTheRunOfItsServer() {
+        RequestFlow flow = settled(true);
+        ask(flow, "k");
+        mConnections.last().answer(200, "Seal", "s", "Limit", "0");
+        assertThat(only(flow).perSecond()).isZero();
+        flow.update(EntryState.of(FakeSnapshot.withoutServers(), flow.state()));
+        assertThat(flow.serverLimits().beliefs()).isEmpty();
+    }
+}
