Reject a request by reports of ends alone, not by what others suspect

At one instance the clearance arrived first and the suspicions 15 ms after it, so they counted as newer. All others were cleared and said no more; this one had no answer of its own for 1.7 s and rejected an innocent request (trace of all messages). Ruled out: the order in which requests break off, which only decides which messages meet; a margin of time for what travels, as a busy machine exceeds any. Change: a suspicion that others told keeps a request from second sends, as before, but counts for no rejection. Whoever rejects by reports that came to it tells all at once; before, others concluded for themselves.

--- a/masticpond-core/src/main/java/io/masticpond/core/crash/CrashingRequests.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashingRequests.java
@@ -273,10 +273,11 @@
         suspect.forgetSuspicions(nowNanos);
         int ends = suspect.ends();
         suspect.suspected(ends >= CrashSuspect.SUSPICIOUS_ENDS, nowNanos);
+        // A suspicion that others told may have been overtaken by the news that it is over.
         boolean isProven =
                 suspect.mRejections > 0
                         ? ends >= ENDS_ON_TRIAL
-                        : ends >= mSettings.ends()
+                        : suspect.seenEnds() >= mSettings.ends()
                                 && suspect.isSuspectedFor(ANSWERED_WITHIN_NANOS, nowNanos);
         if (isProven || suspect.isToldRejected()) {
             reject(suspect, nowNanos);
@@ -299,6 +300,10 @@
             return;
         }
         mOutput.changed(suspect.belief(CrashBelief.State.REJECTED, nowNanos));
+        if (isOwn) {
+            suspect.mAnnounced = Math.max(suspect.mAnnounced, suspect.seenEnds());
+            mOutput.tellAll(verdict(suspect, nowNanos));
+        }
     }
 
     private long holdNanos(CrashSuspect suspect) {
--- a/masticpond-core/src/test/java/io/masticpond/core/crash/InnocentRequestsTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/crash/InnocentRequestsTest.java
@@ -168,6 +168,19 @@
         serversThatEndOneShortlyAfterTheOtherRejectNobody();
     }
 
+    /** The news that a request is cleared overtakes the suspicion of it, at one instance. */
+    @Example
+    void suspicionThatIsOvertakenByItsClearanceRejectsNobody() {
+        mOrder = Optional.of(new Random(242));
+        serversThatEndOneShortlyAfterTheOtherRejectNobody();
+    }
+
+    @Example
+    void suspicionThatIsOvertakenInAnotherOrderRejectsNobody() {
+        mOrder = Optional.of(new Random(276));
+        serversThatEndOneShortlyAfterTheOtherRejectNobody();
+    }
+
     @Example
     void requestThatWasThereThreeTimesAtOneMomentIsNotRejected() {
         RequestFingerprint request = new RequestFingerprint(6, 6);
