Wake the control thread for limits only while a server names one

Cause: the look for instances that started woke the control thread four times a second on every instance, limits or not. Ruled out: a slower look, which would tell starters later than clients come. Change: nothing is handed to the control thread while no limit is known; those that started meanwhile are told when one is. Conclusion: idle instances pay for no feature that they do not use.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
@@ -89,14 +89,13 @@
     private void look() {
         mLimits.look();
         List<LimitReport> reports = mLimits.reports();
-        mControl.execute(
-                () -> {
-                    List<PeerInstance> started = mStarted.look(mPeers.alive());
-                    if (!reports.isEmpty()) {
-                        tell(started, false, reports);
+        if (!reports.isEmpty()) {
+            mControl.execute(
+                    () -> {
+                        tell(mStarted.look(mPeers.alive()), false, reports);
                         tellNext(reports);
-                    }
-                });
+                    });
+        }
     }
 
     private void tellNext(List<LimitReport> reports) {
