Choose among a key's homes without weighing all servers, and sort figures of servers once

Cause: each choice sorted all servers of a service by preference and weighed the load of each, though a server that does not hold the object can win only if the homes score below its least penalty; each verdict on outliers sorted the figures of all servers once for each server. Ruled out: fewer verdicts or fewer candidates, which would change decisions. Change: only the homes are found and weighed, the others where they can win; medians without one server come from one sorted array; a record that is a key of a map has its equality written out (linking it took 20 ms of each start).

--- a/masticpond-core/src/main/java/io/masticpond/core/limit/OutlierJudge.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/OutlierJudge.java
@@ -3,7 +3,6 @@
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.support.Assert;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 
 /**
  * Judges from this instance's own calls which backend servers of a service fail or are slow beside
@@ -158,7 +156,9 @@
         peers.mJudgedNanos = nowNanos;
         Collection<CallTally> tallies = peers.mTallies.values();
         tallies.forEach(each -> each.decay(nowNanos));
-        tallies.forEach(each -> each.setPenalty(penaltyOf(each, tallies)));
+        PeerMedians failures = new PeerMedians(tallies, CallTally::calls, CallTally::failureShare);
+        PeerMedians means = new PeerMedians(tallies, CallTally::successes, CallTally::meanNanos);
+        tallies.forEach(each -> each.setPenalty(penaltyOf(each, failures, means)));
         List<CallTally> worstFirst =
                 tallies.stream()
                         .filter(each -> each.penalty() > 0)
@@ -167,26 +167,26 @@
         worstFirst.stream().skip(tallies.size() / 2).forEach(each -> each.setPenalty(0));
     }
 
-    private double penaltyOf(CallTally tally, Collection<CallTally> all) {
-        double failure = failurePenalty(tally, all) * belief(tally.calls());
-        double slowness = slownessPenalty(tally, all) * belief(tally.successes());
+    private double penaltyOf(CallTally tally, PeerMedians failures, PeerMedians means) {
+        double failure = failurePenalty(tally, failures) * belief(tally.calls());
+        double slowness = slownessPenalty(tally, means) * belief(tally.successes());
         return Math.max(failure, slowness);
     }
 
-    private double failurePenalty(CallTally tally, Collection<CallTally> all) {
+    private double failurePenalty(CallTally tally, PeerMedians failures) {
         if (tally.failureShare() <= mSettings.failureFrom()) {
             return 0;
         }
-        double peers = peerMedian(tally, all, CallTally::calls, CallTally::failureShare);
+        double peers = failures.without(tally);
         double above = tally.failureShare() - (Double.isNaN(peers) ? 0 : peers);
         return part(above, mSettings.failureFrom(), mSettings.failureFull());
     }
 
-    private double slownessPenalty(CallTally tally, Collection<CallTally> all) {
+    private double slownessPenalty(CallTally tally, PeerMedians means) {
         if (belief(tally.successes()) < LEAST_BELIEF) {
             return 0;
         }
-        double peers = peerMedian(tally, all, CallTally::successes, CallTally::meanNanos);
+        double peers = means.without(tally);
         if (Double.isNaN(peers) || peers <= 0) {
             return 0;
         }
@@ -194,22 +194,6 @@
         return part(multiple, mSettings.slownessFrom(), mSettings.slownessFull());
     }
 
-    /** Gives the median over the peers with enough calls, or not a number without any. */
-    private double peerMedian(
-            CallTally tally,
-            Collection<CallTally> all,
-            ToDoubleFunction<CallTally> calls,
-            ToDoubleFunction<CallTally> value) {
-        double[] values =
-                all.stream()
-                        .filter(each -> each != tally)
-                        .filter(each -> calls.applyAsDouble(each) >= 1)
-                        .mapToDouble(value)
-                        .toArray();
-        Arrays.sort(values);
-        return values.length == 0 ? Double.NaN : values[(values.length - 1) / 2];
-    }
-
     private double belief(double calls) {
         return Math.min(1, calls / mSettings.enoughCalls());
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/RateTotals.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/RateTotals.java
@@ -34,7 +34,19 @@
     private record Told(Sum sum, long nanos) {}
 
     /** A part of what one told, which is replaced by the same part told later. */
-    private record Part<T>(T teller, int part) {}
+    private record Part<T>(T teller, int part) {
+
+        /** Written out, since the one that records get is linked at its first use, in a start. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Part<?> that && part == that.part && teller.equals(that.teller);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * teller.hashCode() + part;
+        }
+    }
 
     private final Map<Part<InstanceId>, Told> mInstances = new HashMap<>();
     private final Map<Integer, Sums> mSums = new HashMap<>();
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /**
  * Decides where a request goes, or that it is refused: the choice of a server, and the gate that
@@ -143,9 +142,13 @@
     }
 
     private static List<ServerLoad> usable(List<ServerLoad> servers, Candidates candidates) {
-        return servers.stream()
-                .filter(candidates::isUsable)
-                .collect(Collectors.toCollection(ArrayList::new));
+        List<ServerLoad> usable = new ArrayList<>(servers.size());
+        for (ServerLoad server : servers) {
+            if (candidates.isUsable(server)) {
+                usable.add(server);
+            }
+        }
+        return usable;
     }
 
     private Placement nowhere(PlacedRequest request, Candidates candidates, long nowNanos) {
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -106,11 +106,18 @@
      */
     public Optional<ServerChoice> choose(
             List<ServerLoad> usable, PlacedRequest request, long nowNanos) {
-        List<Preference> preferences = preferences(usable, request);
-        if (preferences.isEmpty()) {
+        if (usable.isEmpty()) {
             return Optional.empty();
         }
-        double perHome = perHome(preferences);
+        double perHome = perHome(usable);
+        ServerChoice home = best(homes(usable, request), perHome, nowNanos);
+        if (home.score() >= -strangerPenalty(mSettings.homes(), perHome)) {
+            return Optional.of(home);
+        }
+        return Optional.of(best(preferences(usable, request), perHome, nowNanos));
+    }
+
+    private ServerChoice best(List<Preference> preferences, double perHome, long nowNanos) {
         ServerLoad best = null;
         double bestScore = 0;
         for (int rank = 0; rank < preferences.size(); rank++) {
@@ -121,7 +128,7 @@
                 bestScore = score;
             }
         }
-        return Optional.of(new ServerChoice(best, bestScore));
+        return new ServerChoice(best, bestScore);
     }
 
     /**
@@ -135,7 +142,7 @@
     public List<ServerChoice> ranked(
             List<ServerLoad> usable, PlacedRequest request, long nowNanos) {
         List<Preference> preferences = preferences(usable, request);
-        double perHome = perHome(preferences);
+        double perHome = perHome(usable);
         List<ServerChoice> choices = new ArrayList<>(preferences.size());
         for (int rank = 0; rank < preferences.size(); rank++) {
             ServerLoad server = preferences.get(rank).load();
@@ -156,9 +163,7 @@
      */
     public Optional<ServerChoice> otherHome(
             List<ServerLoad> usable, PlacedRequest request, ServerLoad chosen, long nowNanos) {
-        List<Preference> preferences = preferences(usable, request);
-        int homes = Math.min(mSettings.homes(), preferences.size());
-        return preferences.subList(0, homes).stream()
+        return homes(usable, request).stream()
                 .map(Preference::load)
                 .filter(home -> home != chosen)
                 .map(home -> new ServerChoice(home, -loadPenalty(home, nowNanos)))
@@ -176,6 +181,27 @@
         return preferences;
     }
 
+    /** Gives the first of the preferences alone, without sorting the others. */
+    private List<Preference> homes(List<ServerLoad> usable, PlacedRequest request) {
+        int rounds = mSizes.furtherRounds(request.route().id());
+        int count = Math.min(mSettings.homes(), usable.size());
+        List<Preference> homes = new ArrayList<>(count + 1);
+        for (ServerLoad server : usable) {
+            double value = preference(server, request.keyHash(), rounds);
+            int rank = homes.size();
+            while (rank > 0 && homes.get(rank - 1).value() < value) {
+                rank--;
+            }
+            if (rank < count) {
+                homes.add(rank, new Preference(server, value));
+                if (homes.size() > count) {
+                    homes.remove(count);
+                }
+            }
+        }
+        return homes;
+    }
+
     private double score(ServerLoad server, int rank, double perHome, long nowNanos) {
         return -rankPenalty(rank, perHome)
                 - mSettings.zonePenalty(server.distance())
@@ -200,15 +226,20 @@
         if (rank < mSettings.homes()) {
             return rank * perHome;
         }
+        return strangerPenalty(rank, perHome);
+    }
+
+    /** Gives the least penalty of servers from a rank on that do not hold the object. */
+    private double strangerPenalty(int rank, double perHome) {
         return Math.max(mSettings.cacheMiss(), perHome) + rank * mSettings.perHome();
     }
 
     /** Gives the penalty of each further home, the same for all servers of one service. */
-    private double perHome(List<Preference> preferences) {
-        if (preferences.isEmpty()) {
+    private double perHome(List<ServerLoad> servers) {
+        if (servers.isEmpty()) {
             return mSettings.perHome();
         }
-        CacheMissCost cost = mCacheMissCosts.get(preferences.get(0).load().server().service());
+        CacheMissCost cost = mCacheMissCosts.get(servers.get(0).server().service());
         double miss = cost == null ? mSettings.cacheMiss() : cost.value();
         return Math.max(mSettings.perHome(), FETCHED_AND_EVICTED * miss);
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -98,7 +98,7 @@
      * @return whether it is evacuated
      */
     public boolean isEvacuated(ZoneId zone) {
-        return mEvacuated.contains(zone);
+        return !mEvacuated.isEmpty() && mEvacuated.contains(zone);
     }
 
     /**
--- /dev/null
+++ b/masticpond-core/src/test/java/io/masticpond/core/limit/PeerMediansTest.java
@@ -0,0 +1,44 @@
+package io.masticpond.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** The medians are those that sorting the others anew for each server would give. */
+class PeerMediansTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    @Property(seed = "12", tries = 300)
+    void eachIsTheMedianOfTheOthers(@ForAll @IntRange(min = 1, max = 40) int size) {
+        Random random = new Random(size);
+        List<CallTally> all = new ArrayList<>();
+        for (int server = 0; server < size; server++) {
+            CallTally tally = new CallTally(SECOND, 0);
+            for (int call = random.nextInt(3); call > 0; call--) {
+                tally.succeeded((1 + random.nextInt(3)) * SECOND, 0);
+            }
+            all.add(tally);
+        }
+        PeerMedians medians = new PeerMedians(all, CallTally::successes, CallTally::meanNanos);
+        for (CallTally tally : all) {
+            assertThat(Double.valueOf(medians.without(tally))).isEqualTo(sorted(tally, all));
+        }
+    }
+
+    private static Double sorted(CallTally tally, List<CallTally> all) {
+        double[] others =
+                all.stream()
+                        .filter(each -> each != tally && each.successes() >= 1)
+                        .mapToDouble(CallTally::meanNanos)
+                        .toArray();
+        Arrays.sort(others);
+        return others.length == 0 ? Double.NaN : others[(others.length - 1) / 2];
+    }
+}
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
@@ -20,6 +20,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -103,6 +104,24 @@
         return (double) left / KEYS;
     }
 
+    @Example
+    void choiceIsTheBestOfAllWhateverTheLoads() {
+        Random random = new Random(31);
+        for (int round = 0; round < 400; round++) {
+            answers(random.nextInt(20), random.nextInt(20));
+            List<ServerLoad> servers = region(round % 2);
+            servers = servers.subList(0, 1 + random.nextInt(servers.size()));
+            for (ServerLoad server : servers) {
+                for (int sent = random.nextInt(30) - 8; sent > 0; sent--) {
+                    server.began();
+                }
+            }
+            PlacedRequest request = request(random.nextInt());
+            assertThat(mChooser.choose(servers, request, 0))
+                    .contains(mChooser.ranked(servers, request, 0).get(0));
+        }
+    }
+
     private void answers(int quick, int slow) {
         for (int each = 0; each < quick + slow; each++) {
             mChooser.answeredIn(new ServiceId("service"), each < quick ? 100 + each % 20 : 400);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -117,10 +117,10 @@
         if (mFlow.servers().isEvacuated(load.server().zone())) {
             return Exclusion.EVACUATED;
         }
-        if (mTried.contains(load.server().id())) {
+        if (!mTried.isEmpty() && mTried.contains(load.server().id())) {
             return Exclusion.TRIED;
         }
-        if (mWithoutPermit.contains(load.server().id())) {
+        if (!mWithoutPermit.isEmpty() && mWithoutPermit.contains(load.server().id())) {
             return Exclusion.COLD;
         }
         if (load.isAvoided(now)) {
