Call authentication, freshness and reports of rates by the terms of the field

Cause: WorkspaceDoor with enter, barred and proven, a package 'currency', tell, heard and asked were words of our own; readers looked for money. Ruled out: renaming the older classes of loads and crashes in the same change, which share a vocabulary of messages (tell, hear) with their codecs. Change: WorkspaceAuthenticator (authenticate, rejection, recordProof), package freshness, report, received and demand for rates, publish and received for limits of servers; constants that name what they bound. Conclusion: loads and crashes still say tell and heard.

--- a/masticpond-core/src/main/java/io/masticpond/core/currency/CurrencyKeeper.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/freshness/FreshnessKeeper.java
@@ -1,4 +1,4 @@
-package io.masticpond.core.currency;
+package io.masticpond.core.freshness;
 
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.Moment;
@@ -15,7 +15,7 @@
  *
  * @since 0.2
  */
-public final class CurrencyKeeper {
+public final class FreshnessKeeper {
 
     /** The age at which the first of a region renews its proof. */
     static final Duration RENEWAL = Duration.ofMillis(900);
@@ -37,8 +37,8 @@
     /** The age from which peers of other regions are asked too. */
     private static final Duration FAR = Duration.ofMillis(1_800);
 
-    private CurrencyProof mHeld;
-    private CurrencyProof mWaiting;
+    private FreshnessProof mHeld;
+    private FreshnessProof mWaiting;
     private long mInForce;
     private Moment mRead;
 
@@ -48,7 +48,7 @@
      * @param proof the proof
      * @param now the present moment
      */
-    public void take(CurrencyProof proof, Moment now) {
+    public void take(FreshnessProof proof, Moment now) {
         Assert.notNull(proof, "A proof");
         if (proof.revision() <= mInForce) {
             mHeld = younger(mHeld, proof, now);
@@ -71,7 +71,7 @@
         }
     }
 
-    private static CurrencyProof younger(CurrencyProof one, CurrencyProof other, Moment now) {
+    private static FreshnessProof younger(FreshnessProof one, FreshnessProof other, Moment now) {
         return one == null || other.ageNanos(now) < one.ageNanos(now) ? other : one;
     }
 
@@ -80,7 +80,7 @@
      *
      * @return the proof, if there ever was one
      */
-    public Optional<CurrencyProof> held() {
+    public Optional<FreshnessProof> held() {
         return Optional.ofNullable(mHeld);
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/currency/CurrencyProof.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/freshness/FreshnessProof.java
@@ -1,4 +1,4 @@
-package io.masticpond.core.currency;
+package io.masticpond.core.freshness;
 
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.Moment;
@@ -11,10 +11,10 @@
  * @param revision the revision of the document that the store then held, 0 if it held none
  * @since 0.2
  */
-public record CurrencyProof(Moment moment, long revision) {
+public record FreshnessProof(Moment moment, long revision) {
 
     /** Checks the parts. */
-    public CurrencyProof {
+    public FreshnessProof {
         Assert.notNull(moment, "A moment");
         Assert.notNegative(revision, "A revision");
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/RateTotals.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/RateTotals.java
@@ -60,7 +60,7 @@
      * @param uses its use by the hash of the workspace
      * @param nowNanos the monotonic time
      */
-    public void told(InstanceId instance, int part, Map<Integer, RateUse> uses, long nowNanos) {
+    public void received(InstanceId instance, int part, Map<Integer, RateUse> uses, long nowNanos) {
         mInstances.put(new Part<>(instance, part), new Told(new Sum(uses, 1), nowNanos));
     }
 
@@ -72,7 +72,7 @@
      * @param sum the use of its instances
      * @param nowNanos the monotonic time
      */
-    public void told(ZoneId zone, int part, Sum sum, long nowNanos) {
+    public void received(ZoneId zone, int part, Sum sum, long nowNanos) {
         mZones.put(new Part<>(zone, part), new Told(sum, nowNanos));
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/limit/SharedRate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/SharedRate.java
@@ -52,16 +52,16 @@
      * The part of what the rate had left lately that instances may take besides: what comes to one
      * instance is uneven, and so much fits into the bound.
      */
-    private static final double SPARE = 0.5;
+    private static final double SPARE_PART = 0.5;
 
     /** What is taken besides comes back no sooner than it would show in the credit. */
     private static final double SPARE_SECONDS = 2;
 
     /** The weight of the newest second in the demand of some seconds. */
-    private static final double NEWEST = 0.06;
+    private static final double NEWEST_WEIGHT = 0.06;
 
     /** The part of the capacity from which on the credit is ample. */
-    private static final double AMPLE = 0.5;
+    private static final double AMPLE_CREDIT_PART = 0.5;
 
     /** What was sent is told soon, over the time between two words of a zone. */
     private static final int USED_STEPS = 4;
@@ -78,8 +78,8 @@
     private RateUse mOthers = RateUse.NONE;
     private int mHeardOf;
     private int mMostHeardOf;
-    private double mTold;
-    private double mToldBefore;
+    private double mReported;
+    private double mReportedBefore;
     private double mUsual;
     private double mOwn = LEAST_DEMAND;
     private int mInstances;
@@ -138,7 +138,7 @@
      * @param heardOf how many of them are in that sum
      * @param nowNanos the monotonic time
      */
-    public void heard(RateUse others, int heardOf, long nowNanos) {
+    public void received(RateUse others, int heardOf, long nowNanos) {
         boolean isIdle = others.isNone() && mOthers.isNone() && mHeardOf == heardOf;
         if (!isIdle) {
             update(nowNanos);
@@ -147,7 +147,7 @@
         mHeardOf = heardOf;
         mMostHeardOf = Math.max(mMostHeardOf, heardOf);
         mHeardNanos = nowNanos;
-        mOwn = Math.max(LEAST_DEMAND, Math.max(Math.min(mTold, mToldBefore), mUsual));
+        mOwn = Math.max(LEAST_DEMAND, Math.max(Math.min(mReported, mReportedBefore), mUsual));
     }
 
     /**
@@ -156,11 +156,11 @@
      * @param nowNanos the monotonic time
      * @return its use
      */
-    public RateUse tell(long nowNanos) {
+    public RateUse report(long nowNanos) {
         RateUse own = new RateUse(mUsed.perSecond(nowNanos), mAsked.perSecond(nowNanos));
-        mToldBefore = mTold;
-        mTold = own.asked();
-        mUsual += NEWEST * (mTold - mUsual);
+        mReportedBefore = mReported;
+        mReported = own.demand();
+        mUsual += NEWEST_WEIGHT * (mReported - mUsual);
         return own;
     }
 
@@ -223,7 +223,7 @@
      * @return the requests a second that come to all instances within reach
      */
     public double demand(long nowNanos) {
-        return mOthers.asked() + mAsked.perSecond(nowNanos);
+        return mOthers.demand() + mAsked.perSecond(nowNanos);
     }
 
     /**
@@ -265,9 +265,9 @@
 
     /** Gives this instance's part of what may be taken besides, while the credit is ample. */
     private double spare(double rest, long nowNanos) {
-        double ample = Math.max(0, Math.min(1, usable() / (AMPLE * capacity())));
+        double ample = Math.max(0, Math.min(1, usable() / (AMPLE_CREDIT_PART * capacity())));
         double unused = Math.max(0, rest - demand(nowNanos)) * mSettings.seconds();
-        return SPARE * ample * unused * (share() + 1.0 / mInstances) / 2;
+        return SPARE_PART * ample * unused * (share() + 1.0 / mInstances) / 2;
     }
 
     /**
@@ -287,7 +287,7 @@
 
     /** Gives this instance's share of the demand, its own as the others knew it at last. */
     private double share() {
-        return mOwn / (mOwn + mOthers.asked());
+        return mOwn / (mOwn + mOthers.demand());
     }
 
     /** Gives the credit of those that hear of each other. */
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitOutput.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitOutput.java
@@ -21,7 +21,7 @@
      *
      * @param report what the answer said
      */
-    void tell(LimitReport report);
+    void publish(LimitReport report);
 
     /**
      * A server has named something that is no limit, for the first time.
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitReport.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitReport.java
@@ -9,16 +9,16 @@
  * @param perSecond the requests a second that it takes from all instances; infinite if it has
  *     lifted its limit
  * @param sentAgoNanos how long ago the request was sent whose answer said so
- * @param heardAgoNanos how long ago that answer arrived
+ * @param receivedAgoNanos how long ago that answer arrived
  * @since 0.2
  */
 public record LimitReport(
-        long serverHash, double perSecond, long sentAgoNanos, long heardAgoNanos) {
+        long serverHash, double perSecond, long sentAgoNanos, long receivedAgoNanos) {
 
     /** Checks that the parts are in range. */
     public LimitReport {
         Assert.isTrue(perSecond >= 0, "A limit must not be negative, but was %s.", perSecond);
-        Assert.notNegative(heardAgoNanos, "An age");
-        Assert.isTrue(sentAgoNanos >= heardAgoNanos, "A request is sent before its answer.");
+        Assert.notNegative(receivedAgoNanos, "An age");
+        Assert.isTrue(sentAgoNanos >= receivedAgoNanos, "A request is sent before its answer.");
     }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitStatement.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitStatement.java
@@ -8,9 +8,9 @@
  *
  * @param perSecond the limit, infinite if the answer named none
  * @param sentNanos the monotonic time at which the request was sent
- * @param heardNanos the monotonic time at which the answer arrived
+ * @param receivedNanos the monotonic time at which the answer arrived
  */
-record LimitStatement(double perSecond, long sentNanos, long heardNanos) {
+record LimitStatement(double perSecond, long sentNanos, long receivedNanos) {
 
     boolean isLimited() {
         return Double.isFinite(perSecond);
@@ -18,7 +18,7 @@
 
     /** Tells whether this one was made after another, with a margin for differing clocks. */
     boolean isAfter(LimitStatement other, long marginNanos) {
-        return sentNanos - other.heardNanos > marginNanos;
+        return sentNanos - other.receivedNanos > marginNanos;
     }
 
     /** Joins two that may have been made in either order: the lower limit counts. */
@@ -27,7 +27,7 @@
             return new LimitStatement(
                     perSecond,
                     later(sentNanos, other.sentNanos),
-                    later(heardNanos, other.heardNanos));
+                    later(receivedNanos, other.receivedNanos));
         }
         return perSecond < other.perSecond ? this : other;
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitedServer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitedServer.java
@@ -14,7 +14,7 @@
     LimitStatement mStatement;
 
     /** When the statement's answer arrived, by both clocks. */
-    Moment mHeard;
+    Moment mReceived;
 
     boolean mIsOwn;
 
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/ServerLimits.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/ServerLimits.java
@@ -128,8 +128,8 @@
      * @param now the present moment
      * @return whether that was news
      */
-    public boolean heard(RegisteredServer server, LimitReport report, Moment now) {
-        if (report.heardAgoNanos() > mSettings.memory().toNanos()) {
+    public boolean received(RegisteredServer server, LimitReport report, Moment now) {
+        if (report.receivedAgoNanos() > mSettings.memory().toNanos()) {
             return false;
         }
         long nowNanos = now.monotonicNanos();
@@ -137,8 +137,8 @@
                 new LimitStatement(
                         report.perSecond(),
                         nowNanos - report.sentAgoNanos(),
-                        nowNanos - report.heardAgoNanos());
-        Moment heard = now.minusNanos(report.heardAgoNanos());
+                        nowNanos - report.receivedAgoNanos());
+        Moment heard = now.minusNanos(report.receivedAgoNanos());
         return take(server, said, heard, false, nowNanos);
     }
 
@@ -164,8 +164,8 @@
         }
         boolean wasLimited = before != null && before.isLimited();
         state.mStatement = now;
-        if (now.heardNanos() == said.heardNanos()) {
-            state.mHeard = heard;
+        if (now.receivedNanos() == said.receivedNanos()) {
+            state.mReceived = heard;
             state.mIsOwn = isOwn;
         }
         place(state, nowNanos);
@@ -198,14 +198,14 @@
         state.mReported = limit;
         mOutput.changed(belief(state, nowNanos));
         if (state.mIsOwn) {
-            mOutput.tell(report(state, 0));
+            mOutput.publish(report(state, 0));
         }
         return true;
     }
 
     private static LimitReport report(LimitedServer state, long agoNanos) {
         LimitStatement statement = state.mStatement;
-        long took = Math.max(0, statement.heardNanos() - statement.sentNanos());
+        long took = Math.max(0, statement.receivedNanos() - statement.sentNanos());
         long hash = HashMixer.hash(state.mServer.id().value());
         return new LimitReport(hash, statement.perSecond(), agoNanos + took, agoNanos);
     }
@@ -230,7 +230,7 @@
     /** Tells whether a limit is in force: one that nothing has confirmed for long is not. */
     private boolean isLimited(LimitedServer state, long nowNanos) {
         return state.isLimited()
-                && nowNanos - state.mStatement.heardNanos() <= mSettings.memory().toNanos();
+                && nowNanos - state.mStatement.receivedNanos() <= mSettings.memory().toNanos();
     }
 
     /**
@@ -317,7 +317,7 @@
         mServers.values().removeIf(each -> isOver(each, now.monotonicNanos()));
         List<LimitReport> reports = new ArrayList<>();
         for (LimitedServer each : mServers.values()) {
-            long agoNanos = Math.max(0, each.mHeard.nanosUntil(now));
+            long agoNanos = Math.max(0, each.mReceived.nanosUntil(now));
             if (agoNanos <= memory) {
                 reports.add(report(each, agoNanos));
             }
@@ -361,7 +361,7 @@
                 state.mServer.service(),
                 state.mStatement.perSecond(),
                 state.mIsOwn,
-                Math.max(0, nowNanos - state.mStatement.heardNanos()),
+                Math.max(0, nowNanos - state.mStatement.receivedNanos()),
                 state.isLimited() ? state.mSenders : 0,
                 isSender ? state.mPerSecond : 0);
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/support/Assert.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/support/Assert.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 
 /**
- * Checks arguments at the door and fails with a full sentence.
+ * Checks arguments on arrival and fails with a full sentence.
  *
  * <p>All methods throw {@link IllegalArgumentException}; none accepts or returns {@code null}
  * unless it says so.
--- a/masticpond-core/src/test/java/io/masticpond/core/currency/CurrencyKeeperTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/freshness/FreshnessKeeperTest.java
@@ -1,4 +1,4 @@
-package io.masticpond.core.currency;
+package io.masticpond.core.freshness;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,10 +10,10 @@
 import net.jqwik.api.Example;
 
 /** Proofs only ever look as old as they are, or older. */
-class CurrencyKeeperTest {
+class FreshnessKeeperTest {
 
     private final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
-    private final CurrencyKeeper mKeeper = new CurrencyKeeper();
+    private final FreshnessKeeper mKeeper = new FreshnessKeeper();
 
     private Moment now() {
         return Moment.of(mTime);
@@ -24,7 +24,7 @@
     }
 
     private void prove(long revision) {
-        mKeeper.take(new CurrencyProof(now(), revision), now());
+        mKeeper.take(new FreshnessProof(now(), revision), now());
     }
 
     @Example
@@ -43,7 +43,7 @@
         Moment early = now();
         mTime.advance(Duration.ofSeconds(2));
         prove(5);
-        mKeeper.take(new CurrencyProof(early, 5), now());
+        mKeeper.take(new FreshnessProof(early, 5), now());
         assertThat(ageMillis()).isZero();
     }
 
@@ -68,7 +68,7 @@
     void secondOfRegionReadsOnlyWhenTheFirstHasNot() {
         mKeeper.inForce(5, now());
         prove(5);
-        mTime.advance(CurrencyKeeper.RENEWAL);
+        mTime.advance(FreshnessKeeper.RENEWAL);
         assertThat(mKeeper.mustRead(1, now())).as("the first does").isFalse();
         mTime.advance(Duration.ofSeconds(1));
         assertThat(mKeeper.mustRead(1, now())).as("the first has not").isTrue();
--- a/masticpond-core/src/test/java/io/masticpond/core/serverlimit/LimitFleet.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/serverlimit/LimitFleet.java
@@ -128,7 +128,7 @@
 
         private void serve(long run, long sent) {
             boolean wasTold = run == mRun && mNowNanos - mToldNanos > TOLD_BEFORE_NANOS;
-            mReceived.add(new Received(mNowNanos, wasTold));
+            mArrived.add(new Received(mNowNanos, wasTold));
             long work = (long) (WORK_NANOS * (0.5 + mRandom.nextDouble()));
             after(
                     work,
@@ -153,7 +153,7 @@
         }
 
         @Override
-        public void tell(LimitReport report) {
+        public void publish(LimitReport report) {
             after(
                     BUNDLE_NANOS,
                     () -> mInstances.stream().filter(e -> e != this).forEach(e -> send(e, report)));
@@ -171,7 +171,7 @@
                     onTheWay(),
                     () -> {
                         if (to.isActing()) {
-                            to.mLimits.heard(mServer, report, to.moment());
+                            to.mLimits.received(mServer, report, to.moment());
                         }
                     });
         }
@@ -229,7 +229,7 @@
                     4,
                     false,
                     0);
-    private final List<Received> mReceived = new ArrayList<>();
+    private final List<Received> mArrived = new ArrayList<>();
     private LimitHeader mNamed = LimitHeader.ABSENT;
     private double mLost;
     private boolean mIsCut;
@@ -322,7 +322,7 @@
 
     /** Counts what reached the server since a time. */
     long received(double fromSeconds) {
-        return mReceived.stream().filter(each -> each.nanos() >= fromSeconds * 1e9).count();
+        return mArrived.stream().filter(each -> each.nanos() >= fromSeconds * 1e9).count();
     }
 
     /** Gives the fullest window since a time, as a part of what users allow. */
@@ -338,7 +338,7 @@
     private double worst(double fromSeconds, double limit, Predicate<Received> which) {
         long window = ServerLimitSettings.DEFAULT.window().toNanos();
         List<Long> times =
-                mReceived.stream()
+                mArrived.stream()
                         .filter(which)
                         .map(Received::nanos)
                         .filter(nanos -> nanos >= fromSeconds * 1e9)
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -76,7 +76,7 @@
                 limits.budgets(nowNanos),
                 flow.spending().map(SpendingCheck::views).orElse(List.of()),
                 flow.crashes().beliefs(),
-                WorkspaceSnapshot.take(flow.door(), nowNanos));
+                WorkspaceSnapshot.take(flow.authenticator(), nowNanos));
     }
 
     private static ServerSnapshot snapshot(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/WorkspaceSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/WorkspaceSnapshot.java
@@ -5,7 +5,7 @@
 import io.masticpond.core.limit.SharedRates;
 import io.masticpond.core.workspace.Workspace;
 import io.masticpond.entry.log.RequestRecord;
-import io.masticpond.entry.request.WorkspaceDoor;
+import io.masticpond.entry.request.WorkspaceAuthenticator;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -28,10 +28,10 @@
     record Line(Workspace workspace, double credit, double demand) {}
 
     /** Takes the snapshot, on the traffic thread. */
-    static WorkspaceSnapshot take(WorkspaceDoor door, long nowNanos) {
+    static WorkspaceSnapshot take(WorkspaceAuthenticator authenticator, long nowNanos) {
         List<Line> lines = new ArrayList<>();
-        SharedRates rates = door.rates();
-        for (Workspace each : door.workspaces().all()) {
+        SharedRates rates = authenticator.rates();
+        for (Workspace each : authenticator.workspaces().all()) {
             boolean isLimited = rates.isLimited(each.id());
             lines.add(
                     new Line(
@@ -40,7 +40,8 @@
                             isLimited ? rates.demand(each.id(), nowNanos) : 0));
         }
         lines.sort(Comparator.comparing(line -> line.workspace().id()));
-        return new WorkspaceSnapshot(door.isProven(), door.proofAgeNanos(), lines);
+        return new WorkspaceSnapshot(
+                authenticator.isProven(), authenticator.proofAgeNanos(), lines);
     }
 
     void write(ObjectNode document) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/LimitReportCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/LimitReportCodec.java
@@ -45,7 +45,7 @@
         int count = Math.min(MOST_REPORTS, content.reports().size());
         for (LimitReport each : content.reports().subList(0, count)) {
             out.writeLong(each.serverHash()).writeDouble(each.perSecond());
-            out.writeInt(millis(each.sentAgoNanos())).writeInt(millis(each.heardAgoNanos()));
+            out.writeInt(millis(each.sentAgoNanos())).writeInt(millis(each.receivedAgoNanos()));
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/RateCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/RateCodec.java
@@ -9,7 +9,7 @@
 /**
  * The layout of datagrams about the rates of workspaces: a version byte, the kind, which part of
  * how many this is, over how many instances it goes, and for each workspace its hash and what is
- * used and asked, in tenths of a request a second. A workspace belongs to the part that its hash
+ * used and demand, in tenths of a request a second. A workspace belongs to the part that its hash
  * gives; one that is not listed is not in use.
  *
  * @since 0.2
@@ -80,7 +80,7 @@
             if (part.covers(each.getKey()) && left-- > 0) {
                 out.writeInt(each.getKey());
                 out.writeShort(steps(each.getValue().used()));
-                out.writeShort(steps(each.getValue().asked()));
+                out.writeShort(steps(each.getValue().demand()));
             }
         }
     }
@@ -110,8 +110,8 @@
         while (in.readableBytes() >= ENTRY_BYTES) {
             int hash = in.readInt();
             double used = in.readUnsignedShort() / STEPS;
-            double asked = in.readUnsignedShort() / STEPS;
-            uses.put(hash, new RateUse(used, asked));
+            double demand = in.readUnsignedShort() / STEPS;
+            uses.put(hash, new RateUse(used, demand));
         }
         return Optional.of(new Part(Kind.values()[kind], part, parts, instances, uses));
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
@@ -1,6 +1,6 @@
 package io.masticpond.entry.replica;
 
-import io.masticpond.core.currency.CurrencyProof;
+import io.masticpond.core.freshness.FreshnessProof;
 import io.masticpond.core.time.Moment;
 import io.vavr.control.Either;
 import java.util.function.Consumer;
@@ -18,7 +18,7 @@
     private final CategoryCopy mCopy;
     private final RoutingTable mTable;
     private final Runnable mApplied;
-    private Consumer<CurrencyProof> mProven = proof -> {};
+    private Consumer<FreshnessProof> mProven = proof -> {};
 
     RoutingReader(ReplicaContext context, CategoryCopy copy, RoutingTable table, Runnable applied) {
         mContext = context;
@@ -32,7 +32,7 @@
      *
      * @param listener the listener, on the control thread
      */
-    public void whenProven(Consumer<CurrencyProof> listener) {
+    public void whenProven(Consumer<FreshnessProof> listener) {
         mProven = listener;
     }
 
@@ -77,6 +77,6 @@
 
     /** Hears that the copy has taken a list that was asked for at a moment. */
     void listed(Moment before) {
-        mProven.accept(new CurrencyProof(before, mCopy.contentRevision()));
+        mProven.accept(new FreshnessProof(before, mCopy.contentRevision()));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/Caller.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/Caller.java
@@ -14,7 +14,7 @@
     Optional<WorkspaceId> workspace();
 
     /** Says, before each send, why the request must not be sent any more, if so. */
-    Optional<Rejection> barred();
+    Optional<Rejection> rejection();
 
     /** Counts a send, the first or a further one. */
     void sent(long nowNanos);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -51,7 +51,7 @@
     private final Function<Route, ServiceId> mSplit;
     private final IntSupplier mShareholders;
     private final Optional<SpendingCheck> mSpending;
-    private final WorkspaceDoor mDoor;
+    private final WorkspaceAuthenticator mAuthenticator;
     private final ServerLimitGate mServerLimits;
     private final DecisionLog mLog;
     private final EntryAnswers mAnswers;
@@ -77,7 +77,7 @@
      * @param split picks a service of a route
      * @param shareholders among how many instances common limits are divided
      * @param spending pays for attempts, if spending has a cap
-     * @param door lets in the callers of workspaces
+     * @param authenticator lets in the callers of workspaces
      * @param serverLimits keeps the limits that servers name
      * @param log takes what was decided
      */
@@ -93,7 +93,7 @@
             Function<Route, ServiceId> split,
             IntSupplier shareholders,
             Optional<SpendingCheck> spending,
-            WorkspaceDoor door,
+            WorkspaceAuthenticator authenticator,
             ServerLimitGate serverLimits,
             DecisionLog log) {
         mEventLoop = Assert.notNull(eventLoop, "An event loop");
@@ -107,7 +107,7 @@
         mSplit = Assert.notNull(split, "A split among services");
         mShareholders = Assert.notNull(shareholders, "A count of shareholders");
         mSpending = Assert.notNull(spending, "A check of spending");
-        mDoor = Assert.notNull(door, "A door");
+        mAuthenticator = Assert.notNull(authenticator, "An authenticator");
         mServerLimits = Assert.notNull(serverLimits, "A gate of server limits");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
@@ -128,7 +128,7 @@
             mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
         mPlacer.chooser().judge().retain(state.snapshot().servers().keySet());
-        state.snapshot().routing().ifPresent(mDoor::update);
+        state.snapshot().routing().ifPresent(mAuthenticator::update);
         mKnewServers |= !state.snapshot().servers().isEmpty();
         if (isReady()) {
             mHeld.release(this::decide);
@@ -223,7 +223,7 @@
             refuse(request, responder, facts, Rejection.wrong("no-route", NOT_FOUND));
             return;
         }
-        Either<Rejection, Caller> caller = mDoor.enter(request, route.get(), facts);
+        Either<Rejection, Caller> caller = mAuthenticator.authenticate(request, route.get(), facts);
         if (caller.isLeft()) {
             long target = route.get().targetLatency().toMillis();
             facts.routed(route.get().id(), null, target, request.beginNanos());
@@ -334,10 +334,10 @@
     /**
      * Gives what lets in the callers of workspaces.
      *
-     * @return the door
+     * @return the authenticator
      */
-    public WorkspaceDoor door() {
-        return mDoor;
+    public WorkspaceAuthenticator authenticator() {
+        return mAuthenticator;
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -109,7 +109,7 @@
     }
 
     private void attempt() {
-        if (endIfBarred()) {
+        if (endIfRejected()) {
             return;
         }
         long now = mFlow.nowNanos();
@@ -255,9 +255,9 @@
     }
 
     /** Servers end under requests like this one, or its key or the proof of it has gone. */
-    private boolean endIfBarred() {
+    private boolean endIfRejected() {
         if (!mDone) {
-            mCrashCheck.rejection().or(mCaller::barred).ifPresent(this::endRejected);
+            mCrashCheck.rejection().or(mCaller::rejection).ifPresent(this::endRejected);
         }
         return mDone;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerLimitGate.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerLimitGate.java
@@ -78,7 +78,7 @@
      *
      * @param outlet carries them
      */
-    public void tellBy(Consumer<LimitReport> outlet) {
+    public void publishTo(Consumer<LimitReport> outlet) {
         mOutlet = Assert.notNull(outlet, "An outlet");
     }
 
@@ -92,7 +92,7 @@
     }
 
     /** Looks which instances there are now; to be called often. */
-    public void look() {
+    public void refreshInstances() {
         mLimits.instances(mInstances.get(), mShareholders.getAsInt(), now());
     }
 
@@ -103,12 +103,12 @@
      * @param reports what it told
      * @return the reports that were news
      */
-    public List<LimitReport> heard(ServerTable servers, List<LimitReport> reports) {
+    public List<LimitReport> received(ServerTable servers, List<LimitReport> reports) {
         List<LimitReport> news = new ArrayList<>();
         Moment now = Moment.of(mTimeSource);
         for (LimitReport each : reports) {
             ServerLoad load = servers.byHash(each.serverHash());
-            if (load != null && mLimits.heard(load.server(), each, now)) {
+            if (load != null && mLimits.received(load.server(), each, now)) {
                 news.add(each);
             }
         }
@@ -193,7 +193,7 @@
         }
 
         @Override
-        public void tell(LimitReport report) {
+        public void publish(LimitReport report) {
             mOutlet.accept(report);
         }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceDoor.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
@@ -27,7 +27,7 @@
  *
  * @since 0.2
  */
-public final class WorkspaceDoor {
+public final class WorkspaceAuthenticator {
 
     private static final String UNPROVEN = "unproven-keys";
 
@@ -46,7 +46,7 @@
     private Moment mProof;
 
     /**
-     * Makes a door that knows no workspace.
+     * Makes an authenticator that knows no workspace.
      *
      * @param names the names of the headers
      * @param timeSource the clocks
@@ -54,7 +54,7 @@
      * @param rates the rates of the workspaces
      * @param draws random numbers from 0 up to 1
      */
-    public WorkspaceDoor(
+    public WorkspaceAuthenticator(
             HeaderNames names,
             TimeSource timeSource,
             WorkspaceSettings settings,
@@ -95,7 +95,7 @@
      *
      * @param moment the moment of which it is proven
      */
-    public void proven(Moment moment) {
+    public void recordProof(Moment moment) {
         mProof = moment;
     }
 
@@ -142,7 +142,8 @@
     }
 
     /** Finds whose request it is, or says why it is not let in. */
-    Either<Rejection, Caller> enter(IncomingRequest request, Route route, RequestRecord facts) {
+    Either<Rejection, Caller> authenticate(
+            IncomingRequest request, Route route, RequestRecord facts) {
         if (mWorkspaces.isEmpty() || route.keyless()) {
             return Either.right(new Open(route));
         }
@@ -205,7 +206,7 @@
         }
 
         @Override
-        public Optional<Rejection> barred() {
+        public Optional<Rejection> rejection() {
             return Optional.empty();
         }
 
@@ -237,7 +238,7 @@
         }
 
         @Override
-        public Optional<Rejection> barred() {
+        public Optional<Rejection> rejection() {
             if (!isProven()) {
                 return Optional.of(Rejection.unavailable(UNPROVEN, UNTIL_PROVEN));
             }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -20,7 +20,7 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.ServerLimitGate;
 import io.masticpond.entry.request.SpendingCheck;
-import io.masticpond.entry.request.WorkspaceDoor;
+import io.masticpond.entry.request.WorkspaceAuthenticator;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
@@ -54,12 +54,12 @@
 
         static final Keys NONE = new Keys(0, 0, RequestRecord.UNKNOWN, false);
 
-        static Keys of(WorkspaceDoor door) {
+        static Keys of(WorkspaceAuthenticator authenticator) {
             return new Keys(
-                    door.workspaces().all().size(),
-                    door.workspaces().keys(),
-                    door.proofAgeNanos(),
-                    door.isProven());
+                    authenticator.workspaces().all().size(),
+                    authenticator.workspaces().keys(),
+                    authenticator.proofAgeNanos(),
+                    authenticator.isProven());
         }
     }
 
@@ -130,7 +130,7 @@
                         crashes.stream().filter(each -> each.leftNanos() > 0).count(),
                         List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
                         mFlow.spending().map(SpendingCheck::views),
-                        Keys.of(mFlow.door()),
+                        Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.serverLimits()));
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
@@ -74,20 +74,20 @@
                     LimitReportCodec.Content told = LimitReportCodec.read(content);
                     mTraffic.execute(() -> hear(told));
                 });
-        mTraffic.execute(() -> mLimits.tellBy(report -> mControl.execute(() -> add(report))));
+        mTraffic.execute(() -> mLimits.publishTo(report -> mControl.execute(() -> add(report))));
         mTraffic.scheduleWithFixedDelay(
                 this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void hear(LimitReportCodec.Content told) {
-        List<LimitReport> news = mLimits.heard(mFlow.servers(), told.reports());
+        List<LimitReport> news = mLimits.received(mFlow.servers(), told.reports());
         if (told.passOn() && !news.isEmpty()) {
             mControl.execute(() -> tell(mPeers.ownZone(), false, news));
         }
     }
 
     private void look() {
-        mLimits.look();
+        mLimits.refreshInstances();
         List<LimitReport> reports = mLimits.reports();
         if (!reports.isEmpty()) {
             mControl.execute(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProofSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProofSharing.java
@@ -1,7 +1,7 @@
 package io.masticpond.entry.wiring;
 
-import io.masticpond.core.currency.CurrencyKeeper;
-import io.masticpond.core.currency.CurrencyProof;
+import io.masticpond.core.freshness.FreshnessKeeper;
+import io.masticpond.core.freshness.FreshnessProof;
 import io.masticpond.core.time.Moment;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.log.BeliefChange;
@@ -52,7 +52,7 @@
     private final PeerInstance mSelf;
     private final DecisionLog mLog;
     private final long mLimitNanos;
-    private final CurrencyKeeper mKeeper = new CurrencyKeeper();
+    private final FreshnessKeeper mKeeper = new FreshnessKeeper();
     private final Map<Long, Moment> mAsks = new LinkedHashMap<>();
     private List<PeerInstance> mAlive = List.of();
     private List<PeerInstance> mOrder = List.of();
@@ -105,7 +105,7 @@
     }
 
     private void answer(ProofCodec.Ask ask, ByteBuf out) {
-        CurrencyProof proof = mKeeper.held().orElse(null);
+        FreshnessProof proof = mKeeper.held().orElse(null);
         long age = proof == null ? Integer.MAX_VALUE : proof.ageNanos(now());
         ProofCodec.write(
                 new ProofCodec.Answer(
@@ -119,11 +119,11 @@
         Moment asked = mAsks.remove(answer.number());
         if (asked != null && answer.revision() > 0) {
             long age = TimeUnit.MILLISECONDS.toNanos(answer.ageMillis());
-            take(new CurrencyProof(asked.minusNanos(age), answer.revision()));
+            take(new FreshnessProof(asked.minusNanos(age), answer.revision()));
         }
     }
 
-    private void take(CurrencyProof proof) {
+    private void take(FreshnessProof proof) {
         mKeeper.take(proof, now());
         tell();
     }
@@ -193,10 +193,10 @@
     private void tell() {
         Moment now = now();
         mKeeper.inForce(mReader.revisionInForce(), now);
-        Moment proof = mKeeper.held().map(CurrencyProof::moment).orElse(null);
+        Moment proof = mKeeper.held().map(FreshnessProof::moment).orElse(null);
         if (proof != mToldProof) {
             mToldProof = proof;
-            mTraffic.execute(() -> mFlow.door().proven(proof));
+            mTraffic.execute(() -> mFlow.authenticator().recordProof(proof));
         }
         long age = proof == null ? RequestRecord.UNKNOWN : proof.nanosUntil(now);
         boolean isProven = proof != null && age <= mLimitNanos;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RateSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RateSharing.java
@@ -77,13 +77,13 @@
 
     /** Takes what this instance does, on the traffic thread. */
     private void tell() {
-        SharedRates rates = mFlow.door().rates();
+        SharedRates rates = mFlow.authenticator().rates();
         if (rates.isEmpty()) {
             return;
         }
         long now = mTimeSource.monotonicNanos();
         rates.instances(mPeers.shareholders(), now);
-        Map<Integer, RateUse> uses = rates.tell(now);
+        Map<Integer, RateUse> uses = rates.report(now);
         int parts = 1 + rates.size() / RateCodec.MOST_ENTRIES;
         mControl.execute(() -> tellAdders(uses, parts));
     }
@@ -107,7 +107,7 @@
 
     private void hearSelf(Map<Integer, RateUse> uses) {
         long now = mTimeSource.monotonicNanos();
-        mTotals.told(mSelf.id(), 0, uses, now);
+        mTotals.received(mSelf.id(), 0, uses, now);
         RateTotals.Sum others = mTotals.forInstance(mSelf.id(), 0, now);
         mTraffic.execute(() -> take(part(RateCodec.Kind.OTHERS, 0, 1, others)));
     }
@@ -126,7 +126,7 @@
         long now = mTimeSource.monotonicNanos();
         switch (part.kind()) {
             case INSTANCE -> {
-                mTotals.told(teller.id(), part.part(), part.uses(), now);
+                mTotals.received(teller.id(), part.part(), part.uses(), now);
                 RateTotals.Sum others = mTotals.forInstance(teller.id(), part.part(), now);
                 send(
                         List.of(teller),
@@ -134,7 +134,7 @@
             }
             case ZONE -> {
                 RateTotals.Sum sum = new RateTotals.Sum(part.uses(), part.instances());
-                mTotals.told(teller.zone(), part.part(), sum, now);
+                mTotals.received(teller.zone(), part.part(), sum, now);
             }
             case OTHERS -> mTraffic.execute(() -> take(part));
             default -> throw new IllegalStateException("The kind is unknown.");
@@ -143,7 +143,7 @@
 
     private void take(RateCodec.Part part) {
         long now = mTimeSource.monotonicNanos();
-        mFlow.door().rates().heard(part.uses(), part::covers, part.instances(), now);
+        mFlow.authenticator().rates().received(part.uses(), part::covers, part.instances(), now);
     }
 
     private void tellZones() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
@@ -63,7 +63,7 @@
                     mLimits.apply(settings.bounds());
                     mChooser.tune(settings.placement());
                     mFlow.crashes().tune(settings.crashes());
-                    mFlow.door().tune(settings.workspaces());
+                    mFlow.authenticator().tune(settings.workspaces());
                     mFlow.serverLimits().tune(settings.serverLimits());
                 });
         mNews.tell(ProcessChange.Kind.RELOADED, SettingsPart.tellChange(mSettings, settings));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -24,7 +24,7 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.ServerLimitGate;
 import io.masticpond.entry.request.SpendingCheck;
-import io.masticpond.entry.request.WorkspaceDoor;
+import io.masticpond.entry.request.WorkspaceAuthenticator;
 import io.masticpond.entry.settings.EntrySettings;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.channel.EventLoop;
@@ -94,9 +94,9 @@
 
     @Provides
     @Singleton
-    static WorkspaceDoor door(
+    static WorkspaceAuthenticator authenticator(
             HeaderNames names, TimeSource timeSource, EntrySettings settings, PeerInstance self) {
-        return new WorkspaceDoor(
+        return new WorkspaceAuthenticator(
                 names,
                 timeSource,
                 settings.workspaces(),
@@ -139,7 +139,7 @@
             PlatformAdapter platform,
             PeerInstance self,
             EntryMetrics metrics,
-            WorkspaceDoor door,
+            WorkspaceAuthenticator authenticator,
             ServerLimitGate serverLimits,
             @ControlThread EventLoop control,
             DecisionLog log) {
@@ -164,7 +164,7 @@
                         route -> split.choose(route).orElse(route.services().get(0).service()),
                         peers::shareholders,
                         spending,
-                        door,
+                        authenticator,
                         serverLimits,
                         log);
         flow.crashes().tune(settings.crashes());
--- a/masticpond-entry/src/test/java/io/masticpond/entry/peer/LimitReportCodecTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/LimitReportCodecTest.java
@@ -45,7 +45,7 @@
     void whateverArrivesIsReadAsSoundReportsOrNone(@ForAll byte[] bytes) {
         for (LimitReport each : LimitReportCodec.read(Unpooled.wrappedBuffer(bytes)).reports()) {
             assertThat(each.perSecond()).isNotNegative();
-            assertThat(each.sentAgoNanos()).isGreaterThanOrEqualTo(each.heardAgoNanos());
+            assertThat(each.sentAgoNanos()).isGreaterThanOrEqualTo(each.receivedAgoNanos());
         }
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -64,8 +64,8 @@
     Set<BackendServerId> mCold = Set.of();
     boolean mBudget = true;
     Optional<SpendingCheck> mSpending = Optional.empty();
-    WorkspaceDoor mDoor =
-            new WorkspaceDoor(
+    WorkspaceAuthenticator mAuthenticator =
+            new WorkspaceAuthenticator(
                     NAMES,
                     mTime,
                     WorkspaceSettings.DEFAULT,
@@ -112,7 +112,7 @@
                         route -> SERVICE,
                         () -> 1,
                         mSpending,
-                        mDoor,
+                        mAuthenticator,
                         mServerLimits,
                         mDecisions);
         flow.update(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
@@ -98,7 +98,7 @@
 
     private RequestFlow settled(boolean idempotent) {
         RequestFlow flow = flow(idempotent, 2);
-        flow.serverLimits().look();
+        flow.serverLimits().refreshInstances();
         passTime(Duration.ofSeconds(2));
         return flow;
     }
@@ -206,13 +206,13 @@
         }
         RequestFlow flow = settled(true);
         long hash = HashMixer.hash("server-0");
-        flow.serverLimits().heard(flow.servers(), List.of(new LimitReport(hash, 0.5, 0, 0)));
+        flow.serverLimits().received(flow.servers(), List.of(new LimitReport(hash, 0.5, 0, 0)));
         boolean isSender = only(flow).ownPerSecond() > 0;
         long[] calls = press(flow, Duration.ofSeconds(4), Set.of("server-0"), "0.5");
         assertThat(calls[0]).isLessThanOrEqualTo(isSender ? 2 : 0);
         LimitReport lifted = new LimitReport(hash, Double.POSITIVE_INFINITY, 0, 0);
-        assertThat(flow.serverLimits().heard(flow.servers(), List.of(lifted))).hasSize(1);
-        assertThat(flow.serverLimits().heard(flow.servers(), List.of(lifted)))
+        assertThat(flow.serverLimits().received(flow.servers(), List.of(lifted))).hasSize(1);
+        assertThat(flow.serverLimits().received(flow.servers(), List.of(lifted)))
                 .as("no news the second time")
                 .isEmpty();
         long[] first = press(flow, Duration.ofMillis(400), Set.of(), "");
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceDoorTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
@@ -23,7 +23,7 @@
 import net.jqwik.api.Example;
 
 /** Who is let in, with which key, and on what proof. */
-class WorkspaceDoorTest extends AbstractRequestFlowTest {
+class WorkspaceAuthenticatorTest extends AbstractRequestFlowTest {
 
     private static final Duration REVOCATION = Duration.ofSeconds(5);
     private static final Duration MARGIN = Duration.ofMillis(250);
@@ -33,9 +33,9 @@
 
     private long mVersion = 1;
 
-    WorkspaceDoorTest() {
-        mDoor =
-                new WorkspaceDoor(
+    WorkspaceAuthenticatorTest() {
+        mAuthenticator =
+                new WorkspaceAuthenticator(
                         NAMES,
                         mTime,
                         new WorkspaceSettings(true, REVOCATION, MARGIN, RATES),
@@ -73,7 +73,7 @@
     }
 
     private void prove() {
-        mDoor.proven(Moment.of(mTime));
+        mAuthenticator.recordProof(Moment.of(mTime));
     }
 
     private void ask(RequestFlow flow, String key) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/rate/RateWay.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/rate/RateWay.java
@@ -43,9 +43,9 @@
 
         boolean tryAdmit(double draw, long nowNanos);
 
-        RateUse tell(long nowNanos);
+        RateUse report(long nowNanos);
 
-        void heard(RateUse others, int heardOf, long nowNanos);
+        void received(RateUse others, int heardOf, long nowNanos);
 
         void instances(int all, long nowNanos);
 
@@ -64,13 +64,13 @@
         }
 
         @Override
-        public RateUse tell(long nowNanos) {
-            return rate.tell(nowNanos);
+        public RateUse report(long nowNanos) {
+            return rate.report(nowNanos);
         }
 
         @Override
-        public void heard(RateUse others, int heardOf, long nowNanos) {
-            rate.heard(others, heardOf, nowNanos);
+        public void received(RateUse others, int heardOf, long nowNanos) {
+            rate.received(others, heardOf, nowNanos);
         }
 
         @Override
@@ -111,12 +111,12 @@
         }
 
         @Override
-        public RateUse tell(long nowNanos) {
+        public RateUse report(long nowNanos) {
             return RateUse.NONE;
         }
 
         @Override
-        public void heard(RateUse others, int heardOf, long nowNanos) {}
+        public void received(RateUse others, int heardOf, long nowNanos) {}
 
         @Override
         public void instances(int all, long nowNanos) {
@@ -149,13 +149,13 @@
         }
 
         @Override
-        public RateUse tell(long nowNanos) {
-            return mCounts.tell(nowNanos);
+        public RateUse report(long nowNanos) {
+            return mCounts.report(nowNanos);
         }
 
         @Override
-        public void heard(RateUse others, int heardOf, long nowNanos) {
-            mOthers = others.asked();
+        public void received(RateUse others, int heardOf, long nowNanos) {
+            mOthers = others.demand();
         }
 
         @Override
--- a/masticpond-measure/src/main/java/io/masticpond/measure/rate/RateWorld.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/rate/RateWorld.java
@@ -197,7 +197,7 @@
         if (instance.mDown || !hasHeard(instance)) {
             return;
         }
-        RateUse use = instance.mRate.tell(mNow);
+        RateUse use = instance.mRate.report(mNow);
         List<Instance> adders = adders(instance.mZone);
         if (adders.isEmpty()) {
             return;
@@ -211,13 +211,13 @@
     }
 
     private void hear(Instance adder, Instance from, RateUse use) {
-        adder.mTotals.told(from.mId, 0, Map.of(HASH, use), mNow);
+        adder.mTotals.received(from.mId, 0, Map.of(HASH, use), mNow);
         RateTotals.Sum sum = adder.mTotals.forInstance(from.mId, 0, mNow);
         RateUse others = sum.uses().getOrDefault(HASH, RateUse.NONE);
         if (adder == from) {
-            from.mRate.heard(others, sum.instances(), mNow);
+            from.mRate.received(others, sum.instances(), mNow);
         } else {
-            send(adder, from, () -> from.mRate.heard(others, sum.instances(), mNow));
+            send(adder, from, () -> from.mRate.received(others, sum.instances(), mNow));
         }
     }
 
@@ -232,7 +232,7 @@
         for (int other = 0; other < mShape.zones(); other++) {
             if (other != zone) {
                 for (Instance adder : adders(other)) {
-                    send(own.get(0), adder, () -> adder.mTotals.told(id, 0, sum, mNow));
+                    send(own.get(0), adder, () -> adder.mTotals.received(id, 0, sum, mNow));
                 }
             }
         }
