Choose the hearers of repeated news in one place, and derive what a statement says

Cause: a second read of the change. Ruled out: one class for both kinds of news, whose bundles and relays differ. No behaviour, bound or assertion changes.

--- a/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/AdmissionLimit.java
@@ -103,11 +103,12 @@
      * @return nanoseconds
      */
     public long retryAfterNanos(double perSecond, long leftNanos, long nowNanos) {
-        if (perSecond <= 0) {
-            return refuse(mSettings.blindPause().toNanos(), leftNanos, 0, 0).retryAfterNanos();
-        }
         double seconds = Math.max(1, mTraffic.perSecond(nowNanos)) / perSecond;
-        return refuse((long) (seconds * NANOS_PER_SECOND), leftNanos, 0, 0).retryAfterNanos();
+        long pauseNanos =
+                perSecond > 0
+                        ? (long) (seconds * NANOS_PER_SECOND)
+                        : mSettings.blindPause().toNanos();
+        return refuse(pauseNanos, leftNanos, 0, 0).retryAfterNanos();
     }
 
     private long limitNanos(Route route, ServiceLoad load, long leftNanos) {
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitedServer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/LimitedServer.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.limit.OwnerCandidate;
+import io.masticpond.core.support.HashMixer;
 import io.masticpond.core.time.Moment;
 import java.util.List;
 
@@ -11,6 +12,10 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     final RegisteredServer mServer;
+
+    /** The hash of the server's id, by which other instances know it. */
+    final long mHash;
+
     LimitStatement mStatement;
 
     /** When the statement's answer arrived, by both clocks. */
@@ -21,7 +26,7 @@
     /** The limit that was reported last, infinite before the first. */
     double mReported = Double.POSITIVE_INFINITY;
 
-    boolean mWasLifted;
+    /** When the limit was lifted, if the server is not limited. */
     long mLiftedNanos;
 
     List<OwnerCandidate> mInstances = List.of();
@@ -37,6 +42,7 @@
 
     LimitedServer(RegisteredServer server) {
         mServer = server;
+        mHash = HashMixer.hash(server.id().value());
     }
 
     boolean isLimited() {
--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/ServerLimits.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/ServerLimits.java
@@ -6,7 +6,6 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.OwnerCandidate;
 import io.masticpond.core.support.Assert;
-import io.masticpond.core.support.HashMixer;
 import io.masticpond.core.time.Moment;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -138,15 +137,15 @@
                         report.perSecond(),
                         nowNanos - report.sentAgoNanos(),
                         nowNanos - report.receivedAgoNanos());
-        Moment heard = now.minusNanos(report.receivedAgoNanos());
-        return take(server, said, heard, false, nowNanos);
+        Moment received = now.minusNanos(report.receivedAgoNanos());
+        return take(server, said, received, false, nowNanos);
     }
 
     /** Takes a statement unless a newer one is known; tells whether that changed the limit. */
     private boolean take(
             RegisteredServer server,
             LimitStatement said,
-            Moment heard,
+            Moment received,
             boolean isOwn,
             long nowNanos) {
         LimitedServer state = mServers.get(server.id());
@@ -165,14 +164,14 @@
         boolean wasLimited = before != null && before.isLimited();
         state.mStatement = now;
         if (now.receivedNanos() == said.receivedNanos()) {
-            state.mReceived = heard;
+            state.mReceived = received;
             state.mIsOwn = isOwn;
         }
         place(state, nowNanos);
         if (now.isLimited() && !wasLimited) {
             state.begin(nowNanos);
         } else if (wasLimited && !now.isLimited()) {
-            lift(state, nowNanos);
+            state.mLiftedNanos = nowNanos;
         }
         return publish(state, nowNanos);
     }
@@ -206,13 +205,7 @@
     private static LimitReport report(LimitedServer state, long agoNanos) {
         LimitStatement statement = state.mStatement;
         long took = Math.max(0, statement.receivedNanos() - statement.sentNanos());
-        long hash = HashMixer.hash(state.mServer.id().value());
-        return new LimitReport(hash, statement.perSecond(), agoNanos + took, agoNanos);
-    }
-
-    private static void lift(LimitedServer state, long nowNanos) {
-        state.mWasLifted = true;
-        state.mLiftedNanos = nowNanos;
+        return new LimitReport(state.mHash, statement.perSecond(), agoNanos + took, agoNanos);
     }
 
     /**
@@ -279,7 +272,7 @@
      */
     public double share(RegisteredServer server, long nowNanos) {
         LimitedServer state = mServers.get(server.id());
-        if (state == null || !state.mWasLifted || state.isLimited()) {
+        if (state == null || state.isLimited()) {
             return 1;
         }
         return Math.min(1, (double) (nowNanos - state.mLiftedNanos) / mSettings.ramp().toNanos());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
@@ -2,7 +2,6 @@
 
 import io.masticpond.core.crash.CrashMessage;
 import io.masticpond.core.crash.RequestFingerprint;
-import io.masticpond.core.support.HashMixer;
 import io.masticpond.entry.peer.CrashMessageCodec;
 import io.masticpond.entry.peer.HeartbeatDuty;
 import io.masticpond.entry.peer.PeerInstance;
@@ -38,9 +37,6 @@
     /** An instance that starts is told so soon after it is heard, before clients come to it. */
     private static final long LOOK_MILLIS = 250;
 
-    /** With each so many looks another instance is told, so that lost datagrams are made up for. */
-    private static final int LOOKS_FOR_A_REPEAT = 4;
-
     /** Messages that wait for an instance at most, three datagrams; a flood loses the rest. */
     private static final int MOST_WAITING = 3 * CrashMessageCodec.MOST_MESSAGES;
 
@@ -49,9 +45,7 @@
     private final CrashGuard mGuard;
     private final HeartbeatDuty mPeers;
     private final Map<PeerInstance, List<CrashMessage>> mWaiting = new HashMap<>();
-    private final StartedPeers mStarted;
-    private long mLooks;
-    private long mTurn;
+    private final RepeatHearers mHearers;
 
     @Inject
     CrashSharing(
@@ -64,8 +58,7 @@
         mControl = control;
         mGuard = flow.crashes();
         mPeers = peers;
-        mStarted = new StartedPeers(self.id());
-        mTurn = HashMixer.hash(self.id().value());
+        mHearers = new RepeatHearers(self.id());
     }
 
     /** Begins to tell and to hear. */
@@ -88,27 +81,10 @@
         List<CrashMessage> rejections = mGuard.rejections();
         if (!rejections.isEmpty()) {
             mControl.execute(
-                    () -> {
-                        tellStarted(rejections);
-                        if (mLooks++ % LOOKS_FOR_A_REPEAT == 0) {
-                            tellNext(rejections);
-                        }
-                    });
-        }
-    }
-
-    private void tellStarted(List<CrashMessage> rejections) {
-        for (PeerInstance each : mStarted.look(mPeers.alive())) {
-            mPeers.tell(List.of(each), out -> CrashMessageCodec.write(rejections, out));
-        }
-    }
-
-    /** Tells one instance after the other, so that each hears from about one each time. */
-    private void tellNext(List<CrashMessage> rejections) {
-        List<PeerInstance> alive = mPeers.alive();
-        if (!alive.isEmpty()) {
-            PeerInstance next = alive.get(Math.floorMod(mTurn++, alive.size()));
-            mPeers.tell(List.of(next), out -> CrashMessageCodec.write(rejections, out));
+                    () ->
+                            mPeers.tell(
+                                    mHearers.look(mPeers.alive()),
+                                    out -> CrashMessageCodec.write(rejections, out)));
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
@@ -2,7 +2,6 @@
 
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.serverlimit.LimitReport;
-import io.masticpond.core.support.HashMixer;
 import io.masticpond.entry.peer.HeartbeatDuty;
 import io.masticpond.entry.peer.LimitReportCodec;
 import io.masticpond.entry.peer.PeerInstance;
@@ -32,7 +31,6 @@
     private static final long MILLIS_FOR_EACH = 20;
 
     private static final long LOOK_MILLIS = 250;
-    private static final int LOOKS_FOR_A_REPEAT = 4;
 
     /** One may be down without having been noticed. */
     private static final int RELAYS = 2;
@@ -43,11 +41,9 @@
     private final ServerLimitGate mLimits;
     private final HeartbeatDuty mPeers;
     private final PeerInstance mSelf;
-    private final StartedPeers mStarted;
+    private final RepeatHearers mHearers;
     private final Map<Long, LimitReport> mWaiting = new HashMap<>();
     private boolean mIsPlanned;
-    private long mLooks;
-    private long mTurn;
 
     @Inject
     LimitSharing(
@@ -62,8 +58,7 @@
         mLimits = flow.serverLimits();
         mPeers = peers;
         mSelf = self;
-        mStarted = new StartedPeers(self.id());
-        mTurn = HashMixer.hash(self.id().value());
+        mHearers = new RepeatHearers(self.id());
     }
 
     /** Begins to tell and to hear. */
@@ -90,19 +85,7 @@
         mLimits.refreshInstances();
         List<LimitReport> reports = mLimits.reports();
         if (!reports.isEmpty()) {
-            mControl.execute(
-                    () -> {
-                        tell(mStarted.look(mPeers.alive()), false, reports);
-                        tellNext(reports);
-                    });
-        }
-    }
-
-    private void tellNext(List<LimitReport> reports) {
-        List<PeerInstance> alive = mPeers.alive();
-        if (mLooks++ % LOOKS_FOR_A_REPEAT == 0 && !alive.isEmpty()) {
-            PeerInstance next = alive.get(Math.floorMod(mTurn++, alive.size()));
-            tell(List.of(next), false, reports);
+            mControl.execute(() -> tell(mHearers.look(mPeers.alive()), false, reports));
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/StartedPeers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RepeatHearers.java
@@ -10,23 +10,36 @@
 import java.util.Set;
 
 /**
- * Finds the instances that have started since the last look and that this one is to tell what it
- * knows. A few others tell each, the same for all who see the same instances.
+ * Chooses the instances that this one tells what it knows, at each of its looks: those that have
+ * started since the last one, and from time to time one other in turn, which makes up for lost
+ * datagrams. A few instances tell one that starts, the same for all who see the same instances.
  */
-final class StartedPeers {
+final class RepeatHearers {
 
     private static final int TELLERS = 3;
+    private static final int LOOKS_FOR_A_REPEAT = 4;
 
     private final InstanceId mSelf;
+    private long mLooks;
+    private long mTurn;
     private Set<Long> mKnown = Set.of();
     private List<PeerInstance> mAlive = List.of();
 
-    StartedPeers(InstanceId self) {
+    RepeatHearers(InstanceId self) {
         mSelf = self;
+        mTurn = HashMixer.hash(self.value());
     }
 
-    /** Gives those that have started since this was asked last. */
+    /** Gives those that are to be told now. */
     List<PeerInstance> look(List<PeerInstance> alive) {
+        List<PeerInstance> hearers = new ArrayList<>(started(alive));
+        if (mLooks++ % LOOKS_FOR_A_REPEAT == 0 && !alive.isEmpty()) {
+            hearers.add(alive.get(Math.floorMod(mTurn++, alive.size())));
+        }
+        return hearers;
+    }
+
+    private List<PeerInstance> started(List<PeerInstance> alive) {
         if (alive == mAlive) {
             return List.of();
         }
