Tell in the log which answers say that a server leaves or wants a pause

Ruled out: a metric, since servers and instances have to be told apart. Change: one decoder reads all that a backend server states of itself (limit, load, leaving, pause) from the head of an answer into one message; the line of a request names what each attempt's answer stated, or that it was malformed. An answer to a misdirected request comes from another server, so it states nothing of this one. No decision on leaving or pauses changes. What keeps statements has a class of its own, which takes lines out of RequestFlow and RequestRun.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
@@ -80,6 +80,10 @@
         return mFraming != Framing.UNTIL_END && HttpUtil.isKeepAlive(mHead);
     }
 
+    int status() {
+        return mHead.status().code();
+    }
+
     HttpHeaders headers() {
         return mHead.headers();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCallListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCallListener.java
@@ -12,9 +12,10 @@
     /**
      * The head of the server's answer has arrived; the answer may still fail.
      *
+     * @param status the status of the answer
      * @param headers the headers of the answer
      */
-    default void answerBegan(HttpHeaders headers) {}
+    default void answerBegan(int status, HttpHeaders headers) {}
 
     /**
      * The server answered in whole, with any status.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -202,7 +202,7 @@
                 boolean hadHead = mAssembler.hasHead();
                 mAssembler.accept(part, mEnding, mOrderly);
                 if (!hadHead && mAssembler.hasHead()) {
-                    mCall.answerBegan(mAssembler.headers());
+                    mCall.answerBegan(mAssembler.status(), mAssembler.headers());
                 }
             }
         } finally {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
@@ -68,9 +68,9 @@
         mWritten = true;
     }
 
-    void answerBegan(HttpHeaders headers) {
+    void answerBegan(int status, HttpHeaders headers) {
         if (!mEnded) {
-            tell(() -> mListener.answerBegan(headers));
+            tell(() -> mListener.answerBegan(status, headers));
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -57,7 +57,7 @@
                 new TreeSet<>(Comparator.comparing((ServiceId service) -> service.value()));
         fleet.servers().values().forEach(server -> services.add(server.service()));
         Map<BackendServerId, LimitBelief> named = new HashMap<>();
-        for (LimitBelief each : flow.serverLimits().beliefs()) {
+        for (LimitBelief each : flow.statements().limits().beliefs()) {
             if (each.isLimited()) {
                 named.put(each.server(), each);
             }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
@@ -2,7 +2,7 @@
 
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ZoneId;
-import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.ServerStatement;
 
 /** One send to a backend server. */
 final class Attempt {
@@ -14,7 +14,7 @@
     AttemptResult mResult = AttemptResult.OPEN;
     int mStatus;
     long mEndNanos;
-    LimitHeader mLimit = LimitHeader.ABSENT;
+    ServerStatement mStatement = ServerStatement.NONE;
 
     Attempt(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
         mServer = server;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.ServerStatement;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
@@ -106,12 +107,30 @@
                 line.writeNumberField("status", attempt.mStatus);
             }
             line.writeNumberField("millis", millis(attempt.mEndNanos - attempt.mSentNanos));
-            writeLimit(line, attempt.mLimit);
+            writeStatement(line, attempt.mStatement);
             line.writeEndObject();
         }
         line.writeEndArray();
     }
 
+    private static void writeStatement(JsonGenerator line, ServerStatement statement)
+            throws IOException {
+        writeLimit(line, statement.limit());
+        switch (statement.leaving()) {
+            case LEAVING -> line.writeBooleanField("leaving", true);
+            case MALFORMED -> line.writeStringField("leaving", "malformed");
+            case ABSENT -> {}
+            default -> throw new IllegalStateException("The word is unknown.");
+        }
+        switch (statement.pause().kind()) {
+            case PAUSE ->
+                    line.writeNumberField("pauseMillis", statement.pause().length().toMillis());
+            case MALFORMED -> line.writeStringField("pauseMillis", "malformed");
+            case ABSENT -> {}
+            default -> throw new IllegalStateException("The kind is unknown.");
+        }
+    }
+
     private static void writeLimit(JsonGenerator line, LimitHeader limit) throws IOException {
         switch (limit.kind()) {
             case LIMITED -> line.writeNumberField("limit", rounded(limit.perSecond()));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -6,7 +6,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.id.ZoneId;
-import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.ServerStatement;
 import java.util.EnumMap;
 import java.util.Map;
 
@@ -240,15 +240,15 @@
     }
 
     /**
-     * Notes what the answer to the newest attempt says about the server's limit; does nothing if
+     * Notes what the server states of itself in the answer to the newest attempt; does nothing if
      * there is no attempt.
      *
-     * @param limit what it says
+     * @param statement what it states
      */
-    public void limitNamed(LimitHeader limit) {
+    public void stated(ServerStatement statement) {
         Attempt attempt = mAttempts.last();
         if (attempt != null) {
-            attempt.mLimit = limit;
+            attempt.mStatement = statement;
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -1,7 +1,7 @@
 package io.masticpond.entry.request;
 
 import io.masticpond.core.placement.ServerLoad;
-import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.ServerStatement;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCallListener;
 import io.masticpond.entry.backend.CallFailure;
@@ -16,6 +16,7 @@
     private final RequestRecord mFacts;
     private final ServerLoad mAttempted;
     private final long mSentNanos;
+    private ServerStatement mStatement = ServerStatement.NONE;
 
     AttemptListener(
             RequestFlow flow,
@@ -31,10 +32,10 @@
     }
 
     @Override
-    public void answerBegan(HttpHeaders headers) {
-        LimitHeader limit = LimitHeader.parse(headers.getAll(mFlow.names().serverLimit()));
-        mFacts.limitNamed(limit);
-        mFlow.serverLimits().answered(mAttempted, limit, mSentNanos);
+    public void answerBegan(int status, HttpHeaders headers) {
+        mStatement = mFlow.statements().read(status, headers);
+        mFacts.stated(mStatement);
+        mFlow.statements().answered(mAttempted, mStatement, mSentNanos);
     }
 
     @Override
@@ -43,7 +44,7 @@
             answer.body().release();
             return;
         }
-        mRun.answered(mAttempted, answer);
+        mRun.answered(mAttempted, mStatement, answer);
     }
 
     @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -52,7 +52,7 @@
     private final IntSupplier mShareholders;
     private final Optional<SpendingCheck> mSpending;
     private final WorkspaceAuthenticator mAuthenticator;
-    private final ServerLimitGate mServerLimits;
+    private final ServerStatements mStatements;
     private final DecisionLog mLog;
     private final EntryAnswers mAnswers;
     private final CrashGuard mCrashes;
@@ -78,7 +78,7 @@
      * @param shareholders among how many instances common limits are divided
      * @param spending pays for attempts, if spending has a cap
      * @param authenticator lets in the callers of workspaces
-     * @param serverLimits keeps the limits that servers name
+     * @param statements keeps what servers state of themselves
      * @param log takes what was decided
      */
     public RequestFlow(
@@ -94,7 +94,7 @@
             IntSupplier shareholders,
             Optional<SpendingCheck> spending,
             WorkspaceAuthenticator authenticator,
-            ServerLimitGate serverLimits,
+            ServerStatements statements,
             DecisionLog log) {
         mEventLoop = Assert.notNull(eventLoop, "An event loop");
         mTimeSource = Assert.notNull(timeSource, "A time source");
@@ -108,7 +108,7 @@
         mShareholders = Assert.notNull(shareholders, "A count of shareholders");
         mSpending = Assert.notNull(spending, "A check of spending");
         mAuthenticator = Assert.notNull(authenticator, "An authenticator");
-        mServerLimits = Assert.notNull(serverLimits, "A gate of server limits");
+        mStatements = Assert.notNull(statements, "The statements of servers");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
         mCrashes = new CrashGuard(eventLoop, timeSource, connections, log, this::rejected);
@@ -124,7 +124,7 @@
         mState = state;
         for (RegisteredServer gone : mServers.update(state.snapshot(), nowNanos())) {
             mConnections.forget(gone);
-            mServerLimits.forget(gone);
+            mStatements.forget(gone);
             mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
         mPlacer.chooser().judge().retain(state.snapshot().servers().keySet());
@@ -350,12 +350,12 @@
     }
 
     /**
-     * Gives what keeps the limits that backend servers name.
+     * Gives what keeps what backend servers state of themselves.
      *
-     * @return the gate
+     * @return the statements
      */
-    public ServerLimitGate serverLimits() {
-        return mServerLimits;
+    public ServerStatements statements() {
+        return mStatements;
     }
 
     /** Ends the copies of a request that wait at servers, before those run them. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -4,10 +4,10 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionAnswer;
 import io.masticpond.core.placement.Placement;
-import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.statement.ServerStatement;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
 import io.masticpond.entry.backend.BackendRequest;
@@ -20,7 +20,6 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -178,18 +177,16 @@
                                 new AttemptListener(mFlow, this, mFacts, chosen, now));
     }
 
-    void answered(ServerLoad server, BackendAnswer answer) {
+    void answered(ServerLoad server, ServerStatement statement, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         attemptOver(server);
-        Optional<ReportedLoad> reported =
-                ReportedLoad.parse(answer.headers().get(mFlow.names().serverLoad()));
-        reported.ifPresent(load -> mFlow.placer().reported(server, load, now));
+        statement.load().ifPresent(load -> mFlow.placer().reported(server, load, now));
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
             takeBack();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
-            turnedAway(server, answer.status(), reported, now);
+            turnedAway(server, answer.status(), statement, now);
             return;
         }
         if (answer.isSuccess() && !answer.headers().contains(mFlow.names().seal())) {
@@ -206,7 +203,7 @@
         if (failed) {
             mFlow.placer().failed(server, now);
         } else {
-            boolean waited = reported.filter(load -> load.waiting() > 0).isPresent();
+            boolean waited = statement.load().filter(load -> load.waiting() > 0).isPresent();
             mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
             mCrashCheck.answered();
         }
@@ -219,11 +216,11 @@
         respond(mEnd.passedOn(answer, now));
     }
 
-    private void turnedAway(ServerLoad server, int status, Optional<ReportedLoad> told, long now) {
+    private void turnedAway(ServerLoad server, int status, ServerStatement told, long now) {
         if (status == MISDIRECTED) {
             mFlow.placer().misdirected(server, now);
         } else {
-            mFlow.placer().turnedAway(server, told, now);
+            mFlow.placer().turnedAway(server, told.load(), now);
         }
         tryAgainOrEnd("turned-away");
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -142,7 +142,7 @@
 
         private final long mNow;
         private final boolean mHeedsReturn;
-        private final ServerLimitGate mLimits = mFlow.serverLimits();
+        private final ServerLimitGate mLimits = mFlow.statements().limits();
         private double mLimitedPerSecond;
         private boolean mSawLimited;
         private boolean mSawUnlimited;
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/StatementReader.java
@@ -0,0 +1,38 @@
+package io.masticpond.entry.request;
+
+import io.masticpond.core.placement.ReportedLoad;
+import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.LeavingHeader;
+import io.masticpond.core.statement.PauseHeader;
+import io.masticpond.core.statement.ServerStatement;
+import io.masticpond.entry.settings.HeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Reads what a backend server states of itself from the head of an answer. */
+final class StatementReader {
+
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+
+    private final HeaderNames mNames;
+
+    StatementReader(HeaderNames names) {
+        mNames = names;
+    }
+
+    /**
+     * A misdirected request was answered by another server, whose statements are not of this one.
+     */
+    ServerStatement read(int status, HttpHeaders headers) {
+        if (status == MISDIRECTED) {
+            return ServerStatement.NONE;
+        }
+        return new ServerStatement(
+                LimitHeader.parse(headers.getAll(mNames.serverLimit())),
+                ReportedLoad.parse(headers.get(mNames.serverLoad())),
+                LeavingHeader.parse(headers.getAll(mNames.serverLeaving())),
+                status == UNAVAILABLE
+                        ? PauseHeader.parse(headers.getAll(mNames.retryAfter()))
+                        : PauseHeader.ABSENT);
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
@@ -12,8 +12,10 @@
  * @param expectedServer the id of the only backend server that may run a request
  * @param serverLoad running requests, waiting requests and slots of a backend server
  * @param serverLimit how many requests a second a backend server takes from all instances
+ * @param serverLeaving says that a backend server leaves
  * @param notExecuted says that the backend server did not run the request
- * @param retryAfter after how many seconds the client may come back
+ * @param retryAfter after how many seconds a client may come back, or an instance may send to a
+ *     backend server again
  * @param credential carries a client's key and nothing else; never leaves the instance
  * @param workspace tells a backend server whose request it is; never taken from a client
  * @since 0.2
@@ -26,6 +28,7 @@
         String expectedServer,
         String serverLoad,
         String serverLimit,
+        String serverLeaving,
         String notExecuted,
         String retryAfter,
         String credential,
@@ -40,6 +43,7 @@
         Assert.hasText(expectedServer, "The header of the expected server");
         Assert.hasText(serverLoad, "The header of the server's load");
         Assert.hasText(serverLimit, "The header of the server's limit");
+        Assert.hasText(serverLeaving, "The header of the server's leaving");
         Assert.hasText(notExecuted, "The header of what was not executed");
         Assert.hasText(retryAfter, "The header of the time to come back");
         Assert.hasText(credential, "The header of the credential");
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -131,7 +131,7 @@
                         List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
                         mFlow.spending().map(SpendingCheck::views),
                         Keys.of(mFlow.authenticator()),
-                        Limits.of(mFlow.serverLimits()));
+                        Limits.of(mFlow.statements().limits()));
     }
 
     /** Sets all figures, on the control thread. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
@@ -55,7 +55,7 @@
         mTraffic = traffic;
         mControl = control;
         mFlow = flow;
-        mLimits = flow.serverLimits();
+        mLimits = flow.statements().limits();
         mPeers = peers;
         mSelf = self;
         mHearers = new RepeatHearers(self.id());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
@@ -64,7 +64,7 @@
                     mChooser.tune(settings.placement());
                     mFlow.crashes().tune(settings.crashes());
                     mFlow.authenticator().tune(settings.workspaces());
-                    mFlow.serverLimits().tune(settings.serverLimits());
+                    mFlow.statements().limits().tune(settings.serverLimits());
                 });
         mNews.tell(ProcessChange.Kind.RELOADED, SettingsPart.tellChange(mSettings, settings));
         mSettings = settings;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -23,6 +23,7 @@
 import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.ServerLimitGate;
+import io.masticpond.entry.request.ServerStatements;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.request.WorkspaceAuthenticator;
 import io.masticpond.entry.settings.EntrySettings;
@@ -123,6 +124,12 @@
                 log);
     }
 
+    @Provides
+    @Singleton
+    static ServerStatements statements(HeaderNames names, ServerLimitGate limits) {
+        return new ServerStatements(names, limits);
+    }
+
     @Provides
     @Singleton
     static RequestFlow flow(
@@ -140,7 +147,7 @@
             PeerInstance self,
             EntryMetrics metrics,
             WorkspaceAuthenticator authenticator,
-            ServerLimitGate serverLimits,
+            ServerStatements statements,
             @ControlThread EventLoop control,
             DecisionLog log) {
         Optional<SpendingCheck> spending = Optional.empty();
@@ -165,7 +172,7 @@
                         peers::shareholders,
                         spending,
                         authenticator,
-                        serverLimits,
+                        statements,
                         log);
         flow.crashes().tune(settings.crashes());
         return flow;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -8,7 +8,11 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.LeavingHeader;
+import io.masticpond.core.statement.PauseHeader;
+import io.masticpond.core.statement.ServerStatement;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -83,11 +87,11 @@
     void limitsThatServersNameAreTold() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.sent(FIRST, ZONE, false, 0);
-        request.limitNamed(LimitHeader.parse(List.of("0.25")));
+        request.stated(named(LimitHeader.parse(List.of("0.25"))));
         request.sent(SECOND, ZONE, false, 0);
-        request.limitNamed(LimitHeader.parse(List.of("soon")));
+        request.stated(named(LimitHeader.parse(List.of("soon"))));
         request.sent(SECOND, ZONE, false, 0);
-        request.limitNamed(LimitHeader.ABSENT);
+        request.stated(ServerStatement.NONE);
         request.answered(200, 0);
         write(request);
         JsonNode attempts = mOutput.lines().get(0).path("attempts");
@@ -96,6 +100,35 @@
         assertThat(attempts.get(2).has("limit")).isFalse();
     }
 
+    private static ServerStatement named(LimitHeader limit) {
+        return new ServerStatement(
+                limit, Optional.empty(), LeavingHeader.ABSENT, PauseHeader.ABSENT);
+    }
+
+    @Example
+    void leavingAndPausesThatServersStateAreTold() {
+        RequestRecord request = new RequestRecord("r1", 0);
+        request.sent(FIRST, ZONE, false, 0);
+        request.stated(withdrawing("1", "2.5"));
+        request.sent(SECOND, ZONE, false, 0);
+        request.stated(withdrawing("soon", "soon"));
+        request.answered(200, 0);
+        write(request);
+        JsonNode attempts = mOutput.lines().get(0).path("attempts");
+        assertThat(attempts.get(0).path("leaving").asBoolean()).isTrue();
+        assertThat(attempts.get(0).path("pauseMillis").asInt()).isEqualTo(2_500);
+        assertThat(attempts.get(1).path("leaving").asText()).isEqualTo("malformed");
+        assertThat(attempts.get(1).path("pauseMillis").asText()).isEqualTo("malformed");
+    }
+
+    private static ServerStatement withdrawing(String leaving, String pause) {
+        return new ServerStatement(
+                LimitHeader.ABSENT,
+                Optional.empty(),
+                LeavingHeader.parse(List.of(leaving)),
+                PauseHeader.parse(List.of(pause)));
+    }
+
     @Example
     void aRetryLineKeepsWhatWasTrueWhenItWasLogged() {
         RequestRecord request = new RequestRecord("r1", 0);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -48,6 +48,7 @@
                     "For",
                     "Load",
                     "Limit",
+                    "Leaving",
                     "Not-Run",
                     "Retry-After",
                     "Credential",
@@ -113,7 +114,7 @@
                         () -> 1,
                         mSpending,
                         mAuthenticator,
-                        mServerLimits,
+                        new ServerStatements(NAMES, mServerLimits),
                         mDecisions);
         flow.update(
                 EntryState.of(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
@@ -74,7 +74,7 @@
             for (int i = 0; i < headers.length; i += 2) {
                 all.add(headers[i], headers[i + 1]);
             }
-            mListener.answerBegan(all);
+            mListener.answerBegan(status, all);
             mListener.answered(
                     new BackendAnswer(
                             status, all, Unpooled.copiedBuffer("bytes", StandardCharsets.UTF_8)));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
@@ -98,7 +98,7 @@
 
     private RequestFlow settled(boolean idempotent) {
         RequestFlow flow = flow(idempotent, 2);
-        flow.serverLimits().refreshInstances();
+        flow.statements().limits().refreshInstances();
         passTime(Duration.ofSeconds(2));
         return flow;
     }
@@ -144,12 +144,12 @@
             ask(flow, "k");
             HttpHeaders headers = new DefaultHttpHeaders().set("Limit", "0.5");
             if (status == 200) {
-                mConnections.last().mListener.answerBegan(headers);
+                mConnections.last().mListener.answerBegan(200, headers);
                 mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
             } else {
                 mConnections.last().answer(status, "Limit", "0.5", "Not-Run", "1");
             }
-            assertThat(flow.serverLimits().beliefs())
+            assertThat(flow.statements().limits().beliefs())
                     .as("status %d", status)
                     .anyMatch(belief -> belief.isLimited() && belief.perSecond() == 0.5);
             passTime(Duration.ofSeconds(3));
@@ -178,8 +178,8 @@
     }
 
     private static LimitBelief only(RequestFlow flow) {
-        assertThat(flow.serverLimits().beliefs()).hasSize(1);
-        return flow.serverLimits().beliefs().get(0);
+        assertThat(flow.statements().limits().beliefs()).hasSize(1);
+        return flow.statements().limits().beliefs().get(0);
     }
 
     @Example
@@ -187,14 +187,14 @@
         RequestFlow flow = settled(true);
         ask(flow, "k");
         mConnections.last().answer(200, "Seal", "s", "Limit", "NaN");
-        assertThat(flow.serverLimits().beliefs()).isEmpty();
+        assertThat(flow.statements().limits().beliefs()).isEmpty();
         ask(flow, "k");
         mConnections.last().answer(200, "Seal", "s", "Limit", "2");
         passTime(Duration.ofSeconds(1));
         ask(flow, "k");
         mConnections.last().answer(200, "Seal", "s", "Limit", "soon");
         assertThat(only(flow).perSecond()).isEqualTo(2);
-        assertThat(flow.serverLimits().malformed()).isEqualTo(2);
+        assertThat(flow.statements().limits().malformed()).isEqualTo(2);
     }
 
     @Example
@@ -206,13 +206,15 @@
         }
         RequestFlow flow = settled(true);
         long hash = HashMixer.hash("server-0");
-        flow.serverLimits().received(flow.servers(), List.of(new LimitReport(hash, 0.5, 0, 0)));
+        flow.statements()
+                .limits()
+                .received(flow.servers(), List.of(new LimitReport(hash, 0.5, 0, 0)));
         boolean isSender = only(flow).ownPerSecond() > 0;
         long[] calls = press(flow, Duration.ofSeconds(4), Set.of("server-0"), "0.5");
         assertThat(calls[0]).isLessThanOrEqualTo(isSender ? 2 : 0);
         LimitReport lifted = new LimitReport(hash, Double.POSITIVE_INFINITY, 0, 0);
-        assertThat(flow.serverLimits().received(flow.servers(), List.of(lifted))).hasSize(1);
-        assertThat(flow.serverLimits().received(flow.servers(), List.of(lifted)))
+        assertThat(flow.statements().limits().received(flow.servers(), List.of(lifted))).hasSize(1);
+        assertThat(flow.statements().limits().received(flow.servers(), List.of(lifted)))
                 .as("no news the second time")
                 .isEmpty();
         long[] first = press(flow, Duration.ofMillis(400), Set.of(), "");
@@ -255,6 +257,6 @@
         mConnections.last().answer(200, "Seal", "s", "Limit", "0");
         assertThat(only(flow).perSecond()).isZero();
         flow.update(EntryState.of(FakeSnapshot.withoutServers(), flow.state()));
-        assertThat(flow.serverLimits().beliefs()).isEmpty();
+        assertThat(flow.statements().limits().beliefs()).isEmpty();
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -240,6 +240,7 @@
                     "For",
                     "Load",
                     "Limit",
+                    "Leaving",
                     "Not-Run",
                     "Come-Back",
                     "Credential",
