Send nothing to backend servers that have said that they leave

Seen by callers: requests at a server that was about to end, 2.4 s after it had said so in an answer, while the store was away and its entry said `ready`. Cause: only the registry was believed on leaving. Its class: what a server says of itself in an answer is decoded by nobody, or is decoded and dropped. Ruled out: that the registry takes it back (no line believed it at all); telling the zone's other instances (each hears it with its own next answer, which is a whole one; the message would save one request an instance). Change: ServerWithdrawals keeps the word for the server's lifetime: over entries that say ready, that are lost, or that are made anew within `withdrawals.memory`, since these look like another run. It is asked when a server is chosen, and again before the first byte is written if a connection was waited for; a request that is then withdrawn has not run and goes elsewhere. Such a refusal is no fault of the server. The same check at the write keeps limits that were named meanwhile. One log line for each change, two metrics, `masticpondctl entry servers`.

--- /dev/null
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/ServerWithdrawals.java
@@ -0,0 +1,188 @@
+package io.masticpond.core.statement;
+
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.support.Assert;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps which backend servers have said in their answers that they take no requests.
+ *
+ * <p>What a server says of itself goes before the registry, which may be silent for long, and holds
+ * for its lifetime: an answer to an earlier request takes nothing back, nor does an entry that says
+ * otherwise, nor one that was lost and is made anew. A server that leaves gets nothing from then
+ * on.
+ *
+ * <p>A state machine for one thread.
+ *
+ * @since 0.2
+ */
+public final class ServerWithdrawals {
+
+    private final WithdrawalOutput mOutput;
+    private final Map<BackendServerId, Withdrawal> mServers = new HashMap<>();
+    private WithdrawalSettings mSettings;
+    private long mMalformed;
+
+    /**
+     * Starts without any withdrawal.
+     *
+     * @param settings for how long they count
+     * @param output takes what is to be told
+     */
+    public ServerWithdrawals(WithdrawalSettings settings, WithdrawalOutput output) {
+        mSettings = Assert.notNull(settings, "Settings of withdrawals");
+        mOutput = Assert.notNull(output, "An output of withdrawals");
+    }
+
+    /**
+     * Takes other settings, for what is decided after this.
+     *
+     * @param settings the settings
+     */
+    public void tune(WithdrawalSettings settings) {
+        mSettings = Assert.notNull(settings, "Settings of withdrawals");
+    }
+
+    /**
+     * Takes what an answer of a server states.
+     *
+     * @param server the server
+     * @param statement what it states
+     * @param nowNanos the monotonic time at which the head of the answer arrived
+     */
+    public void answered(RegisteredServer server, ServerStatement statement, long nowNanos) {
+        switch (statement.leaving()) {
+            case LEAVING -> leaves(server, nowNanos);
+            case MALFORMED -> malformed(server, StatementPart.LEAVING, nowNanos);
+            case ABSENT -> {}
+            default -> throw new IllegalStateException("The word is unknown.");
+        }
+    }
+
+    private void leaves(RegisteredServer server, long nowNanos) {
+        Withdrawal state = state(server, nowNanos);
+        boolean isNews = !state.mIsLeaving;
+        state.mIsLeaving = true;
+        if (isNews) {
+            mOutput.changed(belief(state, WithdrawalBelief.State.LEAVING, nowNanos));
+        }
+    }
+
+    private void malformed(RegisteredServer server, StatementPart part, long nowNanos) {
+        mMalformed++;
+        Withdrawal state = state(server, nowNanos);
+        if (state.mMalformed != part) {
+            state.mMalformed = part;
+            mOutput.malformed(server.id(), part);
+        }
+    }
+
+    private Withdrawal state(RegisteredServer server, long nowNanos) {
+        Withdrawal state = mServers.computeIfAbsent(server.id(), id -> new Withdrawal());
+        state.mServer = server;
+        state.mSaidNanos = nowNanos;
+        return state;
+    }
+
+    /**
+     * Tells whether a server has said that it leaves.
+     *
+     * @param server the server
+     * @param nowNanos the monotonic time
+     * @return whether it takes no requests any more
+     */
+    public boolean isLeaving(RegisteredServer server, long nowNanos) {
+        Withdrawal state = mServers.get(server.id());
+        return state != null && state.mIsLeaving && holds(state, server, nowNanos);
+    }
+
+    private boolean holds(Withdrawal state, RegisteredServer server, long nowNanos) {
+        return state.mServer.isSameRun(server) || isRemembered(state, nowNanos);
+    }
+
+    private boolean isRemembered(Withdrawal state, long nowNanos) {
+        return nowNanos - state.mSaidNanos <= mSettings.memory().toNanos();
+    }
+
+    /**
+     * Forgets the servers that have long been gone or have long started anew.
+     *
+     * @param servers those that are registered
+     * @param nowNanos the monotonic time
+     */
+    public void retain(Map<BackendServerId, RegisteredServer> servers, long nowNanos) {
+        mServers.values().removeIf(state -> isOver(state, servers, nowNanos));
+    }
+
+    private boolean isOver(
+            Withdrawal state, Map<BackendServerId, RegisteredServer> servers, long nowNanos) {
+        RegisteredServer registered = servers.get(state.mServer.id());
+        boolean isSameRun = registered != null && state.mServer.isSameRun(registered);
+        if (isSameRun || isRemembered(state, nowNanos)) {
+            return false;
+        }
+        if (registered != null && state.mIsLeaving) {
+            mOutput.changed(belief(state, WithdrawalBelief.State.RETURNED, nowNanos));
+        }
+        return true;
+    }
+
+    /**
+     * Tells what is believed of each server that has withdrawn.
+     *
+     * @param nowNanos the monotonic time
+     * @return the beliefs, by service and server
+     */
+    public List<WithdrawalBelief> beliefs(long nowNanos) {
+        List<WithdrawalBelief> beliefs = new ArrayList<>();
+        for (Withdrawal state : mServers.values()) {
+            if (state.mIsLeaving) {
+                beliefs.add(belief(state, WithdrawalBelief.State.LEAVING, nowNanos));
+            }
+        }
+        beliefs.sort(
+                Comparator.comparing((WithdrawalBelief each) -> each.service().value())
+                        .thenComparing(each -> each.server().value()));
+        return beliefs;
+    }
+
+    private static WithdrawalBelief belief(
+            Withdrawal state, WithdrawalBelief.State now, long nowNanos) {
+        return new WithdrawalBelief(
+                state.mServer.id(), state.mServer.service(), now, nowNanos - state.mSaidNanos);
+    }
+
+    /**
+     * Tells whether no server has stated anything of this kind.
+     *
+     * @return whether it is so
+     */
+    public boolean isEmpty() {
+        return mServers.isEmpty();
+    }
+
+    /**
+     * Counts the answers that stated something which means nothing.
+     *
+     * @return how many since the start
+     */
+    public long malformed() {
+        return mMalformed;
+    }
+
+    /** What one server has said. */
+    private static final class Withdrawal {
+
+        /** As registered when it said so last. */
+        private RegisteredServer mServer;
+
+        private boolean mIsLeaving;
+        private long mSaidNanos;
+        private StatementPart mMalformed;
+    }
+}
--- /dev/null
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/StatementPart.java
@@ -0,0 +1,11 @@
+package io.masticpond.core.statement;
+
+/**
+ * What a part of a server's statement is about.
+ *
+ * @since 0.2
+ */
+public enum StatementPart {
+    /** Whether it leaves. */
+    LEAVING
+}
--- /dev/null
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/WithdrawalBelief.java
@@ -0,0 +1,29 @@
+package io.masticpond.core.statement;
+
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.ServiceId;
+
+/**
+ * What an instance believes of a server that has said that it takes no requests.
+ *
+ * @param server the server
+ * @param service its service
+ * @param state whether it takes any
+ * @param ageNanos how long ago the answer arrived that said so
+ * @since 0.2
+ */
+public record WithdrawalBelief(
+        BackendServerId server, ServiceId service, State state, long ageNanos) {
+
+    /**
+     * Whether a server takes requests.
+     *
+     * @since 0.2
+     */
+    public enum State {
+        /** It takes none any more. */
+        LEAVING,
+        /** What it had said does not hold any more. */
+        RETURNED
+    }
+}
--- /dev/null
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/WithdrawalOutput.java
@@ -0,0 +1,26 @@
+package io.masticpond.core.statement;
+
+import io.masticpond.core.id.BackendServerId;
+
+/**
+ * Takes what the withdrawals of servers have to tell.
+ *
+ * @since 0.2
+ */
+public interface WithdrawalOutput {
+
+    /**
+     * Something else is believed of a server.
+     *
+     * @param belief what is believed now
+     */
+    void changed(WithdrawalBelief belief);
+
+    /**
+     * A server has stated something that means nothing, for the first time.
+     *
+     * @param server the server
+     * @param part what it was about
+     */
+    void malformed(BackendServerId server, StatementPart part);
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCallListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCallListener.java
@@ -17,6 +17,15 @@
      */
     default void answerBegan(int status, HttpHeaders headers) {}
 
+    /**
+     * Asked when a connection was waited for, before the first byte of the request is written.
+     *
+     * @return whether it may still be written; if not, the call fails as one that was withdrawn
+     */
+    default boolean mayBegin() {
+        return true;
+    }
+
     /**
      * The server answered in whole, with any status.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -105,6 +105,10 @@
         PendingCall call = mCall;
         if (call == null) {
             becomeIdle();
+        } else if (!call.mayBegin()) {
+            mCall = null;
+            becomeIdle();
+            call.fail(CallFailure.Kind.WITHDRAWN);
         } else if (!begin(call)) {
             call.fail(CallFailure.Kind.NOT_CONNECTED);
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/CallFailure.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/CallFailure.java
@@ -21,14 +21,31 @@
     /** What went wrong. */
     public enum Kind {
         /** No connection within its time, or it was refused or reset before the request. */
-        NOT_CONNECTED,
+        NOT_CONNECTED(true),
         /** The server has as many connections as it accepts from this instance. */
-        NO_CONNECTION_FREE,
+        NO_CONNECTION_FREE(false),
+        /** While a connection was waited for, the server came to take no requests. */
+        WITHDRAWN(false),
         /** The connection ended after the request was (partly) written, before a whole answer. */
-        BROKEN_OFF,
+        BROKEN_OFF(true),
         /** The server sent what is no answer to this request, or more than one. */
-        BAD_ANSWER,
+        BAD_ANSWER(true),
         /** No whole answer in time. */
-        TIMED_OUT
+        TIMED_OUT(true);
+
+        private final boolean mBlamesServer;
+
+        Kind(boolean blamesServer) {
+            mBlamesServer = blamesServer;
+        }
+
+        /**
+         * Tells whether this speaks against the server.
+         *
+         * @return whether it does
+         */
+        public boolean blamesServer() {
+            return mBlamesServer;
+        }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
@@ -68,6 +68,11 @@
         mWritten = true;
     }
 
+    /** Tells whether the request may be written, now that there is a connection. */
+    boolean mayBegin() {
+        return mListener.mayBegin();
+    }
+
     void answerBegan(int status, HttpHeaders headers) {
         if (!mEnded) {
             tell(() -> mListener.answerBegan(status, headers));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.serverlimit.LimitBelief;
+import io.masticpond.core.statement.WithdrawalBelief;
 
 /** Writes what is believed of a backend server. */
 final class ServerDocument {
@@ -24,6 +25,7 @@
             into.put("coldMillis", coldMillis(server, nowNanos));
         }
         snapshot.avoidReason().ifPresent(reason -> into.put("avoided", Spelling.of(reason)));
+        snapshot.withdrawal().ifPresent(each -> writeWithdrawal(each, into));
         snapshot.limit().ifPresent(limit -> writeLimit(limit, into));
         snapshot.judgement()
                 .ifPresent(
@@ -36,6 +38,11 @@
                                         .put("meanMillis", Spelling.millis(judgement.meanNanos())));
     }
 
+    private static void writeWithdrawal(WithdrawalBelief withdrawal, ObjectNode into) {
+        into.put("withdrawal", Spelling.of(withdrawal.state()))
+                .put("withdrawalAgeMillis", Spelling.millis(withdrawal.ageNanos()));
+    }
+
     private static void writeLimit(LimitBelief limit, ObjectNode into) {
         into.put("limitPerSecond", Spelling.rounded(limit.perSecond()))
                 .put("limitSenders", limit.senders())
@@ -58,6 +65,9 @@
         if (snapshot.server().leaving()) {
             return "leaving";
         }
+        if (snapshot.withdrawal().isPresent()) {
+            return Spelling.of(snapshot.withdrawal().get().state());
+        }
         if (snapshot.evacuated()) {
             return "evacuated";
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerSnapshot.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.limit.ServerJudgement;
 import io.masticpond.core.placement.AvoidReason;
 import io.masticpond.core.serverlimit.LimitBelief;
+import io.masticpond.core.statement.WithdrawalBelief;
 import java.util.List;
 import java.util.Optional;
 
@@ -19,6 +20,7 @@
  * @param inFlight the requests of all instances there, as far as known
  * @param serviceNanos the typical time of a request there, 0 if none was answered
  * @param avoidReason why requests are kept away for a moment, if they are
+ * @param withdrawal what it has said of whether it takes requests, if it has
  * @param limit what is believed of the limit that it names, if it names one
  * @param judgement what is held against it, if anything was sent there
  */
@@ -31,5 +33,6 @@
         double inFlight,
         double serviceNanos,
         Optional<AvoidReason> avoidReason,
+        Optional<WithdrawalBelief> withdrawal,
         Optional<LimitBelief> limit,
         Optional<ServerJudgement> judgement) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.serverlimit.LimitBelief;
 import io.masticpond.core.spending.SpendingView;
+import io.masticpond.core.statement.WithdrawalBelief;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.SpendingCheck;
 import java.util.ArrayList;
@@ -62,11 +63,14 @@
                 named.put(each.server(), each);
             }
         }
+        Map<BackendServerId, WithdrawalBelief> withdrawn = new HashMap<>();
+        flow.statements().withdrawals().forEach(each -> withdrawn.put(each.server(), each));
         List<ServerSnapshot> servers = new ArrayList<>();
         for (ServiceId service : services) {
             for (ServerLoad load : flow.servers().of(service)) {
                 LimitBelief limit = named.get(load.server().id());
-                servers.add(snapshot(flow, limits, load, limit, nowNanos));
+                WithdrawalBelief withdrawal = withdrawn.get(load.server().id());
+                servers.add(snapshot(flow, limits, load, withdrawal, limit, nowNanos));
             }
         }
         servers.sort(ORDER);
@@ -83,6 +87,7 @@
             RequestFlow flow,
             LimitFigures limits,
             ServerLoad load,
+            WithdrawalBelief withdrawal,
             LimitBelief limit,
             long nowNanos) {
         RegisteredServer server = load.server();
@@ -99,6 +104,7 @@
                 load.inFlight(nowNanos),
                 load.serviceNanos(),
                 load.avoidReason(nowNanos),
+                Optional.ofNullable(withdrawal),
                 Optional.ofNullable(limit),
                 flow.placer().chooser().judge().judgement(server.service(), server.id(), nowNanos));
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptResult.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptResult.java
@@ -18,6 +18,8 @@
     NOT_CONNECTED,
     /** All connections that this instance may hold to the server were in use. */
     NO_CONNECTION_FREE,
+    /** The server came to take no requests while a connection to it was waited for. */
+    WITHDRAWN,
     /** The connection ended before a whole answer. */
     BROKEN_OFF,
     /** The answer was none to this request. */
@@ -37,6 +39,7 @@
         return switch (failure.kind()) {
             case NOT_CONNECTED -> NOT_CONNECTED;
             case NO_CONNECTION_FREE -> NO_CONNECTION_FREE;
+            case WITHDRAWN -> WITHDRAWN;
             case BROKEN_OFF -> BROKEN_OFF;
             case BAD_ANSWER -> BAD_ANSWER;
             case TIMED_OUT -> TIMED_OUT;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -7,6 +7,8 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.serverlimit.LimitBelief;
+import io.masticpond.core.statement.StatementPart;
+import io.masticpond.core.statement.WithdrawalBelief;
 import java.io.IOException;
 
 /**
@@ -216,6 +218,49 @@
         }
     }
 
+    /**
+     * A backend server has withdrawn by its own word, or that holds no more.
+     *
+     * @param belief what is believed, and on what grounds
+     */
+    record Withdrawal(WithdrawalBelief belief) implements BeliefChange {
+
+        @Override
+        public String event() {
+            return "server-withdrawal";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("server", belief.server().value());
+            line.writeStringField("service", belief.service().value());
+            line.writeStringField("state", Words.spell(belief.state()));
+            line.writeStringField("source", "answer");
+            line.writeNumberField("ageMillis", RequestLine.millis(belief.ageNanos()));
+        }
+    }
+
+    /**
+     * A backend server states something of itself that means nothing.
+     *
+     * @param server the server
+     * @param part what it is about
+     */
+    record MalformedStatement(BackendServerId server, StatementPart part) implements BeliefChange {
+
+        @Override
+        public String event() {
+            return "server-withdrawal";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("server", server.value());
+            line.writeStringField("state", "malformed");
+            line.writeStringField("part", Words.spell(part));
+        }
+    }
+
     /**
      * A zone was evacuated or returned.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -77,6 +77,12 @@
     LIMITED_RATE("limited_rate", "Requests a second that this instance may send to them.", false),
     /** Answers that named something which is no limit. */
     MALFORMED_LIMITS("malformed_limits", "Answers with a limit that is no number.", true),
+    /** Backend servers that have said in an answer that they leave. */
+    SERVERS_SAID_LEAVING(
+            "backend_servers_said_leaving", "Backend servers that leave by their answers.", false),
+    /** Answers that stated something on a withdrawal which means nothing. */
+    MALFORMED_WITHDRAWALS(
+            "malformed_withdrawals", "Answers whose word on leaving or a pause is none.", true),
     /** Workspaces in force. */
     WORKSPACES("workspaces", "Workspaces in force.", false),
     /** Their keys. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -16,6 +16,7 @@
     private final RequestRecord mFacts;
     private final ServerLoad mAttempted;
     private final long mSentNanos;
+    private final boolean mHadPermit;
     private ServerStatement mStatement = ServerStatement.NONE;
 
     AttemptListener(
@@ -29,6 +30,12 @@
         mFacts = facts;
         mAttempted = attempted;
         mSentNanos = sentNanos;
+        mHadPermit = flow.statements().limits().isLimited(attempted, sentNanos);
+    }
+
+    @Override
+    public boolean mayBegin() {
+        return mFlow.statements().maySend(mAttempted, mHadPermit);
     }
 
     @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -127,6 +127,7 @@
             mStatements.forget(gone);
             mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
+        mStatements.update(state.snapshot());
         mPlacer.chooser().judge().retain(state.snapshot().servers().keySet());
         state.snapshot().routing().ifPresent(mAuthenticator::update);
         mKnewServers |= !state.snapshot().servers().isEmpty();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -200,9 +200,9 @@
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
         mFlow.placer().chooser().answered(mRoute.id(), answer.body().readableBytes());
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
-        if (failed) {
+        if (failed && !statement.isWithdrawing()) {
             mFlow.placer().failed(server, now);
-        } else {
+        } else if (!failed) {
             boolean waited = statement.load().filter(load -> load.waiting() > 0).isPresent();
             mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
             mCrashCheck.answered();
@@ -219,7 +219,7 @@
     private void turnedAway(ServerLoad server, int status, ServerStatement told, long now) {
         if (status == MISDIRECTED) {
             mFlow.placer().misdirected(server, now);
-        } else {
+        } else if (!told.isWithdrawing()) {
             mFlow.placer().turnedAway(server, told.load(), now);
         }
         tryAgainOrEnd("turned-away");
@@ -232,7 +232,7 @@
         if (failure.kind() == CallFailure.Kind.NOT_CONNECTED) {
             mFlow.placer().unreachable(server, now);
         }
-        if (failure.kind() != CallFailure.Kind.NO_CONNECTION_FREE) {
+        if (failure.kind().blamesServer()) {
             mFlow.placer().failed(server, now);
         }
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -111,8 +111,9 @@
     }
 
     private Exclusion exclusion(ServerLoad load, long now) {
-        if (load.server().leaving()) {
-            return Exclusion.LEAVING;
+        Exclusion stated = mFlow.statements().exclusion(load, now);
+        if (stated != null) {
+            return stated;
         }
         if (mFlow.servers().isEvacuated(load.server().zone())) {
             return Exclusion.EVACUATED;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.placement.PlacementSettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
+import io.masticpond.core.statement.WithdrawalSettings;
 import io.masticpond.core.support.Assert;
 import java.time.Duration;
 import java.util.List;
@@ -32,6 +33,7 @@
  * @param log how much is logged
  * @param crashes when a request counts as one that ends backend servers
  * @param serverLimits how far the limits that backend servers name may be exceeded
+ * @param withdrawals for how long it counts that backend servers have withdrawn
  * @param workspaces how strictly keys and rates of workspaces are kept
  * @param spending what may be spent; without it spending has no cap
  * @since 0.2
@@ -52,6 +54,7 @@
         Log log,
         CrashSettings crashes,
         ServerLimitSettings serverLimits,
+        WithdrawalSettings withdrawals,
         WorkspaceSettings workspaces,
         Optional<SpendingSettings> spending) {
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -10,6 +10,7 @@
 import io.masticpond.core.limit.SharedRateSettings;
 import io.masticpond.core.placement.PlacementSettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
+import io.masticpond.core.statement.WithdrawalSettings;
 import io.masticpond.entry.json.JsonTree;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -142,6 +143,7 @@
                         root.optionalObject("log").whole("linesPerSecond", DEFAULT_LINES)),
                 crashes(root.optionalObject("crashes")),
                 serverLimits(root.optionalObject("serverLimits")),
+                withdrawals(root.optionalObject("withdrawals")),
                 workspaces(root.optionalObject("workspaces")),
                 spending(root, zones));
     }
@@ -262,6 +264,11 @@
                 fields.time("ramp", fallback.ramp()));
     }
 
+    private static WithdrawalSettings withdrawals(SettingsFields fields) {
+        WithdrawalSettings fallback = WithdrawalSettings.DEFAULT;
+        return new WithdrawalSettings(fields.time("memory", fallback.memory()));
+    }
+
     private static WorkspaceSettings workspaces(SettingsFields fields) {
         WorkspaceSettings fallback = WorkspaceSettings.DEFAULT;
         Duration revocation = fields.time("revocation", fallback.revocation());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
@@ -44,6 +44,8 @@
     CRASHES("crashes", true, EntrySettings::crashes),
     /** How far the limits that backend servers name may be exceeded. */
     SERVER_LIMITS("serverLimits", true, EntrySettings::serverLimits),
+    /** For how long it counts that backend servers have withdrawn. */
+    WITHDRAWALS("withdrawals", true, EntrySettings::withdrawals),
     /** How strictly keys and rates of workspaces are kept. */
     WORKSPACES("workspaces", true, EntrySettings::workspaces),
     /** How much is logged. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.serverlimit.LimitBelief;
 import io.masticpond.core.spending.SpendingView;
+import io.masticpond.core.statement.WithdrawalBelief;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionCounts;
 import io.masticpond.entry.backend.NettyBackendConnections;
@@ -19,6 +20,7 @@
 import io.masticpond.entry.replica.ReplicaStatus;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.ServerLimitGate;
+import io.masticpond.entry.request.ServerStatements;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.request.WorkspaceAuthenticator;
 import java.time.Instant;
@@ -47,7 +49,20 @@
     private final EntryListeners mListeners;
     private volatile Traffic mTraffic =
             new Traffic(
-                    0, 0, 0, 0, 0, 0, 0, 0, 0, List.of(), Optional.empty(), Keys.NONE, Limits.NONE);
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    List.of(),
+                    Optional.empty(),
+                    Keys.NONE,
+                    Limits.NONE,
+                    Withdrawals.NONE);
 
     /** The figures of workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -77,6 +92,17 @@
         }
     }
 
+    /** The figures of what backend servers say of whether they take requests. */
+    private record Withdrawals(long leaving, long malformed) {
+
+        static final Withdrawals NONE = new Withdrawals(0, 0);
+
+        static Withdrawals of(ServerStatements statements) {
+            List<WithdrawalBelief> beliefs = statements.withdrawals();
+            return new Withdrawals(beliefs.size(), statements.malformed());
+        }
+    }
+
     /** The figures of the traffic thread. */
     private record Traffic(
             int open,
@@ -91,7 +117,8 @@
             List<RetryBudgetUse> retries,
             Optional<List<SpendingView>> spendings,
             Keys keys,
-            Limits limits) {
+            Limits limits,
+            Withdrawals withdrawals) {
 
         double sum(ToDoubleFunction<RetryBudgetUse> figure) {
             return retries.stream().mapToDouble(figure).sum();
@@ -131,7 +158,8 @@
                         List.copyOf(mLimits.budgets(mTimeSource.monotonicNanos()).values()),
                         mFlow.spending().map(SpendingCheck::views),
                         Keys.of(mFlow.authenticator()),
-                        Limits.of(mFlow.statements().limits()));
+                        Limits.of(mFlow.statements().limits()),
+                        Withdrawals.of(mFlow.statements()));
     }
 
     /** Sets all figures, on the control thread. */
@@ -170,6 +198,8 @@
         values.set(EntryValue.LIMITED_SERVERS, traffic.limits().servers());
         values.set(EntryValue.LIMITED_RATE, traffic.limits().ownPerSecond());
         values.set(EntryValue.MALFORMED_LIMITS, traffic.limits().malformed());
+        values.set(EntryValue.SERVERS_SAID_LEAVING, traffic.withdrawals().leaving());
+        values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUse::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUse::bound));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsInForce.java
@@ -65,6 +65,7 @@
                     mFlow.crashes().tune(settings.crashes());
                     mFlow.authenticator().tune(settings.workspaces());
                     mFlow.statements().limits().tune(settings.serverLimits());
+                    mFlow.statements().tune(settings.withdrawals());
                 });
         mNews.tell(ProcessChange.Kind.RELOADED, SettingsPart.tellChange(mSettings, settings));
         mSettings = settings;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -126,8 +126,13 @@
 
     @Provides
     @Singleton
-    static ServerStatements statements(HeaderNames names, ServerLimitGate limits) {
-        return new ServerStatements(names, limits);
+    static ServerStatements statements(
+            HeaderNames names,
+            ServerLimitGate limits,
+            EntrySettings settings,
+            TimeSource timeSource,
+            DecisionLog log) {
+        return new ServerStatements(names, limits, settings.withdrawals(), timeSource, log);
     }
 
     @Provides
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/CallEndTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/CallEndTest.java
@@ -43,6 +43,23 @@
         }
     }
 
+    @Example
+    void requestThatIsWithdrawnWhileItsConnectionOpensIsNeverSent() throws Exception {
+        try (Backends backends = new Backends()) {
+            Recorder withdrawn = new Recorder();
+            withdrawn.mMayBegin = false;
+            backends.onLoop(
+                    () ->
+                            backends.mConnections.send(
+                                    backends.mTarget, 1, Backends.get("never"), withdrawn));
+            withdrawn.assertFailed(CallFailure.Kind.WITHDRAWN, Verdict.DID_NOT_RUN);
+            assertThat(backends.idle()).as("the connection is kept for others").isEqualTo(1);
+            backends.send("next");
+            assertThat(backends.mServer.accept().readHead()).contains("next");
+            assertThat(backends.opened()).isEqualTo(1);
+        }
+    }
+
     @Example
     void aCallCancelledBeforeItsConnectionIsOpenIsNeverSent() throws Exception {
         try (Backends backends = new Backends()) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/Recorder.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/Recorder.java
@@ -17,6 +17,14 @@
     private final CompletableFuture<Object> mEnd = new CompletableFuture<>();
     private int mEnds;
 
+    /** Whether the request may still be written once there is a connection. */
+    boolean mMayBegin = true;
+
+    @Override
+    public boolean mayBegin() {
+        return mMayBegin;
+    }
+
     @Override
     public void answered(BackendAnswer answer) {
         String body = answer.body().toString(StandardCharsets.ISO_8859_1);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -17,6 +17,7 @@
 import io.masticpond.core.placement.ServerTable;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
+import io.masticpond.core.statement.WithdrawalSettings;
 import io.masticpond.core.time.ManualTimeSource;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.log.DecisionLog;
@@ -114,7 +115,12 @@
                         () -> 1,
                         mSpending,
                         mAuthenticator,
-                        new ServerStatements(NAMES, mServerLimits),
+                        new ServerStatements(
+                                NAMES,
+                                mServerLimits,
+                                WithdrawalSettings.DEFAULT,
+                                mTime,
+                                mDecisions),
                         mDecisions);
         flow.update(
                 EntryState.of(
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -0,0 +1,230 @@
+package io.masticpond.entry.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.fleet.FleetSnapshot;
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.request.Verdict;
+import io.masticpond.core.statement.WithdrawalSettings;
+import io.masticpond.entry.backend.CallFailure;
+import io.masticpond.entry.http.IncomingRequest;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Example;
+
+/** Guards against ways to a backend server that go round its word that it takes no requests. */
+class ServerWithdrawalFlowTest extends AbstractRequestFlowTest {
+
+    private static final int KEYS = 60;
+
+    private int mCount;
+
+    private FakeResponder ask(RequestFlow flow, String key) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Host", "host").set("Id", "r" + mCount++).set("Wait", "800");
+        if (key != null) {
+            headers.set("Key", key);
+        }
+        long now = mTime.monotonicNanos();
+        FakeResponder responder = new FakeResponder();
+        flow.handle(
+                new IncomingRequest(
+                        HttpMethod.GET, "/a/x", headers, Unpooled.EMPTY_BUFFER, now, now),
+                responder);
+        return responder;
+    }
+
+    /** Has the server of one key say something with its answer; gives that server. */
+    private BackendServerId hear(RequestFlow flow, int status, String... headers) {
+        ask(flow, "k");
+        FakeConnections.Call call = mConnections.last();
+        call.answer(status, headers);
+        mConnections.mCalls.stream()
+                .skip(mConnections.mCalls.indexOf(call) + 1L)
+                .toList()
+                .forEach(again -> again.answer(200, "Seal", "s"));
+        return call.mServer.id();
+    }
+
+    /** Counts what a server gets of many requests with many keys, all of which are answered. */
+    private long sendsTo(RequestFlow flow, BackendServerId server) {
+        int before = mConnections.mCalls.size();
+        for (int number = 0; number < KEYS; number++) {
+            ask(flow, number % 3 == 0 ? null : "key-" + number);
+            if (mConnections.mCalls.size() > before + number) {
+                mConnections.last().answer(200, "Seal", "s");
+            }
+            passTime(Duration.ofMillis(1));
+        }
+        return mConnections.mCalls.stream()
+                .skip(before)
+                .filter(call -> call.mServer.id().equals(server))
+                .count();
+    }
+
+    private static FleetSnapshot with(Map<BackendServerId, RegisteredServer> servers) {
+        FleetSnapshot all = FakeSnapshot.of(true, 2, false, Set.of());
+        return new FleetSnapshot(2, all.routing(), servers, Set.of());
+    }
+
+    private static Map<BackendServerId, RegisteredServer> servers() {
+        return new HashMap<>(FakeSnapshot.of(true, 2, false, Set.of()).servers());
+    }
+
+    private static void update(RequestFlow flow, Map<BackendServerId, RegisteredServer> servers) {
+        flow.update(EntryState.of(with(servers), flow.state()));
+    }
+
+    @Example
+    void anyAnswerThatSaysThatItsServerLeavesIsTheLastRequestThere() {
+        for (boolean idempotent : List.of(true, false)) {
+            for (int status : List.of(200, 404, 500, 503)) {
+                RequestFlow flow = flow(idempotent, 2);
+                BackendServerId leaving =
+                        hear(flow, status, "Seal", "s", "Leaving", "1", "Not-Run", "1");
+                assertThat(sendsTo(flow, leaving)).as("status %d", status).isZero();
+            }
+        }
+    }
+
+    @Example
+    void wordOfAnAnswerThatBreaksOffOrComesLateCounts() {
+        RequestFlow flow = flow(true, 2);
+        ask(flow, "k");
+        FakeConnections.Call call = mConnections.last();
+        HttpHeaders headers = new DefaultHttpHeaders().set("Leaving", "1");
+        call.mListener.answerBegan(200, headers);
+        call.fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mConnections.last().mServer.id()).isNotEqualTo(call.mServer.id());
+        mConnections.last().answer(200, "Seal", "s");
+        assertThat(sendsTo(flow, call.mServer.id())).isZero();
+        RequestFlow other = flow(true, 2);
+        ask(other, "k");
+        FakeConnections.Call late = mConnections.last();
+        passTime(Duration.ofSeconds(2));
+        late.mListener.answerBegan(200, headers);
+        assertThat(sendsTo(other, late.mServer.id())).as("after the client's time").isZero();
+    }
+
+    @Example
+    void secondSendsAvoidServersThatLeave() {
+        RequestFlow flow = flow(true, 3);
+        BackendServerId leaving = hear(flow, 200, "Seal", "s", "Leaving", "1");
+        for (int number = 0; number < KEYS; number++) {
+            int before = mConnections.mCalls.size();
+            ask(flow, "key-" + number);
+            mConnections.last().fail(Verdict.DID_NOT_RUN, CallFailure.Kind.NOT_CONNECTED);
+            if (mConnections.mCalls.size() > before + 1) {
+                mConnections.last().answer(200, "Seal", "s");
+            }
+            passTime(Duration.ofSeconds(1));
+            assertThat(mConnections.mCalls.subList(before, mConnections.mCalls.size()))
+                    .noneMatch(call -> call.mServer.id().equals(leaving));
+        }
+    }
+
+    @Example
+    void earlierAnswersAndTheRegistryTakeNothingBack() {
+        RequestFlow flow = flow(true, 2);
+        ask(flow, "k");
+        ask(flow, "k");
+        FakeConnections.Call first = mConnections.mCalls.get(0);
+        FakeConnections.Call second = mConnections.mCalls.get(1);
+        assertThat(first.mServer.id()).isEqualTo(second.mServer.id());
+        second.answer(200, "Seal", "s", "Leaving", "1");
+        first.answer(200, "Seal", "s");
+        assertThat(sendsTo(flow, first.mServer.id())).isZero();
+        update(flow, servers());
+        assertThat(sendsTo(flow, first.mServer.id())).as("its entry says ready").isZero();
+    }
+
+    @Example
+    void entryThatIsLostAndMadeAnewTakesNothingBack() {
+        RequestFlow flow = flow(true, 2);
+        BackendServerId leaving = hear(flow, 200, "Seal", "s", "Leaving", "1");
+        Map<BackendServerId, RegisteredServer> without = servers();
+        RegisteredServer entry = without.remove(leaving);
+        update(flow, without);
+        passTime(Duration.ofSeconds(5));
+        update(flow, servers());
+        assertThat(sendsTo(flow, leaving)).as("of the same run").isZero();
+        Map<BackendServerId, RegisteredServer> anew = servers();
+        anew.put(leaving, entry.withRun(1));
+        update(flow, anew);
+        assertThat(sendsTo(flow, leaving)).as("what may be another run").isZero();
+        passTime(WithdrawalSettings.DEFAULT.memory().plusSeconds(1));
+        update(flow, anew);
+        assertThat(sendsTo(flow, leaving)).as("what is another run").isPositive();
+    }
+
+    @Example
+    void serverThatTakesTheAddressLaterStartsWithoutAnyWord() {
+        RequestFlow flow = flow(true, 2);
+        BackendServerId leaving = hear(flow, 200, "Seal", "s", "Leaving", "1");
+        Map<BackendServerId, RegisteredServer> servers = servers();
+        RegisteredServer gone = servers.remove(leaving);
+        BackendServerId next = new BackendServerId("next");
+        servers.put(
+                next,
+                new RegisteredServer(
+                        next, gone.service(), gone.address(), gone.zone(), 2, false, 0));
+        update(flow, servers);
+        assertThat(sendsTo(flow, next)).isPositive();
+    }
+
+    @Example
+    void answersOfAnotherServerAtTheAddressSayNothing() {
+        RequestFlow flow = flow(true, 2);
+        hear(flow, 421, "Leaving", "1", "Limit", "0", "Not-Run", "1");
+        assertThat(flow.statements().withdrawals()).isEmpty();
+        assertThat(flow.statements().limits().beliefs()).isEmpty();
+    }
+
+    @Example
+    void requestThatWaitsForItsConnectionIsNotWrittenAfterThat() {
+        RequestFlow flow = flow(true, 2);
+        ask(flow, "k");
+        FakeConnections.Call waiting = mConnections.last();
+        assertThat(waiting.mListener.mayBegin()).isTrue();
+        BackendServerId leaving = hear(flow, 200, "Seal", "s", "Leaving", "1");
+        assertThat(leaving).isEqualTo(waiting.mServer.id());
+        assertThat(waiting.mListener.mayBegin()).isFalse();
+        waiting.fail(Verdict.DID_NOT_RUN, CallFailure.Kind.WITHDRAWN);
+        assertThat(mConnections.last().mServer.id()).isNotEqualTo(leaving);
+    }
+
+    @Example
+    void requestsAreRejectedAtOnceWhereAllServersLeave() {
+        RequestFlow flow = flow(true, 4);
+        for (int number = 0; number < KEYS; number++) {
+            int before = mConnections.mCalls.size();
+            ask(flow, "key-" + number);
+            if (mConnections.mCalls.size() > before) {
+                mConnections.last().answer(200, "Seal", "s", "Leaving", "1");
+            }
+        }
+        assertThat(flow.statements().withdrawals()).hasSize(3);
+        int before = mConnections.mCalls.size();
+        FakeResponder rejected = ask(flow, "k");
+        assertThat(rejected.status()).isEqualTo(503);
+        assertThat(rejected.mAnswers.get(0).headers().contains("Retry-After")).isTrue();
+        assertThat(mConnections.mCalls).hasSize(before);
+    }
+
+    @Example
+    void malformedWordIsCountedAndMeansNothing() {
+        RequestFlow flow = flow(true, 2);
+        BackendServerId server = hear(flow, 200, "Seal", "s", "Leaving", "soon");
+        assertThat(flow.statements().malformed()).isEqualTo(1);
+        assertThat(flow.statements().withdrawals()).isEmpty();
+        assertThat(sendsTo(flow, server)).isPositive();
+    }
+}
