Keep the pauses that backend servers ask for

Seen by callers: a server that had asked an instance for 3 s without requests got 20 of it in 4 s, all turned away; each cost a second send. Cause: a refusal kept a server out for 60 ms, whatever it asked for. Ruled out: a pause for each connection (it is asked of the instance); a later answer that asks for less takes nothing back, since the bound is on each. Change: ServerWithdrawals keeps the latest end of all pauses of a server, over all connections and ways, up to `withdrawals.longestPause`. It is no fault: the server is not judged for it, and its keys come back one by one over 1.5 s, at most as long as the pause was. Where all servers that a request may use pause, it is rejected at once with the time to the first end (`server-pauses`). What is no number of seconds means nothing and is counted.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/Placement.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/Placement.java
@@ -23,12 +23,49 @@
      */
     record Refused(AdmissionAnswer answer) implements Placement {}
 
+    /** It is refused, since the servers that may take it want nothing more for now. */
+    sealed interface Unwanted extends Placement {
+
+        /**
+         * Tells when the client should return.
+         *
+         * @return the time until then
+         */
+        long retryAfterNanos();
+
+        /**
+         * Names the cause.
+         *
+         * @return one of a fixed set of words
+         */
+        String cause();
+    }
+
     /**
-     * It is refused, since the servers that may take it have named limits, which are used up.
+     * The servers have named limits, which are used up.
      *
      * @param retryAfterNanos when the client should return
      */
-    record Limited(long retryAfterNanos) implements Placement {}
+    record Limited(long retryAfterNanos) implements Unwanted {
+
+        @Override
+        public String cause() {
+            return "server-limits";
+        }
+    }
+
+    /**
+     * The servers have asked for pauses.
+     *
+     * @param retryAfterNanos when the first of them is over
+     */
+    record Paused(long retryAfterNanos) implements Unwanted {
+
+        @Override
+        public String cause() {
+            return "server-pauses";
+        }
+    }
 
     /** No server may take it. */
     record Nowhere() implements Placement {}
--- a/masticpond-core/src/main/java/io/masticpond/core/statement/ServerWithdrawals.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/ServerWithdrawals.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.support.Assert;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -15,7 +16,8 @@
  * <p>What a server says of itself goes before the registry, which may be silent for long, and holds
  * for its lifetime: an answer to an earlier request takes nothing back, nor does an entry that says
  * otherwise, nor one that was lost and is made anew. A server that leaves gets nothing from then
- * on.
+ * on; one that asked for a pause gets nothing until its latest end, and its keys return over a
+ * while.
  *
  * <p>A state machine for one thread.
  *
@@ -62,6 +64,12 @@
             case ABSENT -> {}
             default -> throw new IllegalStateException("The word is unknown.");
         }
+        switch (statement.pause().kind()) {
+            case PAUSE -> pauses(server, statement.pause().length(), nowNanos);
+            case MALFORMED -> malformed(server, StatementPart.PAUSE, nowNanos);
+            case ABSENT -> {}
+            default -> throw new IllegalStateException("The kind is unknown.");
+        }
     }
 
     private void leaves(RegisteredServer server, long nowNanos) {
@@ -73,6 +81,25 @@
         }
     }
 
+    private void pauses(RegisteredServer server, Duration asked, long nowNanos) {
+        Duration longest = mSettings.longestPause();
+        if (asked.compareTo(longest) > 0) {
+            malformed(server, StatementPart.PAUSE, nowNanos);
+        }
+        long nanos = asked.compareTo(longest) > 0 ? longest.toNanos() : asked.toNanos();
+        Withdrawal state = state(server, nowNanos);
+        boolean isNews = !state.mIsPaused;
+        if (nanos == 0 || !isNews && state.mUntilNanos - nowNanos >= nanos) {
+            return;
+        }
+        state.mIsPaused = true;
+        state.mUntilNanos = nowNanos + nanos;
+        state.mPauseNanos = nanos;
+        if (isNews) {
+            mOutput.changed(belief(state, WithdrawalBelief.State.PAUSED, nowNanos));
+        }
+    }
+
     private void malformed(RegisteredServer server, StatementPart part, long nowNanos) {
         mMalformed++;
         Withdrawal state = state(server, nowNanos);
@@ -101,6 +128,60 @@
         return state != null && state.mIsLeaving && holds(state, server, nowNanos);
     }
 
+    /**
+     * Tells for how long a server still wants no requests.
+     *
+     * @param server the server
+     * @param nowNanos the monotonic time
+     * @return nanoseconds, 0 if it has not asked for a pause or that is over
+     */
+    public long pausedForNanos(RegisteredServer server, long nowNanos) {
+        Withdrawal state = mServers.get(server.id());
+        boolean isPaused = state != null && state.mIsPaused && holds(state, server, nowNanos);
+        return isPaused ? Math.max(0, state.mUntilNanos - nowNanos) : 0;
+    }
+
+    /**
+     * Tells which part of the keys a server takes: all, but fewer for a while after its pause, so
+     * that not all instances return at one moment.
+     *
+     * @param server the server
+     * @param nowNanos the monotonic time
+     * @return the part, 0 to 1
+     */
+    public double share(RegisteredServer server, long nowNanos) {
+        Withdrawal state = mServers.get(server.id());
+        if (state == null || state.mPauseNanos == 0 || !state.mServer.isSameRun(server)) {
+            return 1;
+        }
+        double ramp = Math.min(mSettings.ramp().toNanos(), state.mPauseNanos);
+        return Math.min(1, Math.max(0, (nowNanos - state.mUntilNanos) / ramp));
+    }
+
+    /**
+     * Ends the pauses that are over; to be called often.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void refresh(long nowNanos) {
+        for (Withdrawal state : mServers.values()) {
+            if (state.mIsPaused && state.mUntilNanos - nowNanos <= 0) {
+                state.mIsPaused = false;
+                if (!state.mIsLeaving) {
+                    mOutput.changed(belief(state, WithdrawalBelief.State.RETURNED, nowNanos));
+                }
+            }
+        }
+        mServers.values().removeIf(state -> hasReturned(state, nowNanos));
+    }
+
+    private boolean hasReturned(Withdrawal state, long nowNanos) {
+        long rampNanos = mSettings.ramp().toNanos();
+        boolean hasAllKeys = nowNanos - state.mUntilNanos >= rampNanos;
+        boolean isWithdrawn = state.mIsLeaving || state.mIsPaused;
+        return !isWithdrawn && state.mMalformed == null && hasAllKeys;
+    }
+
     private boolean holds(Withdrawal state, RegisteredServer server, long nowNanos) {
         return state.mServer.isSameRun(server) || isRemembered(state, nowNanos);
     }
@@ -126,7 +207,7 @@
         if (isSameRun || isRemembered(state, nowNanos)) {
             return false;
         }
-        if (registered != null && state.mIsLeaving) {
+        if (registered != null && (state.mIsLeaving || state.mIsPaused)) {
             mOutput.changed(belief(state, WithdrawalBelief.State.RETURNED, nowNanos));
         }
         return true;
@@ -143,6 +224,8 @@
         for (Withdrawal state : mServers.values()) {
             if (state.mIsLeaving) {
                 beliefs.add(belief(state, WithdrawalBelief.State.LEAVING, nowNanos));
+            } else if (state.mIsPaused) {
+                beliefs.add(belief(state, WithdrawalBelief.State.PAUSED, nowNanos));
             }
         }
         beliefs.sort(
@@ -154,7 +237,11 @@
     private static WithdrawalBelief belief(
             Withdrawal state, WithdrawalBelief.State now, long nowNanos) {
         return new WithdrawalBelief(
-                state.mServer.id(), state.mServer.service(), now, nowNanos - state.mSaidNanos);
+                state.mServer.id(),
+                state.mServer.service(),
+                now,
+                nowNanos - state.mSaidNanos,
+                state.mIsPaused ? Math.max(0, state.mUntilNanos - nowNanos) : 0);
     }
 
     /**
@@ -182,6 +269,14 @@
         private RegisteredServer mServer;
 
         private boolean mIsLeaving;
+        private boolean mIsPaused;
+
+        /** When its last pause ends or ended. */
+        private long mUntilNanos;
+
+        /** How long its last pause was from the answer that asked for it, 0 if it had none. */
+        private long mPauseNanos;
+
         private long mSaidNanos;
         private StatementPart mMalformed;
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/statement/StatementPart.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/StatementPart.java
@@ -7,5 +7,7 @@
  */
 public enum StatementPart {
     /** Whether it leaves. */
-    LEAVING
+    LEAVING,
+    /** For how long it wants no requests. */
+    PAUSE
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/statement/WithdrawalBelief.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/WithdrawalBelief.java
@@ -10,10 +10,11 @@
  * @param service its service
  * @param state whether it takes any
  * @param ageNanos how long ago the answer arrived that said so
+ * @param leftNanos how long its pause still lasts, 0 if it has none
  * @since 0.2
  */
 public record WithdrawalBelief(
-        BackendServerId server, ServiceId service, State state, long ageNanos) {
+        BackendServerId server, ServiceId service, State state, long ageNanos, long leftNanos) {
 
     /**
      * Whether a server takes requests.
@@ -23,6 +24,8 @@
     public enum State {
         /** It takes none any more. */
         LEAVING,
+        /** It takes none for a time. */
+        PAUSED,
         /** What it had said does not hold any more. */
         RETURNED
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServerDocument.java
@@ -41,6 +41,9 @@
     private static void writeWithdrawal(WithdrawalBelief withdrawal, ObjectNode into) {
         into.put("withdrawal", Spelling.of(withdrawal.state()))
                 .put("withdrawalAgeMillis", Spelling.millis(withdrawal.ageNanos()));
+        if (withdrawal.leftNanos() > 0) {
+            into.put("withdrawalLeftMillis", Spelling.millis(withdrawal.leftNanos()));
+        }
     }
 
     private static void writeLimit(LimitBelief limit, ObjectNode into) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -235,6 +235,9 @@
             line.writeStringField("server", belief.server().value());
             line.writeStringField("service", belief.service().value());
             line.writeStringField("state", Words.spell(belief.state()));
+            if (belief.leftNanos() > 0) {
+                line.writeNumberField("leftMillis", RequestLine.millis(belief.leftNanos()));
+            }
             line.writeStringField("source", "answer");
             line.writeNumberField("ageMillis", RequestLine.millis(belief.ageNanos()));
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
@@ -8,6 +8,8 @@
 public enum Exclusion {
     /** It wants no new requests. */
     LEAVING,
+    /** It has asked for a pause. */
+    PAUSED,
     /** Its zone is evacuated. */
     EVACUATED,
     /** It is cold and has had what a cold server may get. */
@@ -21,5 +23,17 @@
     /** It failed lately. */
     FAILING,
     /** The request was tried there before. */
-    TRIED
+    TRIED;
+
+    /**
+     * Tells whether the server may well be a candidate in a moment, or for the next request.
+     *
+     * @return whether it may
+     */
+    public boolean isShort() {
+        return switch (this) {
+            case COLD, FULL, LIMITED, FAILING, TRIED -> true;
+            case LEAVING, PAUSED, EVACUATED, NOT_HOME -> false;
+        };
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -80,6 +80,8 @@
     /** Backend servers that have said in an answer that they leave. */
     SERVERS_SAID_LEAVING(
             "backend_servers_said_leaving", "Backend servers that leave by their answers.", false),
+    /** Backend servers that have asked for a pause. */
+    PAUSED_SERVERS("paused_backend_servers", "Backend servers that have asked for a pause.", false),
     /** Answers that stated something on a withdrawal which means nothing. */
     MALFORMED_WITHDRAWALS(
             "malformed_withdrawals", "Answers whose word on leaving or a pause is none.", true),
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -118,9 +118,9 @@
             refuseForLoad(refused.answer(), servers, now);
             return;
         }
-        if (placement instanceof Placement.Limited limited) {
-            Duration comeBack = Duration.ofNanos(limited.retryAfterNanos());
-            endRejected(Rejection.unavailable("server-limits", comeBack));
+        if (placement instanceof Placement.Unwanted unwanted) {
+            Duration comeBack = Duration.ofNanos(unwanted.retryAfterNanos());
+            endRejected(Rejection.unavailable(unwanted.cause(), comeBack));
             return;
         }
         if (!(placement instanceof Placement.Placed placed)) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -53,10 +53,15 @@
         mFacts.weigh();
         Usable candidates = new Usable(now, true);
         Placement placement = place(servers, sentBefore, leftNanos, candidates);
-        if (placement instanceof Placement.Nowhere && candidates.mSawReturning) {
+        if (!(placement instanceof Placement.Nowhere)) {
+            return placement;
+        }
+        if (candidates.mSawReturning) {
             return place(servers, sentBefore, leftNanos, new Usable(now, false));
         }
-        return placement;
+        return candidates.isEachPaused()
+                ? new Placement.Paused(candidates.mFirstPauseNanos)
+                : placement;
     }
 
     private Placement place(
@@ -103,34 +108,34 @@
     }
 
     private boolean isUsable(ServerLoad load, long now) {
-        Exclusion exclusion = exclusion(load, now);
+        return noted(exclusion(load, now)) == null;
+    }
+
+    private Exclusion noted(Exclusion exclusion) {
         if (exclusion != null) {
             mFacts.excluded(exclusion);
         }
-        return exclusion == null;
+        return exclusion;
     }
 
     private Exclusion exclusion(ServerLoad load, long now) {
+        if (mFlow.servers().isEvacuated(load.server().zone())) {
+            return Exclusion.EVACUATED;
+        }
+        if (!isHome(load)) {
+            return Exclusion.NOT_HOME;
+        }
         Exclusion stated = mFlow.statements().exclusion(load, now);
         if (stated != null) {
             return stated;
         }
-        if (mFlow.servers().isEvacuated(load.server().zone())) {
-            return Exclusion.EVACUATED;
-        }
         if (!mTried.isEmpty() && mTried.contains(load.server().id())) {
             return Exclusion.TRIED;
         }
         if (!mWithoutPermit.isEmpty() && mWithoutPermit.contains(load.server().id())) {
             return Exclusion.COLD;
         }
-        if (load.isAvoided(now)) {
-            return Exclusion.FAILING;
-        }
-        if (!isHome(load)) {
-            return Exclusion.NOT_HOME;
-        }
-        return null;
+        return load.isAvoided(now) ? Exclusion.FAILING : null;
     }
 
     private boolean isHome(ServerLoad load) {
@@ -143,11 +148,14 @@
 
         private final long mNow;
         private final boolean mHeedsReturn;
-        private final ServerLimitGate mLimits = mFlow.statements().limits();
+        private final ServerStatements mStatements = mFlow.statements();
+        private final ServerLimitGate mLimits = mStatements.limits();
         private double mLimitedPerSecond;
         private boolean mSawLimited;
         private boolean mSawUnlimited;
         private boolean mSawReturning;
+        private boolean mSawUnpaused;
+        private long mFirstPauseNanos = Long.MAX_VALUE;
 
         Usable(long now, boolean heedsReturn) {
             mNow = now;
@@ -156,10 +164,16 @@
 
         @Override
         public boolean isUsable(ServerLoad load) {
-            if (!ServerSearch.this.isUsable(load, mNow)) {
+            Exclusion exclusion = noted(exclusion(load, mNow));
+            if (exclusion == Exclusion.PAUSED) {
+                long left = mStatements.pausedForNanos(load, mNow);
+                mFirstPauseNanos = Math.min(mFirstPauseNanos, left);
+            }
+            mSawUnpaused |= exclusion == null || exclusion.isShort();
+            if (exclusion != null) {
                 return false;
             }
-            if (mLimits.isEmpty()) {
+            if (mStatements.isEmpty()) {
                 mSawUnlimited = true;
                 return true;
             }
@@ -170,16 +184,21 @@
             return isUsable;
         }
 
+        /** Tells whether the request could be sent if it were not for pauses. */
+        boolean isEachPaused() {
+            return !mSawUnpaused && mFirstPauseNanos != Long.MAX_VALUE;
+        }
+
         private boolean hasPermit(ServerLoad load) {
             mSawLimited = true;
             mLimitedPerSecond += mLimits.ownPerSecond(load, mNow);
             return mLimits.hasPermit(load, mNow);
         }
 
-        /** A server whose limit was lifted takes more and more of the keys. */
+        /** A server that returns takes more and more of the keys. */
         private boolean takesKey(ServerLoad load) {
             mSawUnlimited = true;
-            double share = mHeedsReturn ? mLimits.share(load, mNow) : 1;
+            double share = mHeedsReturn ? mStatements.share(load, mNow) : 1;
             boolean takes = share >= 1 || HashMixer.fraction(mKeyHash, load.hash()) < share;
             mSawReturning |= !takes;
             return takes;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
@@ -102,8 +102,30 @@
     /** Tells why a server takes no requests at all, null if it does; a limit is another matter. */
     Exclusion exclusion(ServerLoad load, long nowNanos) {
         RegisteredServer server = load.server();
-        boolean isLeaving = server.leaving() || mWithdrawals.isLeaving(server, nowNanos);
-        return isLeaving ? Exclusion.LEAVING : null;
+        if (server.leaving() || mWithdrawals.isLeaving(server, nowNanos)) {
+            return Exclusion.LEAVING;
+        }
+        return mWithdrawals.pausedForNanos(server, nowNanos) > 0 ? Exclusion.PAUSED : null;
+    }
+
+    long pausedForNanos(ServerLoad load, long nowNanos) {
+        return mWithdrawals.pausedForNanos(load.server(), nowNanos);
+    }
+
+    /** Gives the part of the keys that a server takes, less than 1 just after it returned. */
+    double share(ServerLoad load, long nowNanos) {
+        return Math.min(mLimits.share(load, nowNanos), mWithdrawals.share(load.server(), nowNanos));
+    }
+
+    /** Tells whether no server has stated anything that bears on a choice. */
+    boolean isEmpty() {
+        return mWithdrawals.isEmpty() && mLimits.isEmpty();
+    }
+
+    /** Looks which instances there are and which pauses are over; to be called often. */
+    public void refresh() {
+        mLimits.refreshInstances();
+        mWithdrawals.refresh(mTimeSource.monotonicNanos());
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -266,7 +266,10 @@
 
     private static WithdrawalSettings withdrawals(SettingsFields fields) {
         WithdrawalSettings fallback = WithdrawalSettings.DEFAULT;
-        return new WithdrawalSettings(fields.time("memory", fallback.memory()));
+        return new WithdrawalSettings(
+                fields.time("memory", fallback.memory()),
+                fields.time("longestPause", fallback.longestPause()),
+                fields.time("ramp", fallback.ramp()));
     }
 
     private static WorkspaceSettings workspaces(SettingsFields fields) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -93,13 +93,17 @@
     }
 
     /** The figures of what backend servers say of whether they take requests. */
-    private record Withdrawals(long leaving, long malformed) {
+    private record Withdrawals(long leaving, long paused, long malformed) {
 
-        static final Withdrawals NONE = new Withdrawals(0, 0);
+        static final Withdrawals NONE = new Withdrawals(0, 0, 0);
 
         static Withdrawals of(ServerStatements statements) {
             List<WithdrawalBelief> beliefs = statements.withdrawals();
-            return new Withdrawals(beliefs.size(), statements.malformed());
+            long paused =
+                    beliefs.stream()
+                            .filter(each -> each.state() == WithdrawalBelief.State.PAUSED)
+                            .count();
+            return new Withdrawals(beliefs.size() - paused, paused, statements.malformed());
         }
     }
 
@@ -199,6 +203,7 @@
         values.set(EntryValue.LIMITED_RATE, traffic.limits().ownPerSecond());
         values.set(EntryValue.MALFORMED_LIMITS, traffic.limits().malformed());
         values.set(EntryValue.SERVERS_SAID_LEAVING, traffic.withdrawals().leaving());
+        values.set(EntryValue.PAUSED_SERVERS, traffic.withdrawals().paused());
         values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUse::left));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LimitSharing.java
@@ -82,7 +82,7 @@
     }
 
     private void look() {
-        mLimits.refreshInstances();
+        mFlow.statements().refresh();
         List<LimitReport> reports = mLimits.reports();
         if (!reports.isEmpty()) {
             mControl.execute(() -> tell(mHearers.look(mPeers.alive()), false, reports));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -227,4 +227,117 @@
         assertThat(flow.statements().withdrawals()).isEmpty();
         assertThat(sendsTo(flow, server)).isPositive();
     }
+
+    @Example
+    void serverThatAsksForTimeGetsNothingUntilThenAndItsKeysReturnOneByOne() {
+        for (boolean idempotent : List.of(true, false)) {
+            RequestFlow flow = flow(idempotent, 2);
+            BackendServerId paused = hear(flow, 503, "Not-Run", "1", "Retry-After", "3");
+            assertThat(sendsTo(flow, paused)).isZero();
+            passTime(Duration.ofMillis(2_900));
+            assertThat(sendsTo(flow, paused)).as("just before its end").isZero();
+            long first = sendsTo(flow, paused);
+            passTime(Duration.ofSeconds(2));
+            flow.statements().refresh();
+            long later = sendsTo(flow, paused);
+            assertThat(first).as("keys return one by one").isLessThan(later);
+            assertThat(flow.statements().withdrawals()).isEmpty();
+        }
+    }
+
+    @Example
+    void latestEndOfAllPausesCounts() {
+        RequestFlow flow = flow(true, 2);
+        ask(flow, "k");
+        ask(flow, "k");
+        ask(flow, "k");
+        List<FakeConnections.Call> calls = List.copyOf(mConnections.mCalls);
+        calls.get(0).answer(503, "Not-Run", "1", "Retry-After", "5");
+        calls.get(1).answer(503, "Not-Run", "1", "Retry-After", "1");
+        calls.get(2).answer(200, "Seal", "s");
+        passTime(Duration.ofSeconds(4));
+        assertThat(sendsTo(flow, calls.get(0).mServer.id())).isZero();
+    }
+
+    @Example
+    void pauseIsNeitherFailureNorRefusalInTheJudgementOfTheServer() {
+        RequestFlow flow = flow(true, 2);
+        BackendServerId paused =
+                hear(flow, 503, "Not-Run", "1", "Retry-After", "2", "Load", "0,0,2");
+        assertThat(
+                        flow.placer()
+                                .chooser()
+                                .judge()
+                                .judgement(SERVICE, paused, mTime.monotonicNanos())
+                                .map(judgement -> judgement.failureShare())
+                                .orElse(0.0))
+                .isZero();
+    }
+
+    @Example
+    void requestsAreRejectedWithTheFirstEndWhereAllServersPause() {
+        RequestFlow flow = flow(true, 4);
+        int[] seconds = {9, 4, 6};
+        for (int number = 0; number < KEYS; number++) {
+            ask(flow, "key-" + number);
+            FakeConnections.Call call = mConnections.last();
+            while (!call.mCancelled && flow.statements().withdrawals().size() < 3) {
+                int server = Integer.parseInt(call.mServer.id().value().substring(7));
+                call.answer(503, "Not-Run", "1", "Retry-After", "" + seconds[server]);
+                if (mConnections.last() == call) {
+                    break;
+                }
+                call = mConnections.last();
+            }
+        }
+        assertThat(flow.statements().withdrawals()).hasSize(3);
+        int before = mConnections.mCalls.size();
+        FakeResponder rejected = ask(flow, "k");
+        assertThat(rejected.status()).isEqualTo(503);
+        assertThat(mConnections.mCalls).hasSize(before);
+        String retryAfter = rejected.mAnswers.get(0).headers().get("Retry-After");
+        assertThat(Double.parseDouble(retryAfter)).isBetween(3.5, 4.0);
+        passTime(Duration.ofSeconds(5));
+        ask(flow, "k");
+        assertThat(mConnections.mCalls).as("the first is back").hasSize(before + 1);
+        assertThat(mConnections.last().mServer.id().value()).isEqualTo("server-1");
+    }
+
+    @Example
+    void pausesAreBoundedAndWhatIsNoneMeansNothing() {
+        RequestFlow flow = flow(true, 2);
+        BackendServerId server = hear(flow, 503, "Not-Run", "1", "Retry-After", "1000000000");
+        assertThat(flow.statements().malformed()).isEqualTo(1);
+        passTime(WithdrawalSettings.DEFAULT.longestPause().plusSeconds(3));
+        flow.statements().refresh();
+        assertThat(sendsTo(flow, server)).isPositive();
+        for (String value : List.of("soon", "-1", "1e9", "Thu, 03 Dec 2026 10:00:00 GMT", "0")) {
+            RequestFlow other = flow(true, 2);
+            BackendServerId named = hear(other, 503, "Not-Run", "1", "Retry-After", value);
+            passTime(Duration.ofSeconds(1));
+            assertThat(sendsTo(other, named)).as(value).isPositive();
+        }
+    }
+
+    @Example
+    void statusThatTurnsNobodyAwayAsksForNoPause() {
+        for (int status : List.of(200, 404, 429, 500)) {
+            RequestFlow flow = flow(false, 1);
+            hear(flow, status, "Seal", "s", "Retry-After", "3");
+            assertThat(flow.statements().withdrawals()).as("status %d", status).isEmpty();
+        }
+    }
+
+    @Example
+    void pauseOutlivesAnEntryThatIsLostAndMadeAnew() {
+        RequestFlow flow = flow(true, 2);
+        BackendServerId paused = hear(flow, 503, "Not-Run", "1", "Retry-After", "30");
+        Map<BackendServerId, RegisteredServer> without = servers();
+        RegisteredServer entry = without.remove(paused);
+        update(flow, without);
+        Map<BackendServerId, RegisteredServer> anew = servers();
+        anew.put(paused, entry.withRun(1));
+        update(flow, anew);
+        assertThat(sendsTo(flow, paused)).isZero();
+    }
 }
