Keep a server's limit over an entry that is lost and made anew

Ruled out: forgetting it with what looks like another run, since an entry that is made anew looks the same; the first answer of a real one lifts the limit. Change: only answers and the memory end a limit. Conclusion: what servers state of themselves hangs on no entry any more.

--- a/masticpond-core/src/main/java/io/masticpond/core/serverlimit/ServerLimits.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/serverlimit/ServerLimits.java
@@ -89,13 +89,14 @@
     }
 
     /**
-     * Forgets a server that has gone or started anew.
+     * Hears which servers are registered. A limit outlives the entry of its server, which may be
+     * lost and made anew while the server goes on; the next answer, or the end of the memory, ends
+     * it.
      *
-     * @param server the server
+     * @param servers their ids
      */
-    public void forget(BackendServerId server) {
-        mServers.remove(server);
-        mMalformed.remove(server);
+    public void retain(Set<BackendServerId> servers) {
+        mMalformed.retainAll(servers);
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -124,7 +124,6 @@
         mState = state;
         for (RegisteredServer gone : mServers.update(state.snapshot(), nowNanos())) {
             mConnections.forget(gone);
-            mStatements.forget(gone);
             mPlacer.chooser().judge().forget(gone.service(), gone.id());
         }
         mStatements.update(state.snapshot());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerLimitGate.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerLimitGate.java
@@ -1,6 +1,5 @@
 package io.masticpond.entry.request;
 
-import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
@@ -22,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -151,8 +151,8 @@
         }
     }
 
-    void forget(RegisteredServer server) {
-        mLimits.forget(server.id());
+    void retain(Set<BackendServerId> servers) {
+        mLimits.retain(servers);
     }
 
     /** Tells whether no server has named a limit lately. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
@@ -140,13 +140,10 @@
     }
 
     void update(FleetSnapshot snapshot) {
+        mLimits.retain(snapshot.servers().keySet());
         mWithdrawals.retain(snapshot.servers(), mTimeSource.monotonicNanos());
     }
 
-    void forget(RegisteredServer server) {
-        mLimits.forget(server);
-    }
-
     /** Writes what is believed to the log. */
     private record Output(DecisionLog log) implements WithdrawalOutput {
 
