--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreFeed.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreFeed.java
@@ -13,6 +13,15 @@
  */
 public interface StoreFeed {
 
+    /**
+     * Tells which era of the store its answers are of.
+     *
+     * @return the newest that any answer has told, 0 if none has
+     */
+    default long era() {
+        return 0;
+    }
+
     /**
      * Lists all objects of a kind, page after page.
      *
