Follow the store when it comes back from an older copy

Seen by callers: a route that was confirmed 2.6 s before got 404 at all instances, until the store's revision had passed the one of before the outage. Cause: all that the store says was ordered by its revision alone, which it gives out again when it comes back from a copy. Its class: an order that one party gives out was taken to never go back. Ruled out: (era, revision) alone, which lets the older content win: a confirmed version, an ended evacuation, a server that left would come back; taking the new era only when its revision has passed the old one, which is the fault. Change: eras and revisions are joined into one number that only rises, so copies, relays, heartbeats and proofs order by both without a change. A watch from another era is answered by a list; a list of two eras and late answers of an earlier one are dropped. What writers mean goes before what the store says until they have had 2.5 s to write again: what is not listed stays, what had been deleted stays deleted, a version stays while an older one is listed, and is told to instances that start. Servers' entries that come back count after 6 s, as those of servers that left expire before. A read proves nothing in that time. The own entry is written again. A metric, a line for each return, the era in the status.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreRevision.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/fleet/StoreRevision.java
@@ -1,4 +1,4 @@
-package io.masticpond.entry.replica;
+package io.masticpond.core.fleet;
 
 /**
  * Revisions of the store, joined with the era that gave them out into one number that only ever
@@ -15,7 +15,7 @@
     private static final long REVISION_MASK = (1L << ERA_SHIFT) - 1;
 
     /** The last era that can be told apart. */
-    static final long LAST_ERA = Long.MAX_VALUE >> ERA_SHIFT;
+    public static final long LAST_ERA = Long.MAX_VALUE >> ERA_SHIFT;
 
     private StoreRevision() {}
 
@@ -50,8 +50,14 @@
         return joined & REVISION_MASK;
     }
 
-    /** Tells whether one is of an earlier era than another. */
-    static boolean isOfEarlierEra(long joined, long other) {
+    /**
+     * Tells whether one is of an earlier era than another.
+     *
+     * @param joined the one
+     * @param other the other
+     * @return whether it is
+     */
+    public static boolean isOfEarlierEra(long joined, long other) {
         return era(joined) < era(other);
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.masticpond.core.crash.CrashBelief;
+import io.masticpond.core.fleet.StoreRevision;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.routing.RoutingConfiguration;
@@ -58,7 +59,8 @@
                 .ifPresent(version -> document.put("routingVersion", version));
         age(replica, Category.ROUTING)
                 .ifPresent(millis -> document.put("routingAgeMillis", millis));
-        document.put("registryRevision", mSources.replica().revision());
+        document.put("registryRevision", StoreRevision.revision(mSources.replica().revision()));
+        document.put("storeEra", StoreRevision.era(mSources.replica().revision()));
         age(replica, Category.BACKEND_SERVERS)
                 .ifPresent(millis -> document.put("registryAgeMillis", millis));
         document.put("usable", replica.usable());
@@ -70,7 +72,7 @@
             copies.addObject()
                     .put("category", Spelling.of(each.category()))
                     .put("listed", each.listed())
-                    .put("revision", each.revision())
+                    .put("revision", StoreRevision.revision(each.revision()))
                     .put("source", Spelling.of(each.source()))
                     .put("ageMillis", each.age().toMillis())
                     .put("documents", each.documents());
@@ -92,7 +94,7 @@
                     .put("state", Spelling.of(member.state()))
                     .put("ready", instance.ready())
                     .put("leaving", member.leaving())
-                    .put("revision", instance.revision())
+                    .put("revision", StoreRevision.revision(instance.revision()))
                     .put("silentMillis", member.silentMillis())
                     .put("entry", instance.entry().toString())
                     .put("control", instance.internal().ip() + ":" + mSources.port());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BeliefChange.java
@@ -357,13 +357,13 @@
             if (ageNanos != RequestRecord.UNKNOWN) {
                 line.writeNumberField("ageMillis", RequestLine.millis(ageNanos));
             }
-            line.writeNumberField("revision", revision);
+            RequestLine.writeRevision(line, "revision", revision);
         }
     }
 
     private static void writeOrigin(JsonGenerator line, long revision, NewsSource source)
             throws IOException {
-        RequestLine.writeKnown(line, "revision", revision);
+        RequestLine.writeRevision(line, "revision", revision);
         line.writeStringField("source", Words.of(source));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.log;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.masticpond.core.fleet.StoreRevision;
 import io.masticpond.core.serverlimit.LimitHeader;
 import io.masticpond.core.statement.ServerStatement;
 import java.io.IOException;
@@ -70,6 +71,13 @@
         }
     }
 
+    /** Writes a revision as the store knows it, unless it is not known. */
+    static void writeRevision(JsonGenerator line, String name, long joined) throws IOException {
+        if (joined != RequestRecord.UNKNOWN) {
+            line.writeNumberField(name, StoreRevision.revision(joined));
+        }
+    }
+
     static long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
@@ -175,7 +183,7 @@
         }
         writeKnown(line, "routingVersion", request.mRoutingVersion);
         writeAge(line, "routingAgeMillis", request.mRoutingAgeNanos);
-        writeKnown(line, "registryRevision", request.mRegistryRevision);
+        writeRevision(line, "registryRevision", request.mRegistryRevision);
         writeAge(line, "registryAgeMillis", request.mRegistryAgeNanos);
         if (request.mShareholders > 0) {
             line.writeNumberField("shareholders", request.mShareholders);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingStoreFeed.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/CountingStoreFeed.java
@@ -21,6 +21,11 @@
         mCounts = counts;
     }
 
+    @Override
+    public long era() {
+        return mNext.era();
+    }
+
     @Override
     public void list(
             Category category, Duration timeout, Consumer<Either<FeedError, FeedResult>> result) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -22,6 +22,8 @@
     ROUTING_VERSION("routing_version", "Version of the routes in force.", false),
     /** The revision of the store that the snapshot rests on. */
     REGISTRY_REVISION("registry_revision", "Revision of the store that is known.", false),
+    /** How often the store has come back from an older copy, as it tells. */
+    STORE_ERA("store_era", "Era of the store; rises when it comes back from a copy.", false),
     /** How long ago the routes were confirmed. */
     ROUTING_AGE("routing_age_seconds", "Time since the routes were confirmed.", false),
     /** How long ago the list of backend servers was confirmed. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.replica;
 
+import io.masticpond.core.fleet.StoreRevision;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,8 +13,12 @@
  * This instance's copy of one category, which never goes back.
  *
  * <p>Documents are compared by the revisions of the store alone, so that it does not matter whether
- * the store or a peer told of them, nor in which order. Deletions are kept as tombstones. For the
- * control thread.
+ * the store or a peer told of them, nor in which order. Deletions are kept as tombstones.
+ *
+ * <p>A store that has come back from an older copy lists what was true then. Until its writers have
+ * had time to write again, its list neither takes away what is known nor brings back what was
+ * deleted; {@link #settle} and {@link #believeReturned} end that. What is written in the new era
+ * counts at once. For the control thread.
  */
 final class CategoryCopy {
 
@@ -21,6 +26,12 @@
     private final CopyListener mListener;
     private final Map<String, Held> mDocuments = new HashMap<>();
     private final Map<String, Tombstone> mTombstones = new HashMap<>();
+
+    /** Documents of a store that came back which had been deleted before. */
+    private final Map<String, Told> mReturned = new HashMap<>();
+
+    private boolean mReturning;
+    private boolean mDoubting;
     private boolean mListed;
     private long mRevision;
     private long mContentRevision;
@@ -82,16 +93,27 @@
         if (mListed && revision < mRevision) {
             return;
         }
+        if (mListed && StoreRevision.isOfEarlierEra(mRevision, revision)) {
+            mReturning = true;
+            mDoubting = true;
+        }
         Set<String> names = new HashSet<>();
         for (Told told : documents) {
             if (!told.document().deleted()) {
                 names.add(told.document().name());
             }
-            apply(told, revision, nowNanos);
+            if (!isReturned(told.document())) {
+                apply(told, revision, nowNanos);
+            } else if (mReturned.putIfAbsent(told.document().name(), told) != null) {
+                takeIfWrittenAgain(told, revision, nowNanos);
+            }
         }
+        mReturned.keySet().retainAll(names);
         for (Held held : new ArrayList<>(mDocuments.values())) {
             StoredDocument document = held.document();
-            if (!names.contains(document.name()) && document.revision() <= revision) {
+            boolean isKept =
+                    mReturning && StoreRevision.isOfEarlierEra(document.revision(), revision);
+            if (!names.contains(document.name()) && document.revision() <= revision && !isKept) {
                 bury(document.name(), revision, revision, nowNanos);
             }
         }
@@ -101,6 +123,65 @@
         confirm(revision, source, nowNanos);
     }
 
+    /** Tells whether a document was deleted in an earlier era than that of which it is listed. */
+    private boolean isReturned(StoredDocument document) {
+        Tombstone tombstone = mTombstones.get(document.name());
+        return mDoubting
+                && tombstone != null
+                && !document.deleted()
+                && StoreRevision.isOfEarlierEra(tombstone.revision(), document.revision());
+    }
+
+    private void takeIfWrittenAgain(Told told, long revision, long nowNanos) {
+        Told before = mReturned.get(told.document().name());
+        if (told.document().revision() > before.document().revision()) {
+            apply(told, revision, nowNanos);
+        }
+    }
+
+    /** Tells whether the store has come back from a copy and its writers may not be done. */
+    boolean isReturning() {
+        return mReturning;
+    }
+
+    /** Counts the documents that are known and that the store has not listed since its return. */
+    int keptOverReturn() {
+        return (int)
+                mDocuments.values().stream()
+                        .filter(held -> isOfEarlierEra(held.document()))
+                        .count();
+    }
+
+    private boolean isOfEarlierEra(StoredDocument document) {
+        return StoreRevision.isOfEarlierEra(document.revision(), mRevision);
+    }
+
+    /**
+     * Takes it that what was lost has been written again: what is still not listed is gone.
+     *
+     * @param nowNanos the monotonic time
+     */
+    void settle(long nowNanos) {
+        mReturning = false;
+        for (Held held : new ArrayList<>(mDocuments.values())) {
+            StoredDocument document = held.document();
+            if (isOfEarlierEra(document)) {
+                bury(document.name(), mRevision, mRevision, nowNanos);
+            }
+        }
+    }
+
+    /**
+     * Takes it that what had been deleted, was brought back by the store, and is still there, is
+     * meant to be.
+     *
+     * @param nowNanos the monotonic time
+     */
+    void believeReturned(long nowNanos) {
+        mDoubting = false;
+        List.copyOf(mReturned.values()).forEach(told -> apply(told, mRevision, nowNanos));
+    }
+
     /**
      * Takes the changes since a revision at which the copy was, in their order.
      *
@@ -124,12 +205,27 @@
      */
     void applyPart(CopyPart part, long nowNanos) {
         if (part.whole()) {
+            part.documents().forEach(told -> takeOutranking(told, nowNanos));
             applyList(part.documents(), part.revision(), CopySource.PEER, nowNanos);
         } else if (mListed && part.revision() >= mRevision) {
             applyChanges(part.documents(), part.revision(), CopySource.PEER, nowNanos);
         }
     }
 
+    /** A peer may have kept a newer document than the copy that the store came back from has. */
+    private void takeOutranking(Told told, long nowNanos) {
+        StoredDocument document = told.document();
+        Held held = mDocuments.get(document.name());
+        boolean isOutranking =
+                held != null
+                        && held.document().revision() == document.revision()
+                        && mListener.isOvertaken(held.document(), document);
+        if (isOutranking) {
+            mDocuments.put(document.name(), new Held(document, nowNanos));
+            mListener.changed(document, told.stateNanos());
+        }
+    }
+
     /**
      * Tells whether another copy lacks anything that is known here.
      *
@@ -158,6 +254,10 @@
                 documents.add(new Told(held.document(), held.stateNanos()));
             }
         }
+        if (whole) {
+            // The other may not know that they had been deleted, and decides by itself.
+            documents.addAll(mReturned.values());
+        }
         for (Map.Entry<String, Tombstone> entry : mTombstones.entrySet()) {
             Tombstone tombstone = entry.getValue();
             if (!whole && tombstone.learntRevision() > afterRevision) {
@@ -189,6 +289,7 @@
 
     private void apply(Told told, long completeRevision, long nowNanos) {
         StoredDocument document = told.document();
+        mReturned.remove(document.name());
         Held held = mDocuments.get(document.name());
         Tombstone tombstone = mTombstones.get(document.name());
         if (document.deleted()) {
@@ -207,11 +308,22 @@
             return;
         }
         mTombstones.remove(document.name());
-        mDocuments.put(document.name(), new Held(document, told.stateNanos()));
         mContentRevision = Math.max(mContentRevision, document.revision());
+        if (held != null && isOlderCopy(document, held.document())) {
+            StoredDocument kept = held.document().at(document.revision());
+            mDocuments.put(document.name(), new Held(kept, held.stateNanos()));
+            mListener.stays(document.revision());
+            return;
+        }
+        mDocuments.put(document.name(), new Held(document, told.stateNanos()));
         mListener.changed(document, told.stateNanos());
     }
 
+    private boolean isOlderCopy(StoredDocument document, StoredDocument held) {
+        return StoreRevision.isOfEarlierEra(held.revision(), document.revision())
+                && mListener.isOvertaken(document, held);
+    }
+
     private static boolean isOlder(Tombstone tombstone, long revision) {
         return tombstone == null || tombstone.revision() < revision;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.replica;
 
+import io.masticpond.core.fleet.StoreRevision;
 import io.masticpond.core.time.Moment;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.replica.CategoryCopy.Told;
@@ -110,6 +111,21 @@
         catchUp();
     }
 
+    /**
+     * Lists anew if the copy is of an earlier era: a watch from there may look whole and miss
+     * changes.
+     *
+     * @param era the newest era that is known
+     */
+    void checkEra(long era) {
+        boolean isOutdated = mCopy.isListed() && StoreRevision.era(mCopy.revision()) < era;
+        if (isOutdated && !mResting && !mListing) {
+            mHistoryGone = true;
+            stopCall();
+            list();
+        }
+    }
+
     private void catchUp() {
         if (!mCopy.isListed() || mHistoryGone) {
             list();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -51,6 +51,7 @@
     private long mWatchingSinceNanos;
     private Runnable mGraceTimer = () -> {};
     private Runnable mWarmTimer = () -> {};
+    private final StoreReturn mReturn;
     private boolean mStopped;
     private volatile FleetSnapshot mSnapshot = FleetSnapshot.EMPTY;
     private volatile long mRevision;
@@ -83,6 +84,9 @@
         follow(context, Category.ROUTING, mRouting);
         follow(context, Category.EVACUATIONS, mEvacuations);
         follow(context, Category.BACKEND_SERVERS, mServers);
+        mReturn =
+                new StoreReturn(
+                        context, mCopies.values(), mFollowers, () -> publish(CopySource.NONE));
         mRelayService = new RelayService(context, mCopies, mServers, this::watches);
         mRoutingReader =
                 new RoutingReader(
@@ -214,7 +218,17 @@
         mRelay.ifPresent(RelayFollower::start);
     }
 
+    /**
+     * Says who hears that the store has come back from an older copy, on the control thread.
+     *
+     * @param listener hears it once for each time
+     */
+    public void whenStoreReturned(Runnable listener) {
+        mReturn.whenReturned(listener);
+    }
+
     private void checkLag() {
+        mReturn.look();
         long missed = mLag.map(lag -> lag.compare(mRevision)).orElse(0L);
         if (missed == 0) {
             return;
@@ -235,6 +249,7 @@
         mRelayService.changed();
         mFallback.ifPresent(RelayFallback::stop);
         mGraceTimer.run();
+        mReturn.stop();
     }
 
     /**
@@ -360,6 +375,7 @@
             tell(source, nowNanos);
         }
         mRelayService.changed();
+        mReturn.look();
     }
 
     private void tell(CopySource source, long nowNanos) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
@@ -76,6 +76,11 @@
                         });
     }
 
+    /** Enters again, as the store may have lost the entry. */
+    public void enterAgain() {
+        put();
+    }
+
     private void list() {
         if (mStopped) {
             return;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
@@ -76,7 +76,11 @@
     }
 
     /** Hears that the copy has taken a list that was asked for at a moment. */
+    /** What a store says that has come back from an older copy proves nothing until it settles. */
     void listed(Moment before) {
+        if (mCopy.isReturning()) {
+            return;
+        }
         mProven.accept(new FreshnessProof(before, mCopy.contentRevision()));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
@@ -73,6 +73,23 @@
         sLogger.info("STORE  routing version {} is in force", mRouting.version());
     }
 
+    @Override
+    public boolean isOvertaken(StoredDocument document, StoredDocument other) {
+        return version(document) < version(other);
+    }
+
+    @Override
+    public void stays(long revision) {
+        mRevision = Math.max(mRevision, revision);
+    }
+
+    /** Gives the version that the operator gave it, below all others if it cannot be read. */
+    private long version(StoredDocument document) {
+        return Reading.guard(() -> mTranslator.routing(document.content()))
+                .map(RoutingConfiguration::version)
+                .getOrElse(Long.MIN_VALUE);
+    }
+
     @Override
     public void removed(String name, long revision) {
         sLogger.warn("STORE  routing {} was deleted, the last good one stays", name);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreEra.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreEra.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.replica;
 
+import io.masticpond.core.fleet.StoreRevision;
 import java.util.List;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoredDocument.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoredDocument.java
@@ -13,4 +13,9 @@
  * @since 0.2
  */
 public record StoredDocument(
-        Category category, String name, long revision, boolean deleted, JsonNode content) {}
+        Category category, String name, long revision, boolean deleted, JsonNode content) {
+
+    StoredDocument at(long otherRevision) {
+        return new StoredDocument(category, name, otherRevision, deleted, content);
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlSide.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlSide.java
@@ -49,6 +49,7 @@
 
     /** Starts the parts; to be called on the control thread. */
     void start() {
+        mReplica.whenStoreReturned(mRegistration::enterAgain);
         mReplica.start();
         mHeartbeats.start();
         mRegistration.start();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryFigures.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.crash.CrashBelief;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.fleet.StoreRevision;
 import io.masticpond.core.limit.RetryBudgetUse;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.serverlimit.LimitBelief;
@@ -171,7 +172,9 @@
         setTraffic(values);
         setFleet(values, mControl.replica().snapshot());
         setReplica(values, mControl.replica().status());
-        values.set(EntryValue.REGISTRY_REVISION, mControl.replica().revision());
+        long revision = mControl.replica().revision();
+        values.set(EntryValue.REGISTRY_REVISION, StoreRevision.revision(revision));
+        values.set(EntryValue.STORE_ERA, StoreRevision.era(revision));
         values.set(EntryValue.INSTANCES_ALIVE, mControl.heartbeats().alive().size());
         values.set(EntryValue.SHAREHOLDERS, mControl.heartbeats().shareholders());
         values.set(EntryValue.PEERS_AGE, peersAge());
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/FakeStore.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/FakeStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.masticpond.core.fleet.StoreRevision;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,8 +20,11 @@
     private final Map<String, StoredDocument> mDocuments = new LinkedHashMap<>();
     private final List<StoredDocument> mHistory = new ArrayList<>();
     private final List<Feed> mFeeds = new ArrayList<>();
+    private final Map<String, StoredDocument> mCopy = new LinkedHashMap<>();
     private long mRevision = 10;
     private long mHorizon;
+    private long mEra;
+    private long mCopyRevision;
 
     FakeStore(Scheduler scheduler) {
         mScheduler = scheduler;
@@ -33,7 +37,37 @@
     }
 
     long revision() {
-        return mRevision;
+        return StoreRevision.of(mEra, mRevision);
+    }
+
+    /** Makes the copy from which the store may come back. */
+    void keepCopy() {
+        mCopy.clear();
+        mCopy.putAll(mDocuments);
+        mCopyRevision = mRevision;
+    }
+
+    /** Comes back from the copy in a new era; all waits are cut, or left dead. */
+    void comeBack(boolean cuts) {
+        mEra++;
+        mRevision = mCopyRevision;
+        mDocuments.clear();
+        mCopy.forEach(
+                (key, document) ->
+                        mDocuments.put(
+                                key,
+                                document.at(
+                                        StoreRevision.of(
+                                                mEra,
+                                                StoreRevision.revision(document.revision())))));
+        mHistory.clear();
+        mHorizon = revision();
+        mFeeds.forEach(cuts ? Feed::cut : Feed::loseWaits);
+    }
+
+    private long next() {
+        mRevision++;
+        return revision();
     }
 
     void server(String name, String state) {
@@ -45,16 +79,16 @@
     }
 
     void put(Category category, String name, JsonNode content) {
-        change(new StoredDocument(category, name, ++mRevision, false, content));
+        change(new StoredDocument(category, name, next(), false, content));
     }
 
     void delete(Category category, String name) {
-        change(new StoredDocument(category, name, ++mRevision, true, null));
+        change(new StoredDocument(category, name, next(), true, null));
     }
 
     /** Drops the history and cuts all waits. */
     void compact() {
-        mHorizon = mRevision;
+        mHorizon = revision();
         mFeeds.forEach(Feed::cut);
     }
 
@@ -72,7 +106,7 @@
     private FeedResult contents(Category category) {
         return new FeedResult(
                 mDocuments.values().stream().filter(d -> d.category() == category).toList(),
-                mRevision);
+                revision());
     }
 
     /** What becomes of an instance's calls. */
@@ -89,6 +123,7 @@
         private Fault mFault = Fault.NONE;
         private boolean mMuted;
         private int mCalls;
+        private long mKnownEra;
 
         int calls() {
             return mCalls;
@@ -112,6 +147,15 @@
             }
         }
 
+        void loseWaits() {
+            mWaits.clear();
+        }
+
+        @Override
+        public long era() {
+            return mKnownEra;
+        }
+
         void cut() {
             List<Wait> waits = List.copyOf(mWaits);
             mWaits.clear();
@@ -122,7 +166,7 @@
             for (Wait wait : List.copyOf(mWaits)) {
                 List<StoredDocument> changes = changes(wait);
                 if (!changes.isEmpty() && mWaits.remove(wait)) {
-                    long revision = mRevision;
+                    long revision = revision();
                     mScheduler.schedule(
                             DELAY,
                             () ->
@@ -154,7 +198,8 @@
         }
 
         private void hold(Wait entry, Duration wait) {
-            if (entry.afterRevision() < mHorizon) {
+            boolean isOfThisEra = StoreRevision.era(entry.afterRevision()) == mEra;
+            if (entry.afterRevision() < mHorizon || !isOfThisEra) {
                 entry.result().accept(Either.left(FeedError.HISTORY_GONE));
                 return;
             }
@@ -167,7 +212,7 @@
                     () -> {
                         if (mWaits.remove(entry)) {
                             entry.result()
-                                    .accept(Either.right(new FeedResult(List.of(), mRevision)));
+                                    .accept(Either.right(new FeedResult(List.of(), revision())));
                         }
                     });
             deliver();
@@ -218,9 +263,14 @@
             }
             mScheduler.schedule(
                     DELAY,
-                    fault == Fault.NONE
-                            ? done
-                            : () -> result.accept(Either.left(FeedError.TURNED_AWAY)));
+                    () -> {
+                        mKnownEra = mEra;
+                        if (fault == Fault.NONE) {
+                            done.run();
+                        } else {
+                            result.accept(Either.left(FeedError.TURNED_AWAY));
+                        }
+                    });
         }
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreEraTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreEraTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.masticpond.core.fleet.StoreRevision;
 import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreReturnTest.java
@@ -0,0 +1,290 @@
+package io.masticpond.entry.replica;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.masticpond.core.freshness.FreshnessProof;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.entry.replica.ReplicaFixture.Instance;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+/** Guards against changes that are missed or taken back when the store comes from an older copy. */
+class StoreReturnTest {
+
+    /** Within this all writers have written again. */
+    private static final long WRITTEN_AGAIN_MILLIS = 1_500;
+
+    private ReplicaFixture mFixture;
+    private FakeStore mStore;
+
+    @BeforeTry
+    void begin() {
+        mFixture = new ReplicaFixture();
+        mStore = mFixture.mStore;
+    }
+
+    private static Set<String> evacuated(Instance instance) {
+        return instance.mReplica.snapshot().evacuatedZones().stream()
+                .map(ZoneId::value)
+                .collect(Collectors.toSet());
+    }
+
+    private void evacuate(String zone) {
+        mStore.put(Category.EVACUATIONS, zone, JsonNodeFactory.instance.objectNode());
+    }
+
+    @Example
+    void versionOfTheNewEraIsInForceThoughItsRevisionWasGivenOutBefore() {
+        Instance instance = mFixture.start(FakeStore.Fault.NONE, true);
+        mFixture.pass(100);
+        mStore.keepCopy();
+        mStore.routing(5);
+        mFixture.pass(500);
+        for (boolean cuts : List.of(true, false)) {
+            mStore.comeBack(cuts);
+            mFixture.pass(3_000);
+            assertThat(instance.version()).as("is not taken back").isEqualTo(cuts ? 5 : 6);
+            mStore.routing(cuts ? 6 : 7);
+            mFixture.pass(300);
+            assertThat(instance.version()).isEqualTo(cuts ? 6 : 7);
+        }
+    }
+
+    @Example
+    void whatIsInForceStaysUntilWritersHaveWritten() {
+        Instance instance = mFixture.start();
+        evacuate("ended");
+        mStore.server("left", "ready");
+        mFixture.pass(500);
+        mStore.keepCopy();
+        mStore.delete(Category.EVACUATIONS, "ended");
+        mStore.delete(Category.BACKEND_SERVERS, "left");
+        evacuate("lost");
+        mStore.server("new", "ready");
+        mFixture.pass(500);
+        mStore.comeBack(true);
+        mFixture.pass(1_000);
+        assertThat(evacuated(instance)).containsExactly("lost");
+        assertThat(instance.servers()).contains("new").doesNotContain("left");
+        mStore.delete(Category.EVACUATIONS, "ended");
+        evacuate("lost");
+        mStore.server("new", "ready");
+        mFixture.pass(3_000);
+        assertThat(evacuated(instance)).containsExactly("lost");
+        assertThat(instance.servers()).contains("new").doesNotContain("left");
+    }
+
+    @Example
+    void whatIsNotWrittenAgainIsTakenAsTheStoreHasIt() {
+        Instance instance = mFixture.start();
+        evacuate("ended");
+        mStore.server("left", "ready");
+        mFixture.pass(500);
+        mStore.keepCopy();
+        mStore.delete(Category.EVACUATIONS, "ended");
+        mStore.delete(Category.BACKEND_SERVERS, "left");
+        mStore.server("new", "ready");
+        mFixture.pass(500);
+        mStore.comeBack(true);
+        mFixture.pass(4_000);
+        assertThat(evacuated(instance)).as("nobody ended it again").containsExactly("ended");
+        assertThat(instance.servers())
+                .as("a server that has left does not write, its entry expires")
+                .doesNotContain("left", "new");
+        mFixture.pass(4_000);
+        assertThat(instance.servers()).as("whose entry did not expire").contains("left");
+    }
+
+    @Example
+    void whatIsWrittenInTheNewEraCountsAtOnce() {
+        Instance instance = mFixture.start();
+        mStore.keepCopy();
+        evacuate("again");
+        mFixture.pass(500);
+        mStore.delete(Category.EVACUATIONS, "again");
+        mFixture.pass(500);
+        mStore.comeBack(true);
+        mFixture.pass(1_000);
+        evacuate("again");
+        mFixture.pass(300);
+        assertThat(evacuated(instance)).containsExactly("again");
+        mStore.delete(Category.EVACUATIONS, "again");
+        mFixture.pass(300);
+        assertThat(evacuated(instance)).isEmpty();
+    }
+
+    @Example
+    void instanceThatIsCutOffNeitherDragsOthersBackNorIsLeftBehind() {
+        Instance cut = mFixture.start();
+        Instance other = mFixture.start();
+        mStore.keepCopy();
+        mStore.routing(5);
+        mFixture.pass(500);
+        cut.mFeed.fault(FakeStore.Fault.SILENT);
+        mFixture.pass(2_000);
+        mStore.comeBack(true);
+        mStore.routing(6);
+        mFixture.pass(6_000);
+        assertThat(other.version()).isEqualTo(6);
+        assertThat(cut.version()).as("told by its peer").isEqualTo(6);
+        int calls = other.mFeed.calls();
+        mFixture.pass(5_000);
+        assertThat(other.mFeed.calls() - calls)
+                .as("checks for a revision that is no more")
+                .isLessThan(12);
+    }
+
+    @Example
+    void instanceThatStartsThenTakesTheNewestVersionOfItsPeers() {
+        List<Instance> zone = mFixture.startSharing(3, 2);
+        mFixture.pass(2_000);
+        mStore.keepCopy();
+        mStore.routing(5);
+        mFixture.pass(1_000);
+        mStore.comeBack(true);
+        mFixture.pass(500);
+        Instance started = mFixture.startSharing(1, 2).get(0);
+        mFixture.pass(800);
+        assertThat(zone).allMatch(each -> each.version() == 5);
+        assertThat(started.version()).isEqualTo(5);
+    }
+
+    @Example
+    void readOfTheNewEraProvesNothingUntilWritersHaveWritten() {
+        Instance instance = mFixture.start();
+        List<FreshnessProof> proofs = new ArrayList<>();
+        instance.mReplica.routingReader().whenProven(proofs::add);
+        mStore.keepCopy();
+        mStore.routing(5);
+        mFixture.pass(500);
+        mStore.comeBack(true);
+        mFixture.pass(300);
+        proofs.clear();
+        instance.mReplica.routingReader().read(isRead -> {});
+        mFixture.pass(100);
+        assertThat(proofs).isEmpty();
+        mFixture.pass(3_000);
+        instance.mReplica.routingReader().read(isRead -> {});
+        mFixture.pass(100);
+        assertThat(proofs).hasSize(1);
+        assertThat(proofs.get(0).revision())
+                .as("what is in force is proven by it")
+                .isLessThanOrEqualTo(instance.mReplica.routingReader().revisionInForce());
+    }
+
+    /** What may happen in a step. */
+    enum Step {
+        CONFIGURE,
+        EVACUATE,
+        END_EVACUATION,
+        REGISTER,
+        UNREGISTER,
+        KEEP_COPY,
+        RETURN,
+        RETURN_SILENTLY,
+        FORGET_HISTORY,
+        CUT_FIRST,
+        HEAL,
+        WAIT
+    }
+
+    /** The operator's and the servers' last word, and what they write again after a return. */
+    private final class Writers {
+
+        private final Set<String> mZones = new TreeSet<>();
+        private final Set<String> mServers = new TreeSet<>(Set.of("s1", "s2"));
+        private long mVersion = 1;
+        private boolean mHasReturned;
+
+        void play(Step step, int number, List<Instance> instances) {
+            String name = "n" + number % 3;
+            switch (step) {
+                case CONFIGURE -> mStore.routing(++mVersion);
+                case EVACUATE -> {
+                    mZones.add(name);
+                    evacuate(name);
+                }
+                case END_EVACUATION -> {
+                    mZones.remove(name);
+                    mStore.delete(Category.EVACUATIONS, name);
+                }
+                case REGISTER -> {
+                    mServers.add(name);
+                    mStore.server(name, "ready");
+                }
+                case UNREGISTER -> {
+                    mServers.remove(name);
+                    mStore.delete(Category.BACKEND_SERVERS, name);
+                }
+                case KEEP_COPY -> mStore.keepCopy();
+                case RETURN, RETURN_SILENTLY -> {
+                    mStore.comeBack(step == Step.RETURN);
+                    mHasReturned = true;
+                }
+                case FORGET_HISTORY -> mStore.compact();
+                case CUT_FIRST -> instances.get(0).mFeed.fault(FakeStore.Fault.SILENT);
+                case HEAL -> instances.get(0).mFeed.fault(FakeStore.Fault.NONE);
+                default -> {}
+            }
+        }
+
+        /** Writes all again, as writers do that have noticed. */
+        void writeAgain() {
+            if (!mHasReturned) {
+                return;
+            }
+            mHasReturned = false;
+            mStore.routing(mVersion);
+            for (String name : List.of("n0", "n1", "n2", "s1", "s2")) {
+                if (mZones.contains(name)) {
+                    evacuate(name);
+                } else {
+                    mStore.delete(Category.EVACUATIONS, name);
+                }
+                if (mServers.contains(name)) {
+                    mStore.server(name, "ready");
+                } else {
+                    mStore.delete(Category.BACKEND_SERVERS, name);
+                }
+            }
+        }
+    }
+
+    @Property(seed = "20261203", tries = 300)
+    void noVersionIsTakenBackAndTheLastWordOfWritersHolds(
+            @ForAll @Size(min = 4, max = 16) List<Step> steps) {
+        mStore.keepCopy();
+        List<Instance> instances = new ArrayList<>(mFixture.startSharing(3, 1));
+        mFixture.pass(1_500);
+        Writers writers = new Writers();
+        int number = 0;
+        for (Step step : steps) {
+            writers.play(step, number++, instances);
+            mFixture.pass(number % 4 == 0 ? WRITTEN_AGAIN_MILLIS : 150);
+            writers.writeAgain();
+            mFixture.pass(100);
+        }
+        instances.get(0).mFeed.fault(FakeStore.Fault.NONE);
+        mFixture.pass(12_000);
+        for (Instance instance : instances) {
+            assertThat(instance.version()).isEqualTo(writers.mVersion);
+            assertThat(evacuated(instance)).isEqualTo(writers.mZones);
+            assertThat(instance.servers()).isEqualTo(writers.mServers);
+            long before = 0;
+            for (var snapshot : instance.mSnapshots) {
+                long version = snapshot.routing().map(routing -> routing.version()).orElse(0L);
+                assertThat(version).as("in one lifetime").isGreaterThanOrEqualTo(before);
+                before = version;
+            }
+        }
+    }
+}
