Restore ledgers that the platform lost when it came back from an older copy

Cause: the class of the incident, found in spending: a ledger that was lost or went back was held for faulty until its count had passed the known one, and was then taken as it stood, so that what others had been allotted could be given out twice. Ruled out: staying faulty, which is safe but serves nobody for the rest of a shift. Change: who sees a ledger of a later era, or none where there was one, joins it with what it knew: each holding as its holder changed it last, sums never lower. It writes that before it takes anything. All instances read their ledgers at once when the store has come back. A change whose answer was lost then counts as spent.

--- a/masticpond-core/src/main/java/io/masticpond/core/spending/DefaultSpendingGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/spending/DefaultSpendingGate.java
@@ -174,6 +174,11 @@
         mAccounts.values().forEach(SpendingAccount::advance);
     }
 
+    /** Reads all ledgers again, since the platform has come back from an older copy. */
+    public void platformReturned() {
+        mAccounts.values().forEach(SpendingAccount::readAgain);
+    }
+
     /** Starts a planned stop: charges are refused from now on and allotments are returned. */
     public void stop() {
         mStopping = true;
--- a/masticpond-core/src/main/java/io/masticpond/core/spending/LedgerExchange.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/spending/LedgerExchange.java
@@ -1,5 +1,6 @@
 package io.masticpond.core.spending;
 
+import io.masticpond.core.fleet.StoreRevision;
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
@@ -48,6 +49,11 @@
     private boolean mSpread;
     private boolean mStale = true;
 
+    /** What the platform knew before it came back from an older copy; null once it is restored. */
+    private SpendingLedger mLost;
+
+    private boolean mIsRestoring;
+
     LedgerExchange(LedgerKey key, SpendingCap cap, SpendingContext context) {
         mKey = key;
         mCap = cap;
@@ -105,7 +111,12 @@
 
     /** Tells whether the ledger must be read before it can be changed. */
     boolean mustRead() {
-        return mStale || isPending();
+        return mStale || isPending() || mLost != null;
+    }
+
+    /** Has the ledger read before anything else, since the platform may have lost changes. */
+    void readAgain() {
+        mStale = true;
     }
 
     /** Tells how long ago the ledger was last seen, in nanoseconds. */
@@ -209,6 +220,14 @@
         SpendingLedger ledger =
                 found.map(VersionedLedger::ledger)
                         .orElseGet(() -> SpendingLedger.empty(mKey, mCap));
+        if (hasReturned(version)) {
+            mLost = mLost == null ? mLedger : mLost.joinedWith(mLedger);
+            Optional<Settlement> settlement =
+                    settle(mUncertain ? Settlement.Outcome.UNKNOWN : Settlement.Outcome.NO_EFFECT);
+            accept(version, ledger);
+            restore();
+            return settlement;
+        }
         if (!follows(version, ledger.revision())) {
             mState = AccountState.FAULTY;
             mStale = true;
@@ -216,7 +235,31 @@
             return Optional.empty();
         }
         accept(version, ledger);
-        return isPending() ? settleBy(version, ledger) : Optional.empty();
+        if (isPending()) {
+            return settleBy(version, ledger);
+        }
+        restore();
+        return Optional.empty();
+    }
+
+    /** Tells whether a version is of a platform that came back from an older copy. */
+    private boolean hasReturned(long version) {
+        boolean isLost = version == 0 && mVersion > 0;
+        return mLedger != null && (isLost || StoreRevision.isOfEarlierEra(mVersion, version));
+    }
+
+    /** Writes again what the platform has lost, so that nothing is allotted twice. */
+    private void restore() {
+        if (mLost != null && mLedger.holdsAllOf(mLost)) {
+            mLost = null;
+        }
+        if (mLost != null) {
+            SpendingLedger joined = mLost.joinedWith(mLedger);
+            long last = joined.holding(mHolder).map(Holding::sequence).orElse(0L);
+            long sequence = mSequence.after(last);
+            change(0, sequence, ledger -> joined.withCap(mCap).restate(mHolder, sequence));
+            mIsRestoring = true;
+        }
     }
 
     /** Tells whether a version found is the one last seen, or later with later changes. */
@@ -244,6 +287,10 @@
             return Optional.empty();
         }
         Settlement settlement = new Settlement(mPending.deltaMicros(), outcome);
+        if (mIsRestoring && outcome == Settlement.Outcome.TOOK_EFFECT) {
+            mLost = null;
+        }
+        mIsRestoring = false;
         mPending = null;
         mUncertain = false;
         return Optional.of(settlement);
--- a/masticpond-core/src/main/java/io/masticpond/core/spending/SpendingAccount.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/spending/SpendingAccount.java
@@ -147,6 +147,12 @@
         mExchange.ledger().ifPresent(this::change);
     }
 
+    /** Has the ledger read again, since the platform may have lost changes. */
+    void readAgain() {
+        mExchange.readAgain();
+        advance();
+    }
+
     /** Describes the account for operators. */
     SpendingView view() {
         Optional<SpendingLedger> ledger = mExchange.ledger();
--- a/masticpond-core/src/main/java/io/masticpond/core/spending/SpendingLedger.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/spending/SpendingLedger.java
@@ -4,8 +4,12 @@
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.core.support.Assert;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * What instances were allotted of a shift's cap, as the one object at the platform says.
@@ -159,6 +163,54 @@
         return next(holder, sequence, held, compactedMicros);
     }
 
+    /**
+     * Joins what this ledger knows with an older or other state of it, which the platform came back
+     * to: each holding as its holder changed it last, so that the sum is never lower than what was
+     * allotted. A holding that one of them lists and the other has compacted counts twice.
+     *
+     * @param found the ledger as the platform holds it
+     * @return a ledger above both revisions
+     */
+    SpendingLedger joinedWith(SpendingLedger found) {
+        Map<Incarnation, Holding> newest = new LinkedHashMap<>();
+        Stream.concat(holdings.stream(), found.holdings.stream())
+                .sorted(Comparator.comparingLong(Holding::revision))
+                .forEach(each -> newest.merge(each.holder(), each, SpendingLedger::later));
+        long last = Math.max(revision, found.revision);
+        long compacted = Math.max(compactedMicros, found.compactedMicros);
+        List<Holding> joined = new ArrayList<>();
+        for (Holding each : newest.values()) {
+            last++;
+            joined.add(new Holding(each.holder(), each.allottedMicros(), each.sequence(), last));
+        }
+        while (joined.size() > MAXIMUM_HOLDINGS) {
+            compacted = Math.addExact(compacted, joined.remove(0).allottedMicros());
+        }
+        boolean isLater = found.capVersion.isAfter(capVersion);
+        return new SpendingLedger(
+                key,
+                isLater ? found.capMicros : capMicros,
+                isLater ? found.capVersion : capVersion,
+                last,
+                compacted,
+                joined);
+    }
+
+    private static Holding later(Holding one, Holding other) {
+        return one.sequence() >= other.sequence() ? one : other;
+    }
+
+    /** Tells whether nothing is missing here that another state of the ledger lists. */
+    boolean holdsAllOf(SpendingLedger other) {
+        return compactedMicros >= other.compactedMicros
+                && other.holdings.stream()
+                        .allMatch(
+                                each ->
+                                        holding(each.holder())
+                                                .filter(own -> own.sequence() >= each.sequence())
+                                                .isPresent());
+    }
+
     private SpendingLedger next(Incarnation holder, long sequence, long held, long compacted) {
         Optional<Holding> before = holding(holder);
         Assert.isTrue(
--- a/masticpond-core/src/test/java/io/masticpond/core/spending/FakeLedgers.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/spending/FakeLedgers.java
@@ -1,5 +1,6 @@
 package io.masticpond.core.spending;
 
+import io.masticpond.core.fleet.StoreRevision;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -13,6 +14,7 @@
 
     private final Map<LedgerKey, VersionedLedger> mLedgers = new HashMap<>();
     private final List<LedgerChange> mDelayed = new ArrayList<>();
+    private long mLastOfEra;
 
     /** What becomes of a call. */
     enum Fate {
@@ -70,6 +72,12 @@
         return Optional.ofNullable(mLedgers.get(key));
     }
 
+    /** Puts a ledger back as it was in a copy, or takes it away, in a new era. */
+    void comeBack(LedgerKey key, Optional<VersionedLedger> copy, long era) {
+        mLastOfEra = StoreRevision.of(era, copy.map(VersionedLedger::version).orElse(0L));
+        copy.ifPresentOrElse(ledger -> mLedgers.put(key, ledger), () -> mLedgers.remove(key));
+    }
+
     void put(LedgerKey key, VersionedLedger ledger) {
         mLedgers.put(key, ledger);
     }
@@ -106,7 +114,8 @@
         if (version != change.expectedVersion()) {
             return new LedgerAnswer.Conflicted(current);
         }
-        put(change.key(), new VersionedLedger(version + 1, change.ledger()));
-        return new LedgerAnswer.Written(version + 1);
+        long next = Math.max(version, mLastOfEra) + 1;
+        put(change.key(), new VersionedLedger(next, change.ledger()));
+        return new LedgerAnswer.Written(next);
     }
 }
--- /dev/null
+++ b/masticpond-core/src/test/java/io/masticpond/core/spending/LedgerReturnTest.java
@@ -0,0 +1,129 @@
+package io.masticpond.core.spending;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.configuration.Configuration;
+import io.masticpond.core.fleet.StoreRevision;
+import io.masticpond.core.spending.SpendingFixture.Node;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Guards against spending above the cap after the platform came back from an older copy. */
+class LedgerReturnTest {
+
+    private static final long CAP = 2_000;
+    private static final int LAST_STEP = 5;
+
+    /** The platform with copies of one ledger. */
+    private static final class Returns {
+
+        private final SpendingFixture mFixture = new SpendingFixture();
+        private final Configuration mConfiguration = mFixture.configuration(CAP);
+        private final List<Node> mNodes = new ArrayList<>();
+        private Optional<VersionedLedger> mCopy = Optional.empty();
+        private long mEra;
+
+        void start() {
+            Node node = mFixture.node("node-" + mNodes.size(), 1, mConfiguration);
+            mNodes.add(node);
+            node.settle();
+        }
+
+        void keepCopy() {
+            mCopy = mFixture.mLedgers.ledger(SpendingFixture.MORNING);
+        }
+
+        void comeBack() {
+            mEra++;
+            mFixture.mLedgers.comeBack(
+                    SpendingFixture.MORNING,
+                    mCopy.map(
+                            ledger ->
+                                    new VersionedLedger(
+                                            StoreRevision.of(mEra, ledger.version()),
+                                            ledger.ledger())),
+                    mEra);
+            mNodes.forEach(node -> node.mGate.platformReturned());
+            mNodes.forEach(Node::settle);
+        }
+
+        void spend(int number, int times) {
+            Node node = mNodes.get(number % mNodes.size());
+            for (int i = 0; i < times; i++) {
+                node.spend();
+                node.mCalls.answerAll(node.mGate);
+                node.advance(Duration.ofMillis(300));
+            }
+            node.settle();
+        }
+
+        /** What instances hold or have spent of the shift, by their own books. */
+        long heldAndSpent() {
+            return mNodes.stream()
+                    .flatMap(node -> node.mGate.views().stream())
+                    .filter(view -> view.key().equals(SpendingFixture.MORNING))
+                    .mapToLong(view -> view.availableMicros() + view.spentMicros())
+                    .sum();
+        }
+
+        long spent() {
+            return mNodes.stream().mapToLong(node -> node.mSpent).sum();
+        }
+    }
+
+    @Example
+    void allotmentsThatThePlatformLostAreNotGivenOutAgain() {
+        Returns returns = new Returns();
+        returns.start();
+        returns.start();
+        returns.keepCopy();
+        returns.spend(0, 40);
+        returns.spend(1, 40);
+        returns.comeBack();
+        assertThat(returns.mFixture.allotted(SpendingFixture.MORNING))
+                .isGreaterThanOrEqualTo(returns.heldAndSpent());
+        returns.start();
+        for (int node = 0; node < 3; node++) {
+            returns.spend(node, 200);
+        }
+        assertThat(returns.spent()).isBetween(CAP / 2, CAP);
+    }
+
+    @Example
+    void ledgerThatThePlatformLostWhollyIsWrittenAgain() {
+        Returns returns = new Returns();
+        returns.start();
+        returns.spend(0, 60);
+        returns.comeBack();
+        assertThat(returns.mFixture.allotted(SpendingFixture.MORNING))
+                .isGreaterThanOrEqualTo(returns.heldAndSpent());
+        returns.start();
+        returns.spend(1, 300);
+        assertThat(returns.spent()).isLessThanOrEqualTo(CAP);
+    }
+
+    @Property(seed = "20261203", tries = 200)
+    void spendingStaysUnderTheCapOverAnyReturns(
+            @ForAll @Size(min = 3, max = 14) List<@IntRange(max = LAST_STEP) Integer> steps) {
+        Returns returns = new Returns();
+        returns.start();
+        for (int index = 0; index < steps.size(); index++) {
+            switch (steps.get(index)) {
+                case 0 -> returns.keepCopy();
+                case 1 -> returns.comeBack();
+                case 2 -> returns.start();
+                default -> returns.spend(index, 10 * steps.get(index));
+            }
+            assertThat(returns.spent()).isLessThanOrEqualTo(CAP);
+            assertThat(returns.mFixture.allotted(SpendingFixture.MORNING))
+                    .isGreaterThanOrEqualTo(returns.heldAndSpent());
+        }
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
@@ -75,8 +75,10 @@
         ended.accept(result.isRight());
     }
 
-    /** Hears that the copy has taken a list that was asked for at a moment. */
-    /** What a store says that has come back from an older copy proves nothing until it settles. */
+    /**
+     * Hears that the copy has taken a list that was asked for at a moment. What a store says that
+     * has come back from an older copy proves nothing until its writers have written again.
+     */
     void listed(Moment before) {
         if (mCopy.isReturning()) {
             return;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreReturn.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreReturn.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.replica;
 
 import io.masticpond.core.fleet.StoreRevision;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import org.slf4j.Logger;
@@ -19,7 +20,7 @@
     private final Collection<CategoryCopy> mCopies;
     private final List<CategoryFollower> mFollowers;
     private final Runnable mApplied;
-    private Runnable mListener = () -> {};
+    private final List<Runnable> mListeners = new ArrayList<>();
     private long mEra;
     private Runnable mSettleTimer = () -> {};
     private Runnable mBelieveTimer = () -> {};
@@ -44,7 +45,7 @@
     }
 
     void whenReturned(Runnable listener) {
-        mListener = listener;
+        mListeners.add(listener);
     }
 
     /** Looks whether any answer, or any peer, has told of another era. */
@@ -75,7 +76,7 @@
         ReplicaSettings.Outage times = mContext.settings().outage();
         mSettleTimer = mContext.scheduler().schedule(times.confirmWithin(), this::settle);
         mBelieveTimer = mContext.scheduler().schedule(times.returnedAfter(), this::believe);
-        mListener.run();
+        mListeners.forEach(Runnable::run);
     }
 
     void stop() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/SpendingCheck.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/SpendingCheck.java
@@ -38,6 +38,9 @@
      */
     List<SpendingView> views();
 
+    /** Hears that the platform's store has come back from an older copy. */
+    default void storeReturned() {}
+
     /** Begins to take allotments; a second wish changes nothing. */
     void start();
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/spending/SpendingDesk.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/spending/SpendingDesk.java
@@ -107,6 +107,11 @@
         mCaps = configuration(settings);
     }
 
+    @Override
+    public void storeReturned() {
+        mGate.platformReturned();
+    }
+
     @Override
     public void start() {
         if (!mStarted) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -75,7 +76,11 @@
         mRateSharing.start();
         mLimitSharing.start();
         if (mFlow.spending().isPresent()) {
-            mTraffic.execute(mFlow.spending().get()::start);
+            SpendingCheck spending = mFlow.spending().get();
+            mTraffic.execute(spending::start);
+            mControlSide
+                    .replica()
+                    .whenStoreReturned(() -> mTraffic.execute(spending::storeReturned));
         }
         mControl.execute(
                 () -> {
