Let instances that start prove nothing while the store's writers are not done

Cause: the class of the incident, found in starts: an instance that starts just after the store came back took the first read for a proof, so a key that the lost version had taken away would run there. Ruled out: waiting at each start, which turns requests with keys away for 2.5 s after each kill of all. Change: each instance writes its entry, with the era, when it has settled in it. One that starts lists these anyway: an entry of the present era, or none that tells one, lets what it has read count at once; else it waits 2.5 s by itself. The status of a copy is told by the copy; `masticpondctl entry versions` shows the era. Figures: StoreReturnTest: before, a read of the first 0.02 s was a proof; now none is for 2.5 s unless others have settled.

--- a/masticpond-command/src/main/java/io/masticpond/command/view/EntryParts.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/view/EntryParts.java
@@ -24,6 +24,7 @@
                     Field.numbers("ROUTES", "routingVersion"),
                     Field.numbers("AGE MS", "routingAgeMillis"),
                     Field.numbers("REVISION", "registryRevision"),
+                    Field.numbers("ERA", "storeEra"),
                     Field.numbers("AGE MS", "registryAgeMillis"),
                     Field.words("STORE LOST", "storeLost"));
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.replica;
 
 import io.masticpond.core.fleet.StoreRevision;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -77,8 +78,16 @@
         return mSource;
     }
 
-    int size() {
-        return mDocuments.size();
+    /** Tells how current the copy is. */
+    CategoryStatus status(long nowNanos) {
+        boolean isKnown = mSource != CopySource.NONE;
+        return new CategoryStatus(
+                mCategory,
+                mListed,
+                mRevision,
+                mSource,
+                isKnown ? Duration.ofNanos(nowNanos - mConfirmedNanos) : Duration.ZERO,
+                mDocuments.size());
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -90,7 +90,12 @@
         mRelayService = new RelayService(context, mCopies, mServers, this::watches);
         mRoutingReader =
                 new RoutingReader(
-                        context, mCopies.get(Category.ROUTING), mRouting, this::storeTold);
+                        context,
+                        mCopies.get(Category.ROUTING),
+                        mRouting,
+                        mReturn::isSettled,
+                        this::storeTold);
+        mReturn.whenSettled(era -> mRoutingReader.settled(mReturn.wasSettledBefore()));
         mRelayed = new RelayedCopies(mCopies.values(), mTime);
     }
 
@@ -219,12 +224,12 @@
     }
 
     /**
-     * Says who hears that the store has come back from an older copy, on the control thread.
+     * Gives what follows the store through its returns from older copies.
      *
-     * @param listener hears it once for each time
+     * @return it, for the control thread
      */
-    public void whenStoreReturned(Runnable listener) {
-        mReturn.whenReturned(listener);
+    public StoreReturn storeReturn() {
+        return mReturn;
     }
 
     private void checkLag() {
@@ -289,7 +294,7 @@
     public ReplicaStatus status() {
         long nowNanos = mTime.monotonicNanos();
         List<CategoryStatus> categories =
-                mCopies.values().stream().map(copy -> status(copy, nowNanos)).toList();
+                mCopies.values().stream().map(copy -> copy.status(nowNanos)).toList();
         return new ReplicaStatus(
                 mUsable,
                 mHealth.isLost(),
@@ -300,17 +305,6 @@
                 categories);
     }
 
-    private static CategoryStatus status(CategoryCopy copy, long nowNanos) {
-        boolean isKnown = copy.source() != CopySource.NONE;
-        return new CategoryStatus(
-                copy.category(),
-                copy.isListed(),
-                copy.revision(),
-                copy.source(),
-                isKnown ? Duration.ofNanos(nowNanos - copy.confirmedNanos()) : Duration.ZERO,
-                copy.size());
-    }
-
     @Override
     public void storeLost() {
         if (mStopped) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,9 +26,10 @@
 
     private final ReplicaContext mContext;
     private final String mName;
-    private final JsonNode mContent;
+    private final LongFunction<JsonNode> mContent;
     private final Consumer<List<StoredDocument>> mListed;
     private final RetryDelays mRetries;
+    private long mEra;
     private int mListFailures;
     private int mPutFailures;
     private boolean mStopped;
@@ -37,13 +39,13 @@
      *
      * @param context the store, clocks and times
      * @param name the name of the own object
-     * @param content its content
+     * @param content its content, with the era of the store in which the instance has settled
      * @param listed hears the objects of all instances once, this one's perhaps included
      */
     public InstanceRegistration(
             ReplicaContext context,
             String name,
-            JsonNode content,
+            LongFunction<JsonNode> content,
             Consumer<List<StoredDocument>> listed) {
         mContext = Assert.notNull(context, "A context");
         mName = Assert.hasText(name, "The name of an instance");
@@ -52,9 +54,18 @@
         mRetries = new RetryDelays(FIRST_RETRY, LAST_RETRY, context.random());
     }
 
-    /** Lists the instances and writes the own object. */
+    /** Lists the instances. */
     public void start() {
         list();
+    }
+
+    /**
+     * Writes the own object, at the start and again whenever the store may have lost it.
+     *
+     * @param era the era of the store in which this instance has settled
+     */
+    public void enter(long era) {
+        mEra = era;
         put();
     }
 
@@ -76,11 +87,6 @@
                         });
     }
 
-    /** Enters again, as the store may have lost the entry. */
-    public void enterAgain() {
-        put();
-    }
-
     private void list() {
         if (mStopped) {
             return;
@@ -102,7 +108,7 @@
         if (mStopped) {
             return;
         }
-        mContext.feed().put(Category.INSTANCES, mName, mContent, this::put);
+        mContext.feed().put(Category.INSTANCES, mName, mContent.apply(mEra), this::put);
     }
 
     private void put(Either<FeedError, Void> result) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.freshness.FreshnessProof;
 import io.masticpond.core.time.Moment;
 import io.vavr.control.Either;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -18,9 +19,17 @@
     private final CategoryCopy mCopy;
     private final RoutingTable mTable;
     private final Runnable mApplied;
+    private final BooleanSupplier mIsSettled;
+    private Moment mWithheld;
     private Consumer<FreshnessProof> mProven = proof -> {};
 
-    RoutingReader(ReplicaContext context, CategoryCopy copy, RoutingTable table, Runnable applied) {
+    RoutingReader(
+            ReplicaContext context,
+            CategoryCopy copy,
+            RoutingTable table,
+            BooleanSupplier isSettled,
+            Runnable applied) {
+        mIsSettled = isSettled;
         mContext = context;
         mCopy = copy;
         mTable = table;
@@ -80,9 +89,23 @@
      * has come back from an older copy proves nothing until its writers have written again.
      */
     void listed(Moment before) {
-        if (mCopy.isReturning()) {
-            return;
+        if (mIsSettled.getAsBoolean()) {
+            mProven.accept(new FreshnessProof(before, mCopy.contentRevision()));
+        } else {
+            mWithheld = before;
+        }
+    }
+
+    /**
+     * Hears that the store's word counts now.
+     *
+     * @param didBefore whether it has counted all along, so that what was read is a proof
+     */
+    void settled(boolean didBefore) {
+        Moment withheld = mWithheld;
+        mWithheld = null;
+        if (didBefore && withheld != null) {
+            listed(withheld);
         }
-        mProven.accept(new FreshnessProof(before, mCopy.contentRevision()));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreReturn.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreReturn.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -11,8 +12,17 @@
  * Follows the store through its returns from older copies: has all categories listed in the new
  * era, gives the writers time to write again what was lost, and then takes the store's word. For
  * the control thread.
+ *
+ * <p>An instance that starts cannot know when the store has come back. The entries of others tell:
+ * they are written when their instances have settled in an era, so one of the present era says that
+ * its writers are done.
+ *
+ * @since 0.3
  */
-final class StoreReturn {
+public final class StoreReturn {
+
+    /** Stands for an era that no entry of an instance tells. */
+    public static final long UNTOLD = -1;
 
     private static final Logger sLogger = LoggerFactory.getLogger(StoreReturn.class);
 
@@ -21,6 +31,10 @@
     private final List<CategoryFollower> mFollowers;
     private final Runnable mApplied;
     private final List<Runnable> mListeners = new ArrayList<>();
+    private final List<LongConsumer> mSettledListeners = new ArrayList<>();
+    private boolean mIsSettled;
+    private boolean mWasSettledBefore;
+    private boolean mIsSettling;
     private long mEra;
     private Runnable mSettleTimer = () -> {};
     private Runnable mBelieveTimer = () -> {};
@@ -44,10 +58,46 @@
         mApplied = applied;
     }
 
-    void whenReturned(Runnable listener) {
+    /**
+     * Adds a listener of returns.
+     *
+     * @param listener hears of each
+     */
+    public void whenReturned(Runnable listener) {
         mListeners.add(listener);
     }
 
+    /**
+     * Adds a listener of the moments from which the store's word counts.
+     *
+     * @param listener hears the era, at the start and after each return
+     */
+    public void whenSettled(LongConsumer listener) {
+        mSettledListeners.add(listener);
+    }
+
+    /**
+     * Hears what the entries of all instances tell, which were read at the start.
+     *
+     * @param newestEra the newest era in which an instance has settled, or {@link #UNTOLD}
+     */
+    public void instancesListed(long newestEra) {
+        look();
+        boolean isSettledElsewhere = newestEra == UNTOLD || newestEra >= mEra;
+        boolean isReturning = mCopies.stream().anyMatch(CategoryCopy::isReturning);
+        if (!mIsSettled && !isReturning && isSettledElsewhere) {
+            stop();
+            mWasSettledBefore = true;
+            becomeSettled();
+            mWasSettledBefore = false;
+        }
+    }
+
+    /** Tells whether the store's word counts: its writers have had time to write again. */
+    boolean isSettled() {
+        return mIsSettled;
+    }
+
     /** Looks whether any answer, or any peer, has told of another era. */
     void look() {
         long era = mContext.feed().era();
@@ -63,6 +113,9 @@
         for (CategoryFollower follower : mFollowers) {
             follower.checkEra(mEra);
         }
+        if (!mIsSettled && !mIsSettling && mCopies.stream().anyMatch(CategoryCopy::isListed)) {
+            startSettling();
+        }
     }
 
     private boolean isOutdated(CategoryCopy copy) {
@@ -73,10 +126,27 @@
     private void returned() {
         sLogger.warn("STORE  era {}: what is in force stays until writers have written", mEra);
         stop();
+        mIsSettled = false;
+        startSettling();
+        mListeners.forEach(Runnable::run);
+    }
+
+    /** Tells, while it is heard that the store has settled, whether it had before this start. */
+    boolean wasSettledBefore() {
+        return mWasSettledBefore;
+    }
+
+    private void startSettling() {
+        mIsSettling = true;
         ReplicaSettings.Outage times = mContext.settings().outage();
         mSettleTimer = mContext.scheduler().schedule(times.confirmWithin(), this::settle);
         mBelieveTimer = mContext.scheduler().schedule(times.returnedAfter(), this::believe);
-        mListeners.forEach(Runnable::run);
+    }
+
+    private void becomeSettled() {
+        mIsSettled = true;
+        mIsSettling = false;
+        mSettledListeners.forEach(listener -> listener.accept(mEra));
     }
 
     void stop() {
@@ -97,6 +167,7 @@
         }
         sLogger.info("STORE  era {}: settled, {} documents were not written again", mEra, kept);
         mApplied.run();
+        becomeSettled();
     }
 
     private void believe() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
@@ -73,12 +73,18 @@
     @Provides
     @Singleton
     static InstanceRegistration registration(
-            ReplicaContext context, PeerInstance self, HeartbeatDuty heartbeats) {
+            ReplicaContext context,
+            PeerInstance self,
+            HeartbeatDuty heartbeats,
+            FleetReplica replica) {
         return new InstanceRegistration(
                 context,
                 self.id().value(),
-                InstanceDocuments.write(self),
-                listed -> heartbeats.known(InstanceDocuments.readAll(listed)));
+                era -> InstanceDocuments.write(self, era),
+                listed -> {
+                    heartbeats.known(InstanceDocuments.readAll(listed));
+                    replica.storeReturn().instancesListed(InstanceDocuments.newestEra(listed));
+                });
     }
 
     /** The copy tells of each snapshot those who ask the copy, so they are joined after it. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlSide.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlSide.java
@@ -49,7 +49,7 @@
 
     /** Starts the parts; to be called on the control thread. */
     void start() {
-        mReplica.whenStoreReturned(mRegistration::enterAgain);
+        mReplica.storeReturn().whenSettled(mRegistration::enter);
         mReplica.start();
         mHeartbeats.start();
         mRegistration.start();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -80,7 +80,8 @@
             mTraffic.execute(spending::start);
             mControlSide
                     .replica()
-                    .whenStoreReturned(() -> mTraffic.execute(spending::storeReturned));
+                    .storeReturn()
+                    .whenReturned(() -> mTraffic.execute(spending::storeReturned));
         }
         mControl.execute(
                 () -> {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/InstanceDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/InstanceDocuments.java
@@ -8,6 +8,7 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.entry.peer.PeerInstance;
+import io.masticpond.entry.replica.StoreReturn;
 import io.masticpond.entry.replica.StoredDocument;
 import java.util.List;
 import java.util.Optional;
@@ -20,20 +21,30 @@
     private static final String REGION = "region";
     private static final String ENTRY = "entry";
     private static final String INTERNAL = "internal";
+    private static final String ERA = "era";
 
     private InstanceDocuments() {}
 
     /** Writes an instance. */
-    static JsonNode write(PeerInstance instance) {
+    static JsonNode write(PeerInstance instance, long era) {
         ObjectNode document = JsonNodeFactory.instance.objectNode();
         document.put(INCARNATION, instance.incarnation());
         document.put(ZONE, instance.zone().value());
         document.put(REGION, instance.region().value());
         document.put(ENTRY, instance.entry().toString());
         document.put(INTERNAL, instance.internal().toString());
+        document.put(ERA, era);
         return document;
     }
 
+    /** Gives the newest era of the store in which an instance has settled, if any tells one. */
+    static long newestEra(List<StoredDocument> documents) {
+        return documents.stream()
+                .mapToLong(each -> each.content().path(ERA).asLong(StoreReturn.UNTOLD))
+                .max()
+                .orElse(StoreReturn.UNTOLD);
+    }
+
     /** Reads all instances that can be read. */
     static List<PeerInstance> readAll(List<StoredDocument> documents) {
         return documents.stream()
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/CategoryCopyTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/CategoryCopyTest.java
@@ -41,7 +41,7 @@
         mCopy.applyList(List.of(live("a", 5)), 10, CopySource.STORE, 0);
         mCopy.applyChanges(List.of(gone("a", 12)), 12, CopySource.STORE, 0);
         mCopy.applyChanges(List.of(live("a", 11)), 12, CopySource.PEER, 0);
-        assertThat(mCopy.size()).isZero();
+        assertThat(mCopy.status(0).documents()).isZero();
         mCopy.applyChanges(List.of(live("a", 13)), 13, CopySource.STORE, 0);
         assertThat(mHeard).containsExactly("a@5", "-a", "a@13");
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/HostileStoreTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/HostileStoreTest.java
@@ -70,8 +70,12 @@
         List<List<StoredDocument>> heard = new ArrayList<>();
         InstanceRegistration registration =
                 new InstanceRegistration(
-                        context(), "i-1", JsonNodeFactory.instance.objectNode(), heard::add);
+                        context(),
+                        "i-1",
+                        era -> JsonNodeFactory.instance.objectNode().put("era", era),
+                        heard::add);
         registration.start();
+        registration.enter(0);
         mScheduler.pass(Duration.ofSeconds(20));
         assertThat(mCalls.stream().filter("put i-1"::equals).count()).isBetween(4L, 12L);
         assertThat(heard).isEmpty();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreReturnTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/StoreReturnTest.java
@@ -181,6 +181,45 @@
                 .isLessThanOrEqualTo(instance.mReplica.routingReader().revisionInForce());
     }
 
+    private List<FreshnessProof> proofsAtStart(long newestEraOfOthers, long millis) {
+        Instance started = mFixture.start(FakeStore.Fault.NONE, false);
+        List<FreshnessProof> proofs = new ArrayList<>();
+        started.mReplica.routingReader().whenProven(proofs::add);
+        mFixture.pass(20);
+        started.mReplica.storeReturn().instancesListed(newestEraOfOthers);
+        if (millis > 0) {
+            mFixture.pass(millis);
+            started.mReplica.routingReader().read(isRead -> {});
+            mFixture.pass(20);
+        }
+        return proofs;
+    }
+
+    @Example
+    void instanceThatStartsTakesNoReadForProofUntilWritersHaveWritten() {
+        mStore.comeBack(true);
+        assertThat(proofsAtStart(0, 1_000)).as("others have settled before the return").isEmpty();
+        assertThat(proofsAtStart(0, 3_000)).as("after its own time").isNotEmpty();
+        assertThat(proofsAtStart(1, 0)).as("others have settled since").isNotEmpty();
+        assertThat(proofsAtStart(StoreReturn.UNTOLD, 0)).as("the first of all").isNotEmpty();
+    }
+
+    @Example
+    void entryOfAnInstanceIsWrittenWhenItHasSettled() {
+        Instance instance = mFixture.start(FakeStore.Fault.NONE, false);
+        List<Long> eras = new ArrayList<>();
+        instance.mReplica.storeReturn().whenSettled(eras::add);
+        mFixture.pass(20);
+        instance.mReplica.storeReturn().instancesListed(StoreReturn.UNTOLD);
+        assertThat(eras).containsExactly(0L);
+        mStore.keepCopy();
+        mStore.comeBack(true);
+        mFixture.pass(1_500);
+        assertThat(eras).hasSize(1);
+        mFixture.pass(3_000);
+        assertThat(eras).containsExactly(0L, 1L);
+    }
+
     /** What may happen in a step. */
     enum Step {
         CONFIGURE,
