Note that a ledger is being restored before its change is sent

Cause: read of the change: a sink that answers at once would settle the change before it was marked, so what was lost would be written a second time. Figures: LedgerReturnTest passes. Conclusion: no caller answers at once today; the order no longer depends on it.

--- a/masticpond-core/src/main/java/io/masticpond/core/spending/LedgerExchange.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/spending/LedgerExchange.java
@@ -257,8 +257,8 @@
             SpendingLedger joined = mLost.joinedWith(mLedger);
             long last = joined.holding(mHolder).map(Holding::sequence).orElse(0L);
             long sequence = mSequence.after(last);
-            change(0, sequence, ledger -> joined.withCap(mCap).restate(mHolder, sequence));
             mIsRestoring = true;
+            change(0, sequence, ledger -> joined.withCap(mCap).restate(mHolder, sequence));
         }
     }
 
