Take pauses below a tenth of a second for refusals

Cause: read of the change: a server that turns requests away and asks for no time, or next to none, was neither avoided nor judged, so each request for its keys would go there first. Change: such a refusal counts as one without a pause; the pause is kept besides.

--- a/masticpond-core/src/main/java/io/masticpond/core/statement/ServerStatement.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/ServerStatement.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.serverlimit.LimitHeader;
 import io.masticpond.core.support.Assert;
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -17,6 +18,9 @@
 public record ServerStatement(
         LimitHeader limit, Optional<ReportedLoad> load, LeavingHeader leaving, PauseHeader pause) {
 
+    /** A shorter pause says no more than the refusal that asks for it. */
+    private static final Duration SHORTEST_PAUSE = Duration.ofMillis(100);
+
     /** An answer that states nothing. */
     public static final ServerStatement NONE =
             new ServerStatement(
@@ -34,9 +38,9 @@
      * Tells whether the server wants no requests for a time or for good, so that a refusal is no
      * sign of a fault.
      *
-     * @return whether it leaves or asks for a pause
+     * @return whether it leaves or asks for a pause that is worth the name
      */
     public boolean isWithdrawing() {
-        return leaving == LeavingHeader.LEAVING || pause.kind() == PauseHeader.Kind.PAUSE;
+        return leaving == LeavingHeader.LEAVING || pause.length().compareTo(SHORTEST_PAUSE) >= 0;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -328,6 +328,24 @@
         }
     }
 
+    @Example
+    void pauseThatIsTooShortIsTakenForRefusal() {
+        for (String seconds : List.of("0", "0.01")) {
+            RequestFlow flow = flow(true, 2);
+            BackendServerId server =
+                    hear(flow, 503, "Not-Run", "1", "Retry-After", seconds, "Load", "0,0,2");
+            assertThat(
+                            flow.placer()
+                                    .chooser()
+                                    .judge()
+                                    .judgement(SERVICE, server, mTime.monotonicNanos())
+                                    .map(judgement -> judgement.failureShare())
+                                    .orElse(0.0))
+                    .as(seconds)
+                    .isPositive();
+        }
+    }
+
     @Example
     void pauseOutlivesAnEntryThatIsLostAndMadeAnew() {
         RequestFlow flow = flow(true, 2);
