--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FeedError.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FeedError.java
@@ -15,5 +15,7 @@
     /** The object has another revision, or exists already. */
     CONFLICT,
     /** The answer could not be read. */
-    BAD_ANSWER
+    BAD_ANSWER,
+    /** The answer is of an earlier era; it tells nothing of the present. */
+    OUTDATED
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/spending/StoreLedgers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/spending/StoreLedgers.java
@@ -90,7 +90,7 @@
         return switch (result.getLeft()) {
             case CONFLICT -> new LedgerAnswer.Conflicted(Optional.empty());
             case TURNED_AWAY -> new LedgerAnswer.Away();
-            case UNREACHABLE, HISTORY_GONE, BAD_ANSWER -> new LedgerAnswer.Uncertain();
+            case UNREACHABLE, HISTORY_GONE, BAD_ANSWER, OUTDATED -> new LedgerAnswer.Uncertain();
         };
     }
 }
