Ask for an object in one place in the tests of the request path

Cause: duplicates: the test of servers that withdraw had the request of the test of limits again. Change: one method in their base; asserted as before. Figures: ServerLimitFlowTest, ServerWithdrawalFlowTest, RequestFlowTest and WorkspaceAuthenticatorTest pass. Conclusion: tests only.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -65,6 +65,7 @@
     LoadGate mLoadGate = LoadGate.OPEN;
     Set<BackendServerId> mCold = Set.of();
     boolean mBudget = true;
+    int mCount;
     Optional<SpendingCheck> mSpending = Optional.empty();
     WorkspaceAuthenticator mAuthenticator =
             new WorkspaceAuthenticator(
@@ -128,6 +129,22 @@
         return flow;
     }
 
+    /** Asks for an object with an id of its own; without a key if it is null. */
+    FakeResponder askFor(RequestFlow flow, String key) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Host", "host").set("Id", "r" + mCount++).set("Wait", "800");
+        if (key != null) {
+            headers.set("Key", key);
+        }
+        long now = mTime.monotonicNanos();
+        FakeResponder responder = new FakeResponder();
+        flow.handle(
+                new IncomingRequest(
+                        HttpMethod.GET, "/a/x", headers, Unpooled.EMPTY_BUFFER, now, now),
+                responder);
+        return responder;
+    }
+
     IncomingRequest request() {
         return request("/a/x?y=1");
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
@@ -15,11 +15,8 @@
 import io.masticpond.core.serverlimit.LimitReport;
 import io.masticpond.core.support.HashMixer;
 import io.masticpond.entry.backend.CallFailure;
-import io.masticpond.entry.http.IncomingRequest;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -43,20 +40,9 @@
     private static final int BURST = 5;
 
     private final List<FakeResponder> mAnswers = new ArrayList<>();
-    private int mCount;
 
     private FakeResponder ask(RequestFlow flow, String key) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set("Host", "host").set("Id", "r" + mCount++).set("Wait", "800");
-        if (key != null) {
-            headers.set("Key", key);
-        }
-        long now = mTime.monotonicNanos();
-        FakeResponder responder = new FakeResponder();
-        flow.handle(
-                new IncomingRequest(
-                        HttpMethod.GET, "/a/x", headers, Unpooled.EMPTY_BUFFER, now, now),
-                responder);
+        FakeResponder responder = askFor(flow, key);
         mAnswers.add(responder);
         return responder;
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -8,11 +8,8 @@
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.statement.WithdrawalSettings;
 import io.masticpond.entry.backend.CallFailure;
-import io.masticpond.entry.http.IncomingRequest;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -25,26 +22,9 @@
 
     private static final int KEYS = 60;
 
-    private int mCount;
-
-    private FakeResponder ask(RequestFlow flow, String key) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set("Host", "host").set("Id", "r" + mCount++).set("Wait", "800");
-        if (key != null) {
-            headers.set("Key", key);
-        }
-        long now = mTime.monotonicNanos();
-        FakeResponder responder = new FakeResponder();
-        flow.handle(
-                new IncomingRequest(
-                        HttpMethod.GET, "/a/x", headers, Unpooled.EMPTY_BUFFER, now, now),
-                responder);
-        return responder;
-    }
-
     /** Has the server of one key say something with its answer; gives that server. */
     private BackendServerId hear(RequestFlow flow, int status, String... headers) {
-        ask(flow, "k");
+        askFor(flow, "k");
         FakeConnections.Call call = mConnections.last();
         call.answer(status, headers);
         mConnections.mCalls.stream()
@@ -58,7 +38,7 @@
     private long sendsTo(RequestFlow flow, BackendServerId server) {
         int before = mConnections.mCalls.size();
         for (int number = 0; number < KEYS; number++) {
-            ask(flow, number % 3 == 0 ? null : "key-" + number);
+            askFor(flow, number % 3 == 0 ? null : "key-" + number);
             if (mConnections.mCalls.size() > before + number) {
                 mConnections.last().answer(200, "Seal", "s");
             }
@@ -98,7 +78,7 @@
     @Example
     void wordOfAnAnswerThatBreaksOffOrComesLateCounts() {
         RequestFlow flow = flow(true, 2);
-        ask(flow, "k");
+        askFor(flow, "k");
         FakeConnections.Call call = mConnections.last();
         HttpHeaders headers = new DefaultHttpHeaders().set("Leaving", "1");
         call.mListener.answerBegan(200, headers);
@@ -107,7 +87,7 @@
         mConnections.last().answer(200, "Seal", "s");
         assertThat(sendsTo(flow, call.mServer.id())).isZero();
         RequestFlow other = flow(true, 2);
-        ask(other, "k");
+        askFor(other, "k");
         FakeConnections.Call late = mConnections.last();
         passTime(Duration.ofSeconds(2));
         late.mListener.answerBegan(200, headers);
@@ -120,7 +100,7 @@
         BackendServerId leaving = hear(flow, 200, "Seal", "s", "Leaving", "1");
         for (int number = 0; number < KEYS; number++) {
             int before = mConnections.mCalls.size();
-            ask(flow, "key-" + number);
+            askFor(flow, "key-" + number);
             mConnections.last().fail(Verdict.DID_NOT_RUN, CallFailure.Kind.NOT_CONNECTED);
             if (mConnections.mCalls.size() > before + 1) {
                 mConnections.last().answer(200, "Seal", "s");
@@ -134,8 +114,8 @@
     @Example
     void earlierAnswersAndTheRegistryTakeNothingBack() {
         RequestFlow flow = flow(true, 2);
-        ask(flow, "k");
-        ask(flow, "k");
+        askFor(flow, "k");
+        askFor(flow, "k");
         FakeConnections.Call first = mConnections.mCalls.get(0);
         FakeConnections.Call second = mConnections.mCalls.get(1);
         assertThat(first.mServer.id()).isEqualTo(second.mServer.id());
@@ -191,7 +171,7 @@
     @Example
     void requestThatWaitsForItsConnectionIsNotWrittenAfterThat() {
         RequestFlow flow = flow(true, 2);
-        ask(flow, "k");
+        askFor(flow, "k");
         FakeConnections.Call waiting = mConnections.last();
         assertThat(waiting.mListener.mayBegin()).isTrue();
         BackendServerId leaving = hear(flow, 200, "Seal", "s", "Leaving", "1");
@@ -206,14 +186,14 @@
         RequestFlow flow = flow(true, 4);
         for (int number = 0; number < KEYS; number++) {
             int before = mConnections.mCalls.size();
-            ask(flow, "key-" + number);
+            askFor(flow, "key-" + number);
             if (mConnections.mCalls.size() > before) {
                 mConnections.last().answer(200, "Seal", "s", "Leaving", "1");
             }
         }
         assertThat(flow.statements().withdrawals()).hasSize(3);
         int before = mConnections.mCalls.size();
-        FakeResponder rejected = ask(flow, "k");
+        FakeResponder rejected = askFor(flow, "k");
         assertThat(rejected.status()).isEqualTo(503);
         assertThat(rejected.mAnswers.get(0).headers().contains("Retry-After")).isTrue();
         assertThat(mConnections.mCalls).hasSize(before);
@@ -248,9 +228,9 @@
     @Example
     void latestEndOfAllPausesCounts() {
         RequestFlow flow = flow(true, 2);
-        ask(flow, "k");
-        ask(flow, "k");
-        ask(flow, "k");
+        askFor(flow, "k");
+        askFor(flow, "k");
+        askFor(flow, "k");
         List<FakeConnections.Call> calls = List.copyOf(mConnections.mCalls);
         calls.get(0).answer(503, "Not-Run", "1", "Retry-After", "5");
         calls.get(1).answer(503, "Not-Run", "1", "Retry-After", "1");
@@ -279,7 +259,7 @@
         RequestFlow flow = flow(true, 4);
         int[] seconds = {9, 4, 6};
         for (int number = 0; number < KEYS; number++) {
-            ask(flow, "key-" + number);
+            askFor(flow, "key-" + number);
             FakeConnections.Call call = mConnections.last();
             while (!call.mCancelled && flow.statements().withdrawals().size() < 3) {
                 int server = Integer.parseInt(call.mServer.id().value().substring(7));
@@ -292,13 +272,13 @@
         }
         assertThat(flow.statements().withdrawals()).hasSize(3);
         int before = mConnections.mCalls.size();
-        FakeResponder rejected = ask(flow, "k");
+        FakeResponder rejected = askFor(flow, "k");
         assertThat(rejected.status()).isEqualTo(503);
         assertThat(mConnections.mCalls).hasSize(before);
         String retryAfter = rejected.mAnswers.get(0).headers().get("Retry-After");
         assertThat(Double.parseDouble(retryAfter)).isBetween(3.5, 4.0);
         passTime(Duration.ofSeconds(5));
-        ask(flow, "k");
+        askFor(flow, "k");
         assertThat(mConnections.mCalls).as("the first is back").hasSize(before + 1);
         assertThat(mConnections.last().mServer.id().value()).isEqualTo("server-1");
     }
