--- a/masticpond-core/src/main/java/io/masticpond/core/statement/ServerWithdrawals.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/ServerWithdrawals.java
@@ -6,9 +6,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Keeps which backend servers have said in their answers that they take no requests.
@@ -103,8 +105,7 @@
     private void malformed(RegisteredServer server, StatementPart part, long nowNanos) {
         mMalformed++;
         Withdrawal state = state(server, nowNanos);
-        if (state.mMalformed != part) {
-            state.mMalformed = part;
+        if (state.mMalformed.add(part)) {
             mOutput.malformed(server.id(), part);
         }
     }
@@ -179,7 +180,7 @@
         long rampNanos = mSettings.ramp().toNanos();
         boolean hasAllKeys = nowNanos - state.mUntilNanos >= rampNanos;
         boolean isWithdrawn = state.mIsLeaving || state.mIsPaused;
-        return !isWithdrawn && state.mMalformed == null && hasAllKeys;
+        return !isWithdrawn && state.mMalformed.isEmpty() && hasAllKeys;
     }
 
     private boolean holds(Withdrawal state, RegisteredServer server, long nowNanos) {
@@ -278,6 +279,6 @@
         private long mPauseNanos;
 
         private long mSaidNanos;
-        private StatementPart mMalformed;
+        private final Set<StatementPart> mMalformed = EnumSet.noneOf(StatementPart.class);
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -208,6 +208,19 @@
         assertThat(sendsTo(flow, server)).isPositive();
     }
 
+    @Example
+    void eachMalformedPartIsToldOnce() {
+        RequestFlow flow = flow(false, 1);
+        for (int answer = 0; answer < 5; answer++) {
+            askFor(flow, "k");
+            mConnections.last().answer(503, "Leaving", "soon", "Retry-After", "soon");
+        }
+        assertThat(flow.statements().malformed()).isEqualTo(10);
+        assertThat(mDecisions.beliefs(100))
+                .extracting(line -> line.path("part").asText())
+                .containsExactlyInAnyOrder("leaving", "pause");
+    }
+
     @Example
     void serverThatAsksForTimeGetsNothingUntilThenAndItsKeysReturnOneByOne() {
         for (boolean idempotent : List.of(true, false)) {
