Add the settings and interfaces of load control

Cause: the parts of docs/design/hard-load.md are built side by side and need common types. Change: settings `loadControl` with the rule of activation, the workspace of the caller in a placement request, factors of regions for the homes of keys (1 by default), and the types of demand and capacity. Behavior is unchanged. Measured: LoadControlActivationTest, ServerChooserTest, RequestPlacerTest and CoreArchitectureTest pass.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -34,6 +34,7 @@
     private static final double FETCH_AND_EVICTION_FACTOR = 2;
 
     private PlacementSettings mSettings;
+    private RegionWeights mRegionWeights = RegionWeights.EQUAL;
     private final CallOutlierDetector mOutlierDetector;
     private final Map<ServiceId, CacheMissCost> mCacheMissCosts = new HashMap<>();
     private final AnswerSizes mAnswerSizes = new AnswerSizes();
@@ -58,6 +59,15 @@
         mSettings = Assert.notNull(settings, "Placement settings");
     }
 
+    /**
+     * Replaces the factors of regions for subsequent choices.
+     *
+     * @param weights the factors
+     */
+    public void setRegionWeights(RegionWeights weights) {
+        mRegionWeights = Assert.notNull(weights, "Weights of regions");
+    }
+
     /**
      * Records the time of an answer whose request did not wait for a slot.
      *
@@ -113,11 +123,11 @@
             return Optional.empty();
         }
         double perHome = perHome(usable);
-        ServerChoice home = best(homes(usable, request), perHome, nowNanos);
+        ServerChoice home = best(homes(usable, request, nowNanos), perHome, nowNanos);
         if (home.score() >= -nonHomePenalty(mSettings.homes(), perHome)) {
             return Optional.of(home);
         }
-        return Optional.of(best(preferences(usable, request), perHome, nowNanos));
+        return Optional.of(best(preferences(usable, request, nowNanos), perHome, nowNanos));
     }
 
     private ServerChoice best(List<Preference> preferences, double perHome, long nowNanos) {
@@ -144,7 +154,7 @@
      */
     public List<ServerChoice> ranked(
             List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
-        List<Preference> preferences = preferences(usable, request);
+        List<Preference> preferences = preferences(usable, request, nowNanos);
         double perHome = perHome(usable);
         List<ServerChoice> choices = new ArrayList<>(preferences.size());
         for (int rank = 0; rank < preferences.size(); rank++) {
@@ -166,7 +176,7 @@
      */
     public Optional<ServerChoice> otherHome(
             List<ServerLoad> usable, PlacementRequest request, ServerLoad chosen, long nowNanos) {
-        return homes(usable, request).stream()
+        return homes(usable, request, nowNanos).stream()
                 .map(Preference::load)
                 .filter(home -> home != chosen)
                 .map(home -> new ServerChoice(home, -loadPenalty(home, nowNanos)))
@@ -174,23 +184,25 @@
     }
 
     /** Returns the servers, the most preferred first. */
-    private List<Preference> preferences(List<ServerLoad> usable, PlacementRequest request) {
+    private List<Preference> preferences(
+            List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
         int rounds = mAnswerSizes.furtherRounds(request.route().id());
         List<Preference> preferences = new ArrayList<>(usable.size());
         for (ServerLoad server : usable) {
-            preferences.add(new Preference(server, preference(server, request.keyHash(), rounds)));
+            preferences.add(new Preference(server, preference(server, request, rounds, nowNanos)));
         }
         preferences.sort(Comparator.comparingDouble(Preference::value).reversed());
         return preferences;
     }
 
     /** Returns only the homes, the first of the preferences, without sorting the others. */
-    private List<Preference> homes(List<ServerLoad> usable, PlacementRequest request) {
+    private List<Preference> homes(
+            List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
         int rounds = mAnswerSizes.furtherRounds(request.route().id());
         int count = Math.min(mSettings.homes(), usable.size());
         List<Preference> homes = new ArrayList<>(count + 1);
         for (ServerLoad server : usable) {
-            double value = preference(server, request.keyHash(), rounds);
+            double value = preference(server, request, rounds, nowNanos);
             int rank = homes.size();
             while (rank > 0 && homes.get(rank - 1).value() < value) {
                 rank--;
@@ -215,13 +227,17 @@
      * Returns the preference of a key for a server, regardless of load.
      *
      * @param load the server
-     * @param keyHash the hash of the key
+     * @param request the request with the hash of the key
      * @param furtherRounds the round trips that an answer takes after the first
+     * @param nowNanos the current monotonic time
      * @return a value of at most 0; the server with the greatest is the first home
      */
-    double preference(ServerLoad load, long keyHash, int furtherRounds) {
-        double drawn = Math.log(HashMixer.fraction(keyHash, load.hash()));
-        return drawn / mSettings.weight(load.distance(), furtherRounds);
+    double preference(ServerLoad load, PlacementRequest request, int furtherRounds, long nowNanos) {
+        double drawn = Math.log(HashMixer.fraction(request.keyHash(), load.hash()));
+        double weight =
+                mSettings.weight(load.distance(), furtherRounds)
+                        * mRegionWeights.factor(request.service(), load.server(), nowNanos);
+        return drawn / weight;
     }
 
     /**
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/RequestPlacerTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/RequestPlacerTest.java
@@ -83,7 +83,7 @@
                         List.of(new WeightedService(SERVICE, 1)));
         return new RequestPlacer(chooser, mGate)
                 .place(
-                        new PlacementRequest(route, SERVICE, 42, 1_000_000_000L),
+                        new PlacementRequest(route, SERVICE, 42, Optional.empty(), 1_000_000_000L),
                         mServers,
                         mCandidates,
                         0);
--- a/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/placement/ServerChooserTest.java
@@ -20,6 +20,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -149,9 +150,7 @@
         return nearServers().stream()
                 .sorted(
                         Comparator.comparingDouble(
-                                load ->
-                                        -mChooser.preference(
-                                                load, HashMixer.hash("key-" + key), 0)))
+                                load -> -mChooser.preference(load, request(key), 0, 0)))
                 .limit(2)
                 .map(load -> load.server().id().value())
                 .toList();
@@ -183,7 +182,11 @@
                         Set.of(),
                         List.of(new WeightedService(new ServiceId("service"), 1)));
         return new PlacementRequest(
-                route, new ServiceId("service"), HashMixer.hash("key-" + key), 1_000_000_000L);
+                route,
+                new ServiceId("service"),
+                HashMixer.hash("key-" + key),
+                Optional.empty(),
+                1_000_000_000L);
     }
 
     private static List<ServerLoad> nearServers() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -86,7 +86,7 @@
                         request.headers(), flow.names(), hasDeadline, caller.workspace());
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
-        mSearch = new ServerSearch(flow, facts, mRoute, service, key);
+        mSearch = new ServerSearch(flow, facts, caller, service, key);
         mCrashCheck = new CrashCheck(flow.crashGuard(), request, facts);
         mCompletion = new RequestCompletion(flow.answers(), facts, mRequestId);
         mAttemptCharge = AttemptCharge.of(flow.spending(), facts, service);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -28,6 +28,7 @@
 
     private final RequestFlow mFlow;
     private final RequestRecord mFacts;
+    private final Caller mCaller;
     private final Route mRoute;
     private final ServiceId mService;
     private final long mKeyHash;
@@ -35,12 +36,13 @@
     private final Set<BackendServerId> mWithoutPermit = new HashSet<>();
 
     ServerSearch(
-            RequestFlow flow, RequestRecord facts, Route route, ServiceId service, String key) {
+            RequestFlow flow, RequestRecord facts, Caller caller, ServiceId service, String key) {
         mFlow = flow;
         mFacts = facts;
-        mRoute = route;
+        mCaller = caller;
+        mRoute = caller.route();
         mService = service;
-        mKeyHash = keyHash(key, route);
+        mKeyHash = keyHash(key, mRoute);
     }
 
     private static long keyHash(String key, Route route) {
@@ -80,7 +82,7 @@
     }
 
     private PlacementRequest toPlacementRequest(long leftNanos) {
-        return new PlacementRequest(mRoute, mService, mKeyHash, leftNanos);
+        return new PlacementRequest(mRoute, mService, mKeyHash, mCaller.workspace(), leftNanos);
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.loadcontrol.LoadControlSettings;
 import io.masticpond.core.placement.PlacementSettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.statement.WithdrawalSettings;
@@ -34,6 +35,7 @@
  * @param crashes when a request counts as one that terminates backend servers
  * @param serverLimits how far the limits that backend servers state may be exceeded
  * @param withdrawals how long the withdrawal of a backend server remains in effect
+ * @param loadControl for which services load control is active, and its limits
  * @param workspaces how strictly keys and rates of workspaces are enforced
  * @param spending the spending caps; if absent, spending is not capped
  * @since 0.2
@@ -55,6 +57,7 @@
         CrashSettings crashes,
         ServerLimitSettings serverLimits,
         WithdrawalSettings withdrawals,
+        LoadControlSettings loadControl,
         WorkspaceSettings workspaces,
         Optional<SpendingSettings> spending) {
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -8,6 +8,8 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.SharedRateSettings;
+import io.masticpond.core.loadcontrol.LoadControlMode;
+import io.masticpond.core.loadcontrol.LoadControlSettings;
 import io.masticpond.core.placement.PlacementSettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.statement.WithdrawalSettings;
@@ -21,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -145,6 +148,7 @@
                 crashes(root.optionalObject("crashes")),
                 serverLimits(root.optionalObject("serverLimits")),
                 withdrawals(root.optionalObject("withdrawals")),
+                loadControl(root.optionalObject("loadControl")),
                 workspaces(root.optionalObject("workspaces")),
                 spending(root, zones));
     }
@@ -273,6 +277,20 @@
                 fields.time("ramp", fallback.ramp()));
     }
 
+    private static LoadControlSettings loadControl(SettingsFields fields) {
+        LoadControlSettings fallback = LoadControlSettings.DEFAULT;
+        return new LoadControlSettings(
+                fields.optional(
+                        "mode",
+                        "'automatic', 'off' or 'on'",
+                        fallback.mode(),
+                        text -> LoadControlMode.valueOf(text.toUpperCase(Locale.ROOT))),
+                fields.fraction("probesPerSecond", fallback.probesPerSecond()),
+                fields.whole("regionLinkMegabits", fallback.regionLinkMegabits()),
+                fields.fraction("fullness", fallback.fullness()),
+                fields.fraction("slowFactor", fallback.slowFactor()));
+    }
+
     private static WorkspaceSettings workspaces(SettingsFields fields) {
         WorkspaceSettings fallback = WorkspaceSettings.DEFAULT;
         Duration revocation = fields.time("revocation", fallback.revocation());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.peer.HeartbeatService;
@@ -24,6 +25,7 @@
     private final DirectoryHandler mDirectory;
     private final SharedLimits mLimits;
     private final ServerChooser mChooser;
+    private final LoadControlActivation mLoadControl;
     private final RequestFlow mFlow;
     private final StopSwitch mStop;
     private final ProcessChangeLog mProcessChanges;
@@ -38,6 +40,7 @@
             DirectoryHandler directory,
             SharedLimits limits,
             ServerChooser chooser,
+            LoadControlActivation loadControl,
             RequestFlow flow,
             StopSwitch stop,
             ProcessChangeLog processChanges) {
@@ -48,6 +51,7 @@
         mDirectory = directory;
         mLimits = limits;
         mChooser = chooser;
+        mLoadControl = loadControl;
         mFlow = flow;
         mStop = stop;
         mProcessChanges = processChanges;
@@ -62,6 +66,7 @@
                 () -> {
                     mLimits.apply(settings.bounds());
                     mChooser.applySettings(settings.placement());
+                    mLoadControl.applySettings(settings.loadControl());
                     mFlow.crashGuard().applySettings(settings.crashes());
                     mFlow.authenticator().applySettings(settings.workspaces());
                     mFlow.statements().limits().applySettings(settings.serverLimits());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.limit.CallOutlierDetectorSettings;
 import io.masticpond.core.limit.OwnerCandidate;
 import io.masticpond.core.limit.SharedRates;
+import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.placement.PriorityLoadGate;
 import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChooser;
@@ -89,6 +90,12 @@
                         MAXIMUM_ANSWER_BYTES));
     }
 
+    @Provides
+    @Singleton
+    static LoadControlActivation loadControl(EntrySettings settings) {
+        return new LoadControlActivation(settings.loadControl());
+    }
+
     @Provides
     @Singleton
     static ServerChooser chooser(EntrySettings settings) {
--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
@@ -153,7 +153,11 @@
         private void place() {
             PlacementRequest request =
                     new PlacementRequest(
-                            mRoute, service(), HashMixer.hash(mObject), mDeadlineNanos - now());
+                            mRoute,
+                            service(),
+                            HashMixer.hash(mObject),
+                            Optional.empty(),
+                            mDeadlineNanos - now());
             var servers = mInstance.servers().of(service());
             if (mSimulation.variant().knowsTrueLoads()) {
                 servers.forEach(this::reportTrueLoad);
