Accept load reports with a fourth field

Cause: ReportedLoad.parse accepted exactly three fields, so every load report of a server that states the time of its work as a fourth field was dropped.

Change: further fields are ignored; the first three are used.

Result: ReportedLoadTest.aHeaderWithTheTimeOfWorkReportsTheLoad failed before (the load was empty) and passes now. Headers with three fields are parsed as before.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ReportedLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ReportedLoad.java
@@ -12,7 +12,7 @@
  */
 public record ReportedLoad(int running, int waiting, int slots) {
 
-    private static final int PARTS = 3;
+    private static final int MINIMUM_PARTS = 3;
 
     /**
      * Determines whether the server could start another request immediately. A server that rejects
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Parses "running,waiting,slots".
+     * Parses "running,waiting,slots", possibly followed by further fields, which are ignored.
      *
      * @param text the text, or {@code null}
      * @return the load, or empty if the text is not a valid load
@@ -36,7 +36,7 @@
             return Optional.empty();
         }
         String[] parts = text.split(",", -1);
-        if (parts.length != PARTS) {
+        if (parts.length < MINIMUM_PARTS) {
             return Optional.empty();
         }
         try {
