Learn the speed of servers and choose by expected latency

Cause: a server that is 2.5 times slower for some 600 ms is chosen like any other, since neither the reported duration of work nor its age is considered.

Change: package core.speed learns the slowdowns of the servers of a service, how long they persist, and the times and probabilities of cache hits. ServerChooser scores by LatencyScorer for services for which load control is active, and by PenaltyScorer, which has the former rules, for all others. The log of a choice states the expected latency and the age of the reported slowdown; malformed load headers are counted and logged once per server.

Ruled out: learning that a server holds an object from the rank alone without a prior.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -29,7 +29,7 @@
 
     private final ServerChooser mChooser;
     private final LoadGate mGate;
-    private final SharedLoads mSharedLoads = new SharedLoads();
+    private final SharedLoads mSharedLoads;
 
     /**
      * Creates a placer.
@@ -40,6 +40,7 @@
     public RequestPlacer(ServerChooser chooser, LoadGate gate) {
         mChooser = Assert.notNull(chooser, "A server chooser");
         mGate = Assert.notNull(gate, "A load gate");
+        mSharedLoads = new SharedLoads(chooser.speeds());
     }
 
     /**
@@ -74,7 +75,9 @@
             return;
         }
         load.recordReport(reported, nowNanos);
-        mSharedLoads.recordLoad(load, reported);
+        load.recordAnswered(nowNanos);
+        mChooser.speeds().recordAnswer(load, reported, nowNanos);
+        mSharedLoads.recordLoad(load, reported, nowNanos);
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -3,7 +3,12 @@
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.CallOutlierDetector;
+import io.masticpond.core.loadcontrol.LoadControlActivation;
+import io.masticpond.core.loadcontrol.LoadControlMode;
+import io.masticpond.core.loadcontrol.LoadControlSettings;
 import io.masticpond.core.routing.RoutingConfiguration;
+import io.masticpond.core.speed.RunTimes;
+import io.masticpond.core.speed.ServiceSpeed;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.support.HashMixer;
 import java.util.ArrayList;
@@ -38,16 +43,46 @@
     private final CallOutlierDetector mOutlierDetector;
     private final Map<ServiceId, CacheMissCost> mCacheMissCosts = new HashMap<>();
     private final AnswerSizes mAnswerSizes = new AnswerSizes();
+    private final ServiceSpeeds mSpeeds;
 
     /**
-     * Creates a chooser.
+     * Creates a chooser that does not consider expected latencies.
      *
      * @param settings the weights of the criteria
      * @param outlierDetector the detector of servers that fail or are slow
      */
     public ServerChooser(PlacementSettings settings, CallOutlierDetector outlierDetector) {
+        this(
+                settings,
+                outlierDetector,
+                new LoadControlActivation(
+                        new LoadControlSettings(LoadControlMode.OFF, 0, 0, 1, 2)));
+    }
+
+    /**
+     * Creates a chooser.
+     *
+     * @param settings the weights of the criteria
+     * @param outlierDetector the detector of servers that fail or are slow
+     * @param loadControl the rule that determines for which services expected latencies are
+     *     considered
+     */
+    public ServerChooser(
+            PlacementSettings settings,
+            CallOutlierDetector outlierDetector,
+            LoadControlActivation loadControl) {
         mSettings = Assert.notNull(settings, "Placement settings");
         mOutlierDetector = Assert.notNull(outlierDetector, "An outlier detector");
+        mSpeeds = new ServiceSpeeds(loadControl);
+    }
+
+    /**
+     * Returns the speeds of the servers of all services.
+     *
+     * @return the speeds
+     */
+    public ServiceSpeeds speeds() {
+        return mSpeeds;
     }
 
     /**
@@ -97,6 +132,7 @@
      */
     public void retain(RoutingConfiguration configuration) {
         mAnswerSizes.retain(configuration);
+        mSpeeds.retain(configuration.services().keySet());
     }
 
     /**
@@ -122,26 +158,23 @@
         if (usable.isEmpty()) {
             return Optional.empty();
         }
-        double perHome = perHome(usable);
-        ServerChoice home = best(homes(usable, request, nowNanos), perHome, nowNanos);
-        if (home.score() >= -nonHomePenalty(mSettings.homes(), perHome)) {
+        ServerScorer scorer = scorer(usable, request, nowNanos);
+        ServerChoice home = best(homes(usable, request, scorer, nowNanos), scorer);
+        if (scorer.isSufficient(home)) {
             return Optional.of(home);
         }
-        return Optional.of(best(preferences(usable, request, nowNanos), perHome, nowNanos));
+        return Optional.of(best(preferences(usable, request, nowNanos), scorer));
     }
 
-    private ServerChoice best(List<Preference> preferences, double perHome, long nowNanos) {
-        ServerLoad best = null;
-        double bestScore = 0;
+    private static ServerChoice best(List<Preference> preferences, ServerScorer scorer) {
+        ServerChoice best = null;
         for (int rank = 0; rank < preferences.size(); rank++) {
-            ServerLoad server = preferences.get(rank).load();
-            double score = score(server, rank, perHome, nowNanos);
-            if (best == null || score > bestScore) {
-                best = server;
-                bestScore = score;
+            ServerChoice each = scorer.score(preferences.get(rank).load(), rank);
+            if (best == null || each.score() > best.score()) {
+                best = each;
             }
         }
-        return new ServerChoice(best, bestScore);
+        return best;
     }
 
     /**
@@ -155,11 +188,10 @@
     public List<ServerChoice> ranked(
             List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
         List<Preference> preferences = preferences(usable, request, nowNanos);
-        double perHome = perHome(usable);
+        ServerScorer scorer = scorer(usable, request, nowNanos);
         List<ServerChoice> choices = new ArrayList<>(preferences.size());
         for (int rank = 0; rank < preferences.size(); rank++) {
-            ServerLoad server = preferences.get(rank).load();
-            choices.add(new ServerChoice(server, score(server, rank, perHome, nowNanos)));
+            choices.add(scorer.score(preferences.get(rank).load(), rank));
         }
         choices.sort(Comparator.comparingDouble(ServerChoice::score).reversed());
         return choices;
@@ -172,15 +204,46 @@
      * @param request the request
      * @param chosen the server that was chosen
      * @param nowNanos the current monotonic time
-     * @return the least loaded of the others, or empty if none is usable
+     * @return the best of the others, or empty if none is usable
      */
     public Optional<ServerChoice> otherHome(
             List<ServerLoad> usable, PlacementRequest request, ServerLoad chosen, long nowNanos) {
-        return homes(usable, request, nowNanos).stream()
-                .map(Preference::load)
-                .filter(home -> home != chosen)
-                .map(home -> new ServerChoice(home, -loadPenalty(home, nowNanos)))
-                .max(Comparator.comparingDouble(ServerChoice::score));
+        ServerScorer scorer = scorer(usable, request, nowNanos);
+        List<Preference> homes = homes(usable, request, scorer, nowNanos);
+        ServerChoice best = null;
+        for (int rank = 0; rank < homes.size(); rank++) {
+            if (homes.get(rank).load() == chosen) {
+                continue;
+            }
+            ServerChoice each = scorer.scoreAlternative(homes.get(rank).load(), rank);
+            if (best == null || each.score() > best.score()) {
+                best = each;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Returns the scorer for a request. Expected latencies are compared only if the run times of
+     * the route are known, since a comparison without them would ignore the cost of a miss.
+     */
+    private ServerScorer scorer(List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
+        if (mSpeeds.isActive(request.service(), nowNanos)) {
+            ServiceSpeed service = mSpeeds.of(request.service());
+            RunTimes times = service == null ? null : service.runTimes(request.route().id());
+            if (times != null) {
+                return new LatencyScorer(
+                        mSettings,
+                        mOutlierDetector,
+                        service,
+                        times,
+                        mSpeeds.roundTrips(),
+                        1 + mAnswerSizes.furtherRounds(request.route().id()),
+                        request,
+                        nowNanos);
+            }
+        }
+        return new PenaltyScorer(mSettings, mOutlierDetector, perHome(usable), nowNanos);
     }
 
     /** Returns the servers, the most preferred first. */
@@ -195,11 +258,11 @@
         return preferences;
     }
 
-    /** Returns only the homes, the first of the preferences, without sorting the others. */
+    /** Returns only the first of the preferences, without sorting the others. */
     private List<Preference> homes(
-            List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
+            List<ServerLoad> usable, PlacementRequest request, ServerScorer scorer, long nowNanos) {
         int rounds = mAnswerSizes.furtherRounds(request.route().id());
-        int count = Math.min(mSettings.homes(), usable.size());
+        int count = Math.min(scorer.comparedHomes(), usable.size());
         List<Preference> homes = new ArrayList<>(count + 1);
         for (ServerLoad server : usable) {
             double value = preference(server, request, rounds, nowNanos);
@@ -217,12 +280,6 @@
         return homes;
     }
 
-    private double score(ServerLoad server, int rank, double perHome, long nowNanos) {
-        return -rankPenalty(rank, perHome)
-                - mSettings.zonePenalty(server.distance())
-                - loadPenalty(server, nowNanos);
-    }
-
     /**
      * Returns the preference of a key for a server, regardless of load.
      *
@@ -240,22 +297,6 @@
         return drawn / weight;
     }
 
-    /**
-     * Returns the penalty of a rank. The homes of a key cache its object if there are few objects;
-     * other servers would have to fetch it.
-     */
-    private double rankPenalty(int rank, double perHome) {
-        if (rank < mSettings.homes()) {
-            return rank * perHome;
-        }
-        return nonHomePenalty(rank, perHome);
-    }
-
-    /** Returns the lowest penalty, from a rank on, of servers that do not cache the object. */
-    private double nonHomePenalty(int rank, double perHome) {
-        return Math.max(mSettings.cacheMiss(), perHome) + rank * mSettings.perHome();
-    }
-
     /**
      * Returns the penalty of each further home, which is the same for all servers of one service.
      */
@@ -268,20 +309,6 @@
         return Math.max(mSettings.perHome(), FETCH_AND_EVICTION_FACTOR * miss);
     }
 
-    private double loadPenalty(ServerLoad load, long nowNanos) {
-        double slots = load.server().slots();
-        double inFlight = load.inFlight(nowNanos);
-        double busy = Math.min(1, inFlight / slots);
-        double queued = Math.max(0, inFlight + 1 - slots) / slots;
-        return mSettings.perBusy() * busy
-                + mSettings.perQueued() * queued
-                + mSettings.failing() * penalty(load, nowNanos);
-    }
-
-    private double penalty(ServerLoad load, long nowNanos) {
-        return mOutlierDetector.penalty(load.server().service(), load.server().id(), nowNanos);
-    }
-
     /** Preference of a key for a server, regardless of load. */
     private record Preference(ServerLoad load, double value) {}
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -1,6 +1,7 @@
 package io.masticpond.core.placement;
 
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.speed.ServerSpeed;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.support.HashMixer;
 import java.util.Optional;
@@ -24,7 +25,10 @@
     private static final long PEER_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** Maximum number of requests per slot that is accepted in a report of another instance. */
-    private static final int MAXIMUM_REQUESTS_PER_SLOT = 4;
+    static final int MAXIMUM_REQUESTS_PER_SLOT = 4;
+
+    /** Time after an answer for which its connection is assumed to be idle and open. */
+    private static final long IDLE_CONNECTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final long mHash;
     private RegisteredServer mServer;
@@ -38,6 +42,11 @@
     private boolean mIsTerminated;
     private boolean mIsReportedFull;
     private boolean mIsReported;
+    private final ServerSpeed mSpeed = new ServerSpeed();
+    private boolean mIsReportedSlow;
+    private long mReportedSlowNanos;
+    private long mAnsweredNanos;
+    private boolean mIsAnswered;
 
     /**
      * Creates the load of a server to which no request was sent.
@@ -135,6 +144,55 @@
         mIsReported = true;
     }
 
+    /**
+     * Records an answer to this instance, whose connection can be used again.
+     *
+     * @param nowNanos the current monotonic time
+     */
+    void recordAnswered(long nowNanos) {
+        mAnsweredNanos = nowNanos;
+        mIsAnswered = true;
+    }
+
+    /**
+     * Determines whether a connection is likely to be idle. Exact knowledge would require a query
+     * of the connections for each candidate; an error costs one round trip in the estimate.
+     */
+    boolean hasIdleConnection(long nowNanos) {
+        return mIsAnswered && nowNanos - mAnsweredNanos < IDLE_CONNECTION_NANOS;
+    }
+
+    /**
+     * Returns the slowdown that this run of the server reported.
+     *
+     * @return the speed, which is updated with each report
+     */
+    public ServerSpeed speed() {
+        return mSpeed;
+    }
+
+    /**
+     * Records whether the latest load report on the server, sent to the neighbors or received from
+     * one, says that the server is slow.
+     */
+    void setReportedSlow(boolean isSlow, long nowNanos) {
+        mIsReportedSlow = isSlow;
+        mReportedSlowNanos = nowNanos;
+    }
+
+    /**
+     * Determines whether the latest load report on the server, sent to the neighbors or received
+     * from one, says that the server is slow.
+     */
+    boolean isReportedSlow() {
+        return mIsReportedSlow;
+    }
+
+    /** Returns the time since the latest load report that says so, in nanoseconds. */
+    long reportedSlowAgeNanos(long nowNanos) {
+        return nowNanos - mReportedSlowNanos;
+    }
+
     /**
      * Records a load that another instance reported, capped at a number that is plausible for the
      * server's slots. The report was delayed by batching, so it is ignored if an answer to this
@@ -251,6 +309,22 @@
         return mOwnRequests + decayedOtherRequests(nowNanos);
     }
 
+    /**
+     * Estimates the number of requests of all instances that are processed or wait there. Unlike
+     * {@link #inFlight}, the estimate of those of other instances returns to the mean of the
+     * service, so that a server does not appear empty because it was not asked for a while.
+     *
+     * @param meanPerSlot the mean number of requests per slot of the servers of the service
+     * @param nowNanos the current monotonic time
+     * @return the estimate
+     */
+    double expectedInFlight(double meanPerSlot, long nowNanos) {
+        double mean = Math.max(0, meanPerSlot * mServer.slots() - mOwnRequests);
+        double remaining =
+                mIsReported ? Math.exp(-(nowNanos - mOtherRequestsNanos) / DECAY_NANOS) : 0;
+        return mOwnRequests + mean + (mOtherRequests - mean) * remaining;
+    }
+
     private double decayedOtherRequests(long nowNanos) {
         return mOtherRequests * Math.exp(-(nowNanos - mOtherRequestsNanos) / DECAY_NANOS);
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/SharedLoads.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/SharedLoads.java
@@ -16,6 +16,9 @@
  * reporting them would cost three times as much. In a model of 95 instances ({@code ./measure
  * decisions}) 0.15 instead of 0.24 of the answers in a burst are late.
  *
+ * <p>A server is also reported when it becomes slow, again after the time for which that value is
+ * meaningful, and once when it is no longer slow.
+ *
  * <p>Not thread-safe: confined to one thread.
  *
  * @since 0.2
@@ -29,10 +32,20 @@
     private static final int MAXIMUM_PENDING = 1_024;
 
     private final Map<Long, LoadReport> mPending = new HashMap<>();
+    private final ServiceSpeeds mSpeeds;
     private Runnable mPendingListener = () -> {};
     private long mReportedCount;
     private long mReceivedCount;
 
+    /**
+     * Creates shared loads without any pending.
+     *
+     * @param speeds the speeds of the servers, by which a slow server is recognized
+     */
+    SharedLoads(ServiceSpeeds speeds) {
+        mSpeeds = Assert.notNull(speeds, "Speeds of services");
+    }
+
     /**
      * Sets the action to run when loads are pending, such as to schedule a call of {@link #take}.
      *
@@ -48,20 +61,32 @@
      *
      * @param server the server
      * @param load the load
+     * @param nowNanos the current monotonic time
      */
-    void recordLoad(ServerLoad server, ReportedLoad load) {
+    void recordLoad(ServerLoad server, ReportedLoad load, long nowNanos) {
         boolean isFull = !load.hasFreeSlot();
-        if ((isFull || server.isReportedFull())
+        boolean isSlow = mSpeeds.isSlow(server, load);
+        boolean isReported =
+                isFull
+                        || server.isReportedFull()
+                        || isSlow != server.isReportedSlow()
+                        || (isSlow && isOutdated(server, nowNanos));
+        if (isReported
                 && (mPending.size() < MAXIMUM_PENDING || mPending.containsKey(server.hash()))) {
             boolean isFirst = mPending.isEmpty();
             mPending.put(server.hash(), new LoadReport(server.hash(), load));
             server.setReportedFull(isFull);
+            server.setReportedSlow(isSlow, nowNanos);
             if (isFirst) {
                 mPendingListener.run();
             }
         }
     }
 
+    private boolean isOutdated(ServerLoad server, long nowNanos) {
+        return server.reportedSlowAgeNanos(nowNanos) >= mSpeeds.persistenceNanos(server);
+    }
+
     /**
      * Determines whether loads are pending.
      *
@@ -108,6 +133,8 @@
                 mReceivedCount++;
                 server.receivedFromPeer(each.load(), nowNanos);
                 server.setReportedFull(!each.load().hasFreeSlot());
+                mSpeeds.recordPeerReport(server, each.load(), nowNanos);
+                server.setReportedSlow(mSpeeds.isSlow(server, each.load()), nowNanos);
             }
         }
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/statement/StatementPart.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/statement/StatementPart.java
@@ -9,5 +9,7 @@
     /** Whether the server is leaving. */
     LEAVING,
     /** The time for which the server requests a pause. */
-    PAUSE
+    PAUSE,
+    /** The load of the server. */
+    LOAD
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -102,6 +102,7 @@
             return;
         }
         mRoundTripNanos = mPool.nowNanos() - mStartedNanos;
+        mPool.recordRoundTrip(mRoundTripNanos);
         restartIdleTime();
         PendingCall call = mCall;
         if (call == null) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
@@ -37,6 +37,17 @@
      */
     void check(RegisteredServer server, Consumer<ServerReachability> listener);
 
+    /**
+     * Returns the time in which the latest connection to a server was opened, which is one round
+     * trip.
+     *
+     * @param server the server
+     * @return the time in nanoseconds, 0 if none is known
+     */
+    default long roundTripNanos(RegisteredServer server) {
+        return 0;
+    }
+
     /**
      * Closes the idle connections to a removed server; calls in progress continue.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
@@ -103,6 +103,12 @@
                 });
     }
 
+    @Override
+    public long roundTripNanos(RegisteredServer server) {
+        ServerPool pool = mPools.get(server.id());
+        return pool == null ? 0 : pool.roundTripNanos();
+    }
+
     @Override
     public void removeServer(RegisteredServer server) {
         ServerPool pool = mPools.remove(server.id());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -30,6 +30,7 @@
     private int mMaximum = 1;
     private long mUnstatedIdleNanos;
     private long mLastReceivedNanos;
+    private long mRoundTripNanos;
 
     ServerPool(ServerAddress address, PoolContext context) {
         mAddress = address;
@@ -63,6 +64,16 @@
         return mUnstatedIdleNanos;
     }
 
+    /** Records the time in which the latest connection was opened. */
+    void recordRoundTrip(long nanos) {
+        mRoundTripNanos = nanos;
+    }
+
+    /** Returns the time in which the latest connection was opened, 0 before the first one. */
+    long roundTripNanos() {
+        return mRoundTripNanos;
+    }
+
     boolean isEmpty() {
         return mConnections.isEmpty();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/CandidateServers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/CandidateServers.java
@@ -12,6 +12,8 @@
     private int[] mInFlight;
     private int[] mSlots;
     private double[] mScores;
+    private long[] mExpectedNanos;
+    private long[] mSpeedAgeNanos;
     private int mKept;
     private int mTotal;
 
@@ -30,13 +32,25 @@
             mInFlight = new int[RequestRecord.MAXIMUM_CANDIDATES];
             mSlots = new int[RequestRecord.MAXIMUM_CANDIDATES];
             mScores = new double[RequestRecord.MAXIMUM_CANDIDATES];
+            mExpectedNanos = new long[RequestRecord.MAXIMUM_CANDIDATES];
+            mSpeedAgeNanos = new long[RequestRecord.MAXIMUM_CANDIDATES];
         }
         mServers[mKept] = server;
         mInFlight[mKept] = inFlight;
         mSlots[mKept] = slots;
+        mExpectedNanos[mKept] = RequestRecord.UNKNOWN;
+        mSpeedAgeNanos[mKept] = RequestRecord.UNKNOWN;
         mScores[mKept++] = score;
     }
 
+    /** Adds the expected latency to the candidate that was added last, if it was kept. */
+    void addLatency(long expectedNanos, long speedAgeNanos) {
+        if (mTotal == mKept) {
+            mExpectedNanos[mKept - 1] = expectedNanos;
+            mSpeedAgeNanos[mKept - 1] = speedAgeNanos;
+        }
+    }
+
     /** Returns the number of servers that were scored, kept or not. */
     int total() {
         return mTotal;
@@ -61,4 +75,14 @@
     double score(int index) {
         return mScores[index];
     }
+
+    /** Returns the expected latency of a candidate, or {@link RequestRecord#UNKNOWN}. */
+    long expectedNanos(int index) {
+        return mExpectedNanos[index];
+    }
+
+    /** Returns the age of the slowdown that the candidate reported, if any. */
+    long speedAgeNanos(int index) {
+        return mSpeedAgeNanos[index];
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -159,6 +159,8 @@
             line.writeNumberField("inFlight", candidates.inFlight(index));
             line.writeNumberField("slots", candidates.slots(index));
             line.writeNumberField("score", rounded(candidates.score(index)));
+            writeAge(line, "expectedMillis", candidates.expectedNanos(index));
+            writeAge(line, "speedAgeMillis", candidates.speedAgeNanos(index));
             line.writeEndObject();
         }
         line.writeEndArray();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -187,6 +187,16 @@
         mCandidates.add(server, inFlight, slots, score);
     }
 
+    /**
+     * Records the latency on which the score of the last candidate is based.
+     *
+     * @param expectedNanos the expected latency
+     * @param speedAgeNanos the age of the slowdown that the server reported, or {@link #UNKNOWN}
+     */
+    public void candidateLatency(long expectedNanos, long speedAgeNanos) {
+        mCandidates.addLatency(expectedNanos, speedAgeNanos);
+    }
+
     /**
      * Counts a backend server that was not a candidate.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -254,7 +254,7 @@
 
         @Override
         public String event() {
-            return "server-withdrawal";
+            return part == StatementPart.LOAD ? "server-load" : "server-withdrawal";
         }
 
         @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -90,6 +90,9 @@
     /** Answers with a statement on a withdrawal that is not valid. */
     MALFORMED_WITHDRAWALS(
             "malformed_withdrawals", "Answers whose word on leaving or a pause is none.", true),
+    /** Answers whose load header is not valid, or not in all parts. */
+    MALFORMED_LOAD_HEADERS(
+            "malformed_load_headers", "Answers with an invalid load or time of work.", true),
     /** Workspaces in force. */
     WORKSPACES("workspaces", "Workspaces in force.", false),
     /** Keys of these workspaces. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -43,7 +43,7 @@
 
     @Override
     public void answerBegan(int status, HttpHeaders headers) {
-        mStatement = mFlow.statements().read(status, headers);
+        mStatement = mFlow.statements().read(mAttempted, status, headers);
         mFacts.stated(mStatement);
         mFlow.statements().applyAnswer(mAttempted, mStatement, mSentNanos);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -128,7 +128,7 @@
             end("no-backend-server");
             return;
         }
-        mSearch.recordCandidate(placed.choice(), now);
+        mSearch.recordChosen(placed.choice(), now);
         ServerLoad chosen = placed.choice().load();
         if (chargeOrEnd(chosen)) {
             send(chosen, now);
@@ -205,8 +205,7 @@
         if (failed && !statement.isWithdrawing()) {
             mFlow.placer().failed(server, now);
         } else if (!failed) {
-            boolean waited = statement.load().filter(load -> load.waiting() > 0).isPresent();
-            mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
+            mSearch.succeeded(server, statement.load(), now - mSentNanos, now);
             mCrashCheck.recordAnswer();
         }
         if (failed && mRoute.idempotent() && tryAcquireRetry(now)) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.placement.Candidates;
 import io.masticpond.core.placement.Placement;
 import io.masticpond.core.placement.PlacementRequest;
+import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChoice;
 import io.masticpond.core.placement.ServerLoad;
@@ -34,6 +35,7 @@
     private final long mKeyHash;
     private final Set<BackendServerId> mTried = new HashSet<>();
     private final Set<BackendServerId> mWithoutPermit = new HashSet<>();
+    private ServerChoice mChosen;
 
     ServerSearch(
             RequestFlow flow, RequestRecord facts, Caller caller, ServiceId service, String key) {
@@ -97,6 +99,25 @@
         }
     }
 
+    /** Records the chosen server. */
+    void recordChosen(ServerChoice choice, long now) {
+        mChosen = choice;
+        recordCandidate(choice, now);
+    }
+
+    /** Records a successful answer of the chosen server, and the load that it reported with it. */
+    void succeeded(ServerLoad load, Optional<ReportedLoad> reported, long nanos, long now) {
+        boolean waited = reported.filter(each -> each.waiting() > 0).isPresent();
+        mFlow.placer().succeeded(load, nanos, waited, now);
+        if (mChosen.load() == load) {
+            long roundTripNanos = mFlow.connections().roundTripNanos(load.server());
+            mFlow.placer()
+                    .chooser()
+                    .speeds()
+                    .recordRun(mChosen, mRoute.id(), reported, nanos, roundTripNanos, now);
+        }
+    }
+
     /** Records a server that was considered. */
     void recordCandidate(ServerChoice choice, long now) {
         mFacts.candidate(
@@ -104,6 +125,11 @@
                 (int) Math.round(choice.load().inFlight(now)),
                 choice.load().server().slots(),
                 choice.score());
+        choice.expected()
+                .ifPresent(
+                        expected ->
+                                mFacts.candidateLatency(
+                                        (long) expected.totalNanos(), expected.speedAgeNanos()));
     }
 
     /** Records that the request was sent to a server, so that the server is not chosen again. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
@@ -17,7 +17,9 @@
 import io.masticpond.entry.log.ViewChange;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Statements of backend servers in their answers, which determine whether a request may be sent to
@@ -31,6 +33,12 @@
     private final StatementReader mReader;
     private final ServerLimitGate mLimits;
     private final ServerWithdrawals mWithdrawals;
+    private final Output mOutput;
+
+    /** Servers whose malformed load header was logged. */
+    private final Set<BackendServerId> mWithMalformedLoad = new HashSet<>();
+
+    private long mMalformedLoadCount;
 
     /**
      * Creates the statements of servers.
@@ -50,8 +58,8 @@
         mTimeSource = Assert.notNull(timeSource, "A time source");
         mReader = new StatementReader(Assert.notNull(names, "Header names"));
         mLimits = Assert.notNull(limits, "A gate of server limits");
-        Assert.notNull(log, "A decision log");
-        mWithdrawals = new ServerWithdrawals(settings, new Output(log));
+        mOutput = new Output(Assert.notNull(log, "A decision log"));
+        mWithdrawals = new ServerWithdrawals(settings, mOutput);
     }
 
     /**
@@ -90,7 +98,22 @@
         return mWithdrawals.malformedCount();
     }
 
-    ServerStatement read(int status, HttpHeaders headers) {
+    /**
+     * Returns the number of answers with a load header that is invalid at least in part.
+     *
+     * @return the count since the start of this instance
+     */
+    public long malformedLoads() {
+        return mMalformedLoadCount;
+    }
+
+    ServerStatement read(ServerLoad load, int status, HttpHeaders headers) {
+        if (mReader.isLoadMalformed(status, headers)) {
+            mMalformedLoadCount++;
+            if (mWithMalformedLoad.add(load.server().id())) {
+                mOutput.onMalformed(load.server().id(), StatementPart.LOAD);
+            }
+        }
         return mReader.read(status, headers);
     }
 
@@ -147,6 +170,7 @@
 
     void update(FleetSnapshot snapshot) {
         mLimits.retain(snapshot.servers().keySet());
+        mWithMalformedLoad.retainAll(snapshot.servers().keySet());
         mWithdrawals.retain(snapshot.servers(), mTimeSource.monotonicNanos());
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/StatementReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/StatementReader.java
@@ -20,6 +20,14 @@
         mNames = names;
     }
 
+    /**
+     * Determines whether the load header of an answer is invalid at least in part. The header of a
+     * misdirected request is ignored.
+     */
+    boolean isLoadMalformed(int status, HttpHeaders headers) {
+        return status != MISDIRECTED && ReportedLoad.isMalformed(headers.get(mNames.serverLoad()));
+    }
+
     /**
      * Reads the statements of an answer. Those of status 421 are ignored, since a misdirected
      * request was answered by another server.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -93,10 +93,10 @@
         }
     }
 
-    /** The metrics of the withdrawals that backend servers state. */
-    private record Withdrawals(long leaving, long paused, long malformed) {
+    /** The metrics of the withdrawals and loads that backend servers state. */
+    private record Withdrawals(long leaving, long paused, long malformed, long malformedLoads) {
 
-        static final Withdrawals NONE = new Withdrawals(0, 0, 0);
+        static final Withdrawals NONE = new Withdrawals(0, 0, 0, 0);
 
         static Withdrawals of(ServerStatements statements) {
             List<WithdrawalView> views = statements.withdrawals();
@@ -104,7 +104,11 @@
                     views.stream()
                             .filter(each -> each.state() == WithdrawalView.State.PAUSED)
                             .count();
-            return new Withdrawals(views.size() - paused, paused, statements.malformed());
+            return new Withdrawals(
+                    views.size() - paused,
+                    paused,
+                    statements.malformed(),
+                    statements.malformedLoads());
         }
     }
 
@@ -208,6 +212,7 @@
         values.set(EntryValue.SERVERS_STATED_LEAVING, traffic.withdrawals().leaving());
         values.set(EntryValue.PAUSED_SERVERS, traffic.withdrawals().paused());
         values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
+        values.set(EntryValue.MALFORMED_LOAD_HEADERS, traffic.withdrawals().malformedLoads());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUsage::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUsage::bound));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LoadSharing.java
@@ -6,9 +6,13 @@
 import io.masticpond.entry.peer.HeartbeatService;
 import io.masticpond.entry.peer.LoadReportCodec;
 import io.masticpond.entry.request.RequestFlow;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -59,6 +63,12 @@
                     List<LoadReport> reports = LoadReportCodec.read(content);
                     mTraffic.execute(() -> receive(reports));
                 });
+        mPeers.registerReceiver(
+                LoadReportCodec.TIMED_VERSION,
+                (sender, content) -> {
+                    List<LoadReport> reports = LoadReportCodec.readTimed(content);
+                    mTraffic.execute(() -> receive(reports));
+                });
         mTraffic.execute(() -> shared().setPendingListener(this::scheduleSend));
     }
 
@@ -77,10 +87,24 @@
     }
 
     private void send() {
-        List<LoadReport> reports = shared().take();
-        mControl.execute(
-                () ->
-                        mPeers.sendDatagram(
-                                mPeers.ownZone(), out -> LoadReportCodec.write(reports, out)));
+        Map<Boolean, List<LoadReport>> reports =
+                shared().take().stream()
+                        .collect(
+                                Collectors.partitioningBy(
+                                        each -> each.load().timePercent().isPresent()));
+        List<LoadReport> timed = reports.get(true);
+        List<LoadReport> others = reports.get(false);
+        int size = LoadReportCodec.MAXIMUM_TIMED_REPORTS;
+        for (int first = 0; first < timed.size(); first += size) {
+            List<LoadReport> part = timed.subList(first, Math.min(timed.size(), first + size));
+            broadcast(out -> LoadReportCodec.writeTimed(part, out));
+        }
+        if (!others.isEmpty()) {
+            broadcast(out -> LoadReportCodec.write(others, out));
+        }
+    }
+
+    private void broadcast(Consumer<ByteBuf> writer) {
+        mControl.execute(() -> mPeers.sendDatagram(mPeers.ownZone(), writer));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -98,9 +98,11 @@
 
     @Provides
     @Singleton
-    static ServerChooser chooser(EntrySettings settings) {
+    static ServerChooser chooser(EntrySettings settings, LoadControlActivation loadControl) {
         return new ServerChooser(
-                settings.placement(), new CallOutlierDetector(CallOutlierDetectorSettings.DEFAULT));
+                settings.placement(),
+                new CallOutlierDetector(CallOutlierDetectorSettings.DEFAULT),
+                loadControl);
     }
 
     @Provides
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -169,6 +169,26 @@
                 .containsExactly("r1", "r2");
     }
 
+    /** Guards against a choice that cannot be explained, as its figure or its age is missing. */
+    @Example
+    void choiceByLatencyStatesExpectedLatencyAndAgeOfSpeed() {
+        RequestRecord request = new RequestRecord("r1", 0);
+        request.beginSelection();
+        request.candidate(FIRST, 3, 4, 0.9);
+        request.candidateLatency(millis(320), millis(45));
+        request.candidate(SECOND, 3, 4, 0.8);
+        request.candidateLatency(millis(330), RequestRecord.UNKNOWN);
+        request.candidate(SECOND, 3, 4, 0.7);
+        request.answered(200, 0);
+        write(request);
+        JsonNode candidates = mOutput.lines().get(0).path("candidates");
+        assertThat(candidates.get(0).path("expectedMillis").asInt()).isEqualTo(320);
+        assertThat(candidates.get(0).path("speedAgeMillis").asInt()).isEqualTo(45);
+        assertThat(candidates.get(1).path("expectedMillis").asInt()).isEqualTo(330);
+        assertThat(candidates.get(1).has("speedAgeMillis")).isFalse();
+        assertThat(candidates.get(2).has("expectedMillis")).isFalse();
+    }
+
     private RequestRecord retried() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.routed(new RouteId("shop"), new ServiceId("cart"), 400, millis(1_000));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -225,6 +225,23 @@
         assertThat(sendsTo(flow, server)).isPositive();
     }
 
+    /** Guards against an invalid load header that goes unnoticed, and against a flood of lines. */
+    @Example
+    void countsMalformedLoadHeadersAndLogsThemOncePerServer() {
+        RequestFlow flow = flow(false, 1);
+        for (int answer = 0; answer < 3; answer++) {
+            handleRequest(flow, "k");
+            mConnections.last().answer(200, "Seal", "s", "Load", "1,0,4,fast");
+        }
+        handleRequest(flow, "k");
+        mConnections.last().answer(200, "Seal", "s", "Load", "1,0,4,100");
+        assertThat(flow.statements().malformedLoads()).isEqualTo(3);
+        assertThat(mDecisions.recentViewChanges(100))
+                .filteredOn(line -> line.path("event").asText().equals("server-load"))
+                .extracting(line -> line.path("part").asText())
+                .containsExactly("load");
+    }
+
     @Example
     void logsEachMalformedPartOnce() {
         RequestFlow flow = flow(false, 1);
