--- a/masticpond-core/src/main/java/io/masticpond/core/limit/RateTotals.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/RateTotals.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.support.PartialReports;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -31,31 +32,11 @@
      */
     public record Sum(Map<Integer, RateUsage> uses, int instances) {}
 
-    private record ReceivedSum(Sum sum, long nanos) {}
-
-    /** Key of a part of a report, which is replaced by a later report of the same part. */
-    private record Part<T>(T reporter, int part) {
-
-        /**
-         * Explicit, since the generated implementation of a record is linked at its first use,
-         * which would be during startup.
-         */
-        @Override
-        public boolean equals(Object other) {
-            return other instanceof Part<?> that
-                    && part == that.part
-                    && reporter.equals(that.reporter);
-        }
-
-        @Override
-        public int hashCode() {
-            return 31 * reporter.hashCode() + part;
-        }
-    }
-
-    private final Map<Part<InstanceId>, ReceivedSum> mInstances = new HashMap<>();
+    private final PartialReports<InstanceId, Integer, RateUsage> mInstances =
+            new PartialReports<>(INSTANCE_VALIDITY_NANOS);
     private final Map<Integer, Sums> mSums = new HashMap<>();
-    private final Map<Part<ZoneId>, ReceivedSum> mZones = new HashMap<>();
+    private final PartialReports<ZoneId, Integer, RateUsage> mZones =
+            new PartialReports<>(ZONE_VALIDITY_NANOS);
 
     /**
      * Records the usage of an instance of the own zone, which replaces its previous report.
@@ -67,7 +48,7 @@
      */
     public void received(
             InstanceId instance, int part, Map<Integer, RateUsage> uses, long nowNanos) {
-        mInstances.put(new Part<>(instance, part), new ReceivedSum(new Sum(uses, 1), nowNanos));
+        mInstances.received(instance, part, new PartialReports.Report<>(uses, 1, nowNanos));
     }
 
     /**
@@ -79,7 +60,8 @@
      * @param nowNanos the current monotonic time, in nanoseconds
      */
     public void received(ZoneId zone, int part, Sum sum, long nowNanos) {
-        mZones.put(new Part<>(zone, part), new ReceivedSum(sum, nowNanos));
+        mZones.received(
+                zone, part, new PartialReports.Report<>(sum.uses(), sum.instances(), nowNanos));
     }
 
     /**
@@ -105,22 +87,24 @@
     public Sum forInstance(InstanceId instance, int part, long nowNanos) {
         Sums sums = sums(part, nowNanos);
         Sum all = sums.all();
-        ReceivedSum own = sums.received().get(new Part<>(instance, part));
+        PartialReports.Report<Integer, RateUsage> own = sums.received().of(instance, part);
         if (own == null) {
             return all;
         }
         Map<Integer, RateUsage> uses = new HashMap<>(all.uses());
-        own.sum()
-                .uses()
+        own.values()
                 .forEach(
                         (hash, usage) ->
                                 uses.computeIfPresent(hash, (same, sum) -> sum.minus(usage)));
-        return new Sum(uses, all.instances() - own.sum().instances());
+        return new Sum(uses, all.instances() - own.instances());
     }
 
     /** Sums computed at one time, with the reports of the instances that they include. */
     private record Sums(
-            Sum zone, Sum all, Map<Part<InstanceId>, ReceivedSum> received, long nanos) {}
+            Sum zone,
+            Sum all,
+            PartialReports<InstanceId, Integer, RateUsage> received,
+            long nanos) {}
 
     /**
      * Returns the sums, which are computed again only when they expire, since each instance of the
@@ -131,22 +115,20 @@
         if (sums != null && nowNanos - sums.nanos() < SUM_VALIDITY_NANOS) {
             return sums;
         }
-        removeExpired(nowNanos);
+        mInstances.removeExpired(nowNanos);
+        mZones.removeExpired(nowNanos);
         Adder zone = new Adder(part);
-        mInstances.forEach((from, received) -> zone.add(from.part(), received.sum()));
+        mInstances.forEach((from, report) -> zone.add(from.part(), sum(report)));
         Adder all = new Adder(part);
         all.add(part, zone.sum());
-        mZones.forEach((from, received) -> all.add(from.part(), received.sum()));
-        sums = new Sums(zone.sum(), all.sum(), new HashMap<>(mInstances), nowNanos);
+        mZones.forEach((from, report) -> all.add(from.part(), sum(report)));
+        sums = new Sums(zone.sum(), all.sum(), mInstances.copy(), nowNanos);
         mSums.put(part, sums);
         return sums;
     }
 
-    private void removeExpired(long nowNanos) {
-        mInstances
-                .values()
-                .removeIf(received -> nowNanos - received.nanos() > INSTANCE_VALIDITY_NANOS);
-        mZones.values().removeIf(received -> nowNanos - received.nanos() > ZONE_VALIDITY_NANOS);
+    private static Sum sum(PartialReports.Report<Integer, RateUsage> report) {
+        return new Sum(report.values(), report.instances());
     }
 
     /** Accumulator that adds up sums, and counts the instances in the reports of one part. */
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -68,6 +68,17 @@
         mRegionWeights = Assert.notNull(weights, "Weights of regions");
     }
 
+    /**
+     * Returns the weight of a server of another region as a home of the keys of a route, without
+     * the factor of its region.
+     *
+     * @param route the route
+     * @return the weight relative to a server of this instance's region, above 0, at most 1
+     */
+    public double otherRegionWeight(RouteId route) {
+        return mSettings.weight(Distance.OTHER_REGION, mAnswerSizes.furtherRounds(route));
+    }
+
     /**
      * Records the time of an answer whose request did not wait for a slot.
      *
@@ -234,9 +245,10 @@
      */
     double preference(ServerLoad load, PlacementRequest request, int furtherRounds, long nowNanos) {
         double drawn = Math.log(HashMixer.fraction(request.keyHash(), load.hash()));
-        double weight =
-                mSettings.weight(load.distance(), furtherRounds)
-                        * mRegionWeights.factor(request.service(), load.server(), nowNanos);
+        double weight = mSettings.weight(load.distance(), furtherRounds);
+        if (request.route().homeRegions().isEmpty()) {
+            weight *= mRegionWeights.factor(request.service(), load.server(), nowNanos);
+        }
         return drawn / weight;
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -10,6 +10,7 @@
 import io.masticpond.core.support.Assert;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -83,6 +84,15 @@
         return mServices.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the services that have registered servers.
+     *
+     * @return the services
+     */
+    public Set<ServiceId> services() {
+        return Collections.unmodifiableSet(mServices.keySet());
+    }
+
     /**
      * Returns the server with a hash of its id, which identifies it in reports of other instances.
      *
