Exchange demand between instances and apply region weights

Cause: the sums of demand and the weights of regions need messages, inputs and outputs. ZoneAggregators is shared with RateSharing, whose behavior is unchanged.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -1,6 +1,7 @@
 package io.masticpond.core.placement;
 
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.AdmissionDecision;
 import io.masticpond.core.routing.Route;
@@ -30,6 +31,7 @@
     private final ServerChooser mChooser;
     private final LoadGate mGate;
     private final SharedLoads mSharedLoads = new SharedLoads();
+    private TransferListener mTransferListener = TransferListener.NONE;
 
     /**
      * Creates a placer.
@@ -189,6 +191,30 @@
         }
     }
 
+    /**
+     * Sets the listener to the bytes exchanged with servers of other regions.
+     *
+     * @param listener the listener
+     */
+    public void setTransferListener(TransferListener listener) {
+        mTransferListener = Assert.notNull(listener, "A listener");
+    }
+
+    /**
+     * Records the sizes of a request and its answer.
+     *
+     * @param load the server
+     * @param route the route of the request
+     * @param requestBytes the size of the body of the request
+     * @param answerBytes the size of the body of the answer
+     */
+    public void transferred(ServerLoad load, RouteId route, long requestBytes, long answerBytes) {
+        mChooser.recordAnswerSize(route, answerBytes);
+        if (load.distance() == Distance.OTHER_REGION) {
+            mTransferListener.onTransfer(load.server(), requestBytes, answerBytes);
+        }
+    }
+
     /**
      * Records that a request is being sent.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/room/RegionBalancer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/room/RegionBalancer.java
@@ -238,6 +238,16 @@
         mFactors.keySet().retainAll(services);
     }
 
+    /**
+     * Determines whether a service was updated before, so that its weights may differ from 1.
+     *
+     * @param service the service
+     * @return whether it must be updated further
+     */
+    public boolean isTracked(ServiceId service) {
+        return mStates.containsKey(service);
+    }
+
     /**
      * Returns the factors of all regions for which a step was ever computed.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/BoundedNames.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/BoundedNames.java
@@ -26,6 +26,11 @@
         return number != null ? number : admit(name);
     }
 
+    /** Returns the label of a name: the name itself up to the limit, or the common one. */
+    String label(String name) {
+        return numberOf(name) == mLimit ? OTHER : name;
+    }
+
     /** Returns the numbers by name, without the common number of all others. */
     Map<String, Integer> known() {
         return mNumbers;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
@@ -19,7 +19,15 @@
     /** Media type of a scrape. */
     public static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
+    /** Maximum number of services with a label of their own. */
+    private static final int SERVICES = 24;
+
+    /** Maximum number of regions with a label of their own. */
+    private static final int REGIONS = 8;
+
     private final RequestCounts mRequests = new RequestCounts();
+    private final BoundedNames mServices = new BoundedNames(SERVICES);
+    private final BoundedNames mRegions = new BoundedNames(REGIONS);
     private final StoreCallCounts mStoreCalls = new StoreCallCounts();
     private final LineCounts mLines;
     private final Consumer<EntryValues> mSource;
@@ -81,7 +89,7 @@
      * @return the text in UTF-8
      */
     public byte[] scrapeBytes() {
-        EntryValues values = new EntryValues();
+        EntryValues values = new EntryValues(mServices, mRegions);
         mSource.accept(values);
         return new MetricPage(mRequests, mStoreCalls, mLines, values).text();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValues.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValues.java
@@ -1,6 +1,9 @@
 package io.masticpond.entry.metrics;
 
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -12,7 +15,35 @@
 
     private final Map<EntryValue, Double> mValues = new EnumMap<>(EntryValue.class);
 
-    EntryValues() {}
+    private final Map<Labels, Double> mRegionWeights = new HashMap<>();
+    private final BoundedNames mServices;
+    private final BoundedNames mRegions;
+
+    /** Labels of the weight of a region. */
+    record Labels(String service, String region) {}
+
+    EntryValues(BoundedNames services, BoundedNames regions) {
+        mServices = services;
+        mRegions = regions;
+    }
+
+    /**
+     * Sets the weight of a region. Of those that share a label, the lowest is shown.
+     *
+     * @param service the service
+     * @param region the region
+     * @param weight the factor of its servers
+     */
+    public void setRegionWeight(ServiceId service, RegionId region, double weight) {
+        Labels labels =
+                new Labels(mServices.label(service.value()), mRegions.label(region.value()));
+        mRegionWeights.merge(labels, weight, Math::min);
+    }
+
+    /** Returns the weights of regions that were set. */
+    Map<Labels, Double> regionWeights() {
+        return mRegionWeights;
+    }
 
     /**
      * Sets a value. A metric without a value is not shown.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
@@ -52,6 +52,7 @@
         addStoreCalls();
         addLines();
         mValues.all().forEach(this::addValue);
+        addRegionWeights();
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create()
@@ -218,6 +219,30 @@
                         .build());
     }
 
+    private void addRegionWeights() {
+        if (mValues.regionWeights().isEmpty()) {
+            return;
+        }
+        GaugeSnapshot.Builder gauge =
+                GaugeSnapshot.builder()
+                        .name(PREFIX + "region_weight")
+                        .help("Factor of the servers of a region as homes of keys.");
+        mValues.regionWeights()
+                .forEach(
+                        (labels, weight) ->
+                                gauge.dataPoint(
+                                        GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                                .labels(
+                                                        Labels.of(
+                                                                "service",
+                                                                labels.service(),
+                                                                "region",
+                                                                labels.region()))
+                                                .value(weight)
+                                                .build()));
+        mPage.metricSnapshot(gauge.build());
+    }
+
     private static CounterSnapshot.Builder counter(String name, String help) {
         return CounterSnapshot.builder().name(PREFIX + name).help(help);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -200,7 +200,8 @@
             return;
         }
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
-        mFlow.placer().chooser().recordAnswerSize(mRoute.id(), answer.body().readableBytes());
+        int sentBytes = mRequest.body().readableBytes();
+        mFlow.placer().transferred(server, mRoute.id(), sentBytes, answer.body().readableBytes());
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
         if (failed && !statement.isWithdrawing()) {
             mFlow.placer().failed(server, now);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -4,6 +4,8 @@
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.StoreRevision;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUsage;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.serverlimit.LimitView;
@@ -27,6 +29,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -48,6 +51,7 @@
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
+    private final RegionBalancing mRegions;
     private volatile Traffic mTraffic =
             new Traffic(
                     0,
@@ -63,7 +67,8 @@
                     Optional.empty(),
                     Keys.NONE,
                     Limits.NONE,
-                    Withdrawals.NONE);
+                    Withdrawals.NONE,
+                    Map.of());
 
     /** The metrics of the workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -123,7 +128,8 @@
             Optional<List<SpendingView>> spendings,
             Keys keys,
             Limits limits,
-            Withdrawals withdrawals) {
+            Withdrawals withdrawals,
+            Map<ServiceId, Map<RegionId, Double>> regionWeights) {
 
         double sum(ToDoubleFunction<RetryBudgetUsage> value) {
             return retries.stream().mapToDouble(value).sum();
@@ -137,13 +143,15 @@
             RequestFlow flow,
             SharedLimits limits,
             NettyBackendConnections connections,
-            EntryListeners listeners) {
+            EntryListeners listeners,
+            RegionBalancing regions) {
         mTimeSource = timeSource;
         mControl = control;
         mFlow = flow;
         mLimits = limits;
         mConnections = connections.counts();
         mListeners = listeners;
+        mRegions = regions;
     }
 
     /** Reads what the traffic thread owns, on that thread. */
@@ -164,7 +172,8 @@
                         mFlow.spending().map(SpendingCheck::views),
                         Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.statements().limits()),
-                        Withdrawals.of(mFlow.statements()));
+                        Withdrawals.of(mFlow.statements()),
+                        mRegions.factors());
     }
 
     /** Sets all metric values. Must be called on the control thread. */
@@ -193,6 +202,12 @@
 
     private void setTraffic(EntryValues values) {
         Traffic traffic = mTraffic;
+        traffic.regionWeights()
+                .forEach(
+                        (service, regions) ->
+                                regions.forEach(
+                                        (region, weight) ->
+                                                values.setRegionWeight(service, region, weight)));
         values.set(EntryValue.OPEN_REQUESTS, traffic.open());
         values.set(EntryValue.CLIENT_CONNECTIONS, mListeners.entry().openConnections());
         values.set(EntryValue.BACKEND_CONNECTIONS, traffic.connections());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RateSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RateSharing.java
@@ -1,7 +1,6 @@
 package io.masticpond.entry.wiring;
 
 import io.masticpond.core.fleet.ServerAddress;
-import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.limit.RateTotals;
 import io.masticpond.core.limit.RateUsage;
 import io.masticpond.core.limit.SharedRates;
@@ -11,8 +10,6 @@
 import io.masticpond.entry.peer.RateCodec;
 import io.masticpond.entry.request.RequestFlow;
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -33,9 +30,6 @@
     /** The period of reports between zones, where traffic is expensive. */
     private static final long REPORT_ZONES_PERIOD_MILLIS = 400;
 
-    /** One aggregator may be down without having been detected. */
-    private static final int AGGREGATORS = 2;
-
     private final EventLoop mTraffic;
     private final EventLoop mControl;
     private final TimeSource mTimeSource;
@@ -43,11 +37,8 @@
     private final HeartbeatService mPeers;
     private final PeerInstance mSelf;
     private final RateTotals mTotals = new RateTotals();
-    private List<PeerInstance> mAlive = List.of();
-    private Map<ServerAddress, PeerInstance> mByAddress = Map.of();
-    private Map<ZoneId, List<PeerInstance>> mAggregators = Map.of();
+    private final ZoneAggregators mAggregators;
     private int mPartCount = 1;
-    private long mNextIndex;
 
     @Inject
     RateSharing(
@@ -63,6 +54,7 @@
         mFlow = flow;
         mPeers = peers;
         mSelf = self;
+        mAggregators = new ZoneAggregators(peers, self, "rates");
     }
 
     /** Starts sending and receiving. */
@@ -95,13 +87,10 @@
 
     private void reportToAggregators(Map<Integer, RateUsage> uses, int parts) {
         mPartCount = parts;
-        updateAggregators();
-        List<PeerInstance> zoneAggregators = aggregators(mSelf.zone());
-        if (zoneAggregators.isEmpty()) {
+        PeerInstance aggregator = mAggregators.next();
+        if (aggregator == null) {
             return;
         }
-        PeerInstance aggregator =
-                zoneAggregators.get((int) (mNextIndex++ % zoneAggregators.size()));
         if (aggregator.id().equals(mSelf.id())) {
             receiveOwn(uses);
             return;
@@ -126,8 +115,7 @@
     }
 
     private void receive(ServerAddress sender, RateCodec.Part part) {
-        updateAggregators();
-        PeerInstance reporter = mByAddress.get(sender);
+        PeerInstance reporter = mAggregators.instance(sender);
         if (reporter == null) {
             return;
         }
@@ -155,18 +143,10 @@
     }
 
     private void reportToZones() {
-        updateAggregators();
-        List<PeerInstance> own = aggregators(mSelf.zone());
-        if (own.isEmpty() || !own.get(0).id().equals(mSelf.id())) {
+        if (!mAggregators.isFirst()) {
             return;
         }
-        List<PeerInstance> others = new ArrayList<>();
-        mAggregators.forEach(
-                (zone, zoneAggregators) -> {
-                    if (!zone.equals(mSelf.zone())) {
-                        others.addAll(zoneAggregators);
-                    }
-                });
+        List<PeerInstance> others = mAggregators.ofOtherZones();
         long now = mTimeSource.monotonicNanos();
         for (int part = 0; part < mPartCount && !others.isEmpty(); part++) {
             send(others, part(RateCodec.Kind.ZONE, part, mPartCount, mTotals.ofZone(part, now)));
@@ -176,29 +156,4 @@
     private void send(List<PeerInstance> receivers, RateCodec.Part part) {
         mPeers.sendDatagram(receivers, out -> RateCodec.write(part, out));
     }
-
-    private List<PeerInstance> aggregators(ZoneId zone) {
-        return mAggregators.getOrDefault(zone, List.of());
-    }
-
-    /** Selects the aggregators anew if the instances that are alive have changed. */
-    private void updateAggregators() {
-        List<PeerInstance> alive = mPeers.alive();
-        if (alive == mAlive) {
-            return;
-        }
-        mAlive = alive;
-        mByAddress = new HashMap<>();
-        Map<ZoneId, List<PeerInstance>> zones = new HashMap<>();
-        for (PeerInstance each : alive) {
-            mByAddress.put(each.internal(), each);
-            zones.computeIfAbsent(each.zone(), zone -> new ArrayList<>()).add(each);
-        }
-        mAggregators = new HashMap<>();
-        zones.forEach(
-                (zone, members) ->
-                        mAggregators.put(
-                                zone,
-                                PeerOrder.first("rates/" + zone.value(), members, AGGREGATORS)));
-    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
@@ -26,6 +26,7 @@
     private final SharedLimits mLimits;
     private final ServerChooser mChooser;
     private final LoadControlActivation mLoadControl;
+    private final RegionBalancing mRegions;
     private final RequestFlow mFlow;
     private final StopSwitch mStop;
     private final ProcessChangeLog mProcessChanges;
@@ -41,6 +42,7 @@
             SharedLimits limits,
             ServerChooser chooser,
             LoadControlActivation loadControl,
+            RegionBalancing regions,
             RequestFlow flow,
             StopSwitch stop,
             ProcessChangeLog processChanges) {
@@ -52,6 +54,7 @@
         mLimits = limits;
         mChooser = chooser;
         mLoadControl = loadControl;
+        mRegions = regions;
         mFlow = flow;
         mStop = stop;
         mProcessChanges = processChanges;
@@ -67,6 +70,7 @@
                     mLimits.apply(settings.bounds());
                     mChooser.applySettings(settings.placement());
                     mLoadControl.applySettings(settings.loadControl());
+                    mRegions.apply(settings.bounds());
                     mFlow.crashGuard().applySettings(settings.crashes());
                     mFlow.authenticator().applySettings(settings.workspaces());
                     mFlow.statements().limits().applySettings(settings.serverLimits());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -2,6 +2,7 @@
 
 import dagger.Module;
 import dagger.Provides;
+import io.masticpond.core.capacity.DemandTotals;
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.CallOutlierDetector;
 import io.masticpond.core.limit.CallOutlierDetectorSettings;
@@ -96,6 +97,12 @@
         return new LoadControlActivation(settings.loadControl());
     }
 
+    @Provides
+    @Singleton
+    static DemandTotals demandTotals(EntrySettings settings) {
+        return new DemandTotals(settings.zone());
+    }
+
     @Provides
     @Singleton
     static ServerChooser chooser(EntrySettings settings) {
