Test the exchange of demand and describe both parts

Change: DemandExchange without network or clock, tests of codec, exchange, metric and log line, pages demand-reports and region-room. DemandCodecTest found that sums of tenths grew by 0.1 at each hop, since rounding errors were rounded up; the codec now ignores them. EntryMetricsTest sets one more value, region_weight, and compares it with the page. Ruled out: one sum of all other zones in a reply, as shares by zone and demand by region do not follow from it.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/DemandCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/DemandCodec.java
@@ -36,6 +36,10 @@
     static final int MAXIMUM_ENTRIES = (PeerMessageCodec.MAXIMUM_BYTES - HEAD_BYTES) / ENTRY_BYTES;
 
     private static final double STEPS = 10;
+
+    /** Sums of tenths differ from whole tenths by rounding errors, which must not add a step. */
+    private static final double ROUNDING = 1e-6;
+
     private static final int MAXIMUM_STEPS = 65_535;
     private static final int MAXIMUM_PRIORITY = 255;
     private static final int MAXIMUM_INSTANCES = 65_535;
@@ -193,7 +197,7 @@
     }
 
     private static int steps(double perSecond) {
-        return (int) Math.max(0, Math.min(MAXIMUM_STEPS, Math.ceil(perSecond * STEPS)));
+        return (int) Math.max(0, Math.min(MAXIMUM_STEPS, Math.ceil(perSecond * STEPS - ROUNDING)));
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/DemandSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/DemandSharing.java
@@ -1,7 +1,6 @@
 package io.masticpond.entry.wiring;
 
 import io.masticpond.core.capacity.Demand;
-import io.masticpond.core.capacity.DemandAggregator;
 import io.masticpond.core.capacity.DemandKey;
 import io.masticpond.core.capacity.DemandReport;
 import io.masticpond.core.capacity.DemandSource;
@@ -17,7 +16,6 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoop;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -55,13 +53,11 @@
     private final DemandTotals mTotals;
     private final RegionBalancing mRegions;
     private final Map<Integer, ZoneId> mZones;
-    private final DemandAggregator mAggregator = new DemandAggregator();
     private final ZoneAggregators mAggregators;
+    private final DemandExchange mExchange;
     private DemandSource mSource = DemandSource.NONE;
     private long mReports;
-
-    /** Whether a service was active at the last report. For the control thread only. */
-    private boolean mIsActive;
+    private boolean mWasActive;
 
     @Inject
     DemandSharing(
@@ -88,12 +84,14 @@
                 settings.zones().keySet().stream()
                         .collect(
                                 Collectors.toMap(
-                                        DemandSharing::hash, zone -> zone, (one, other) -> one));
+                                        DemandExchange::hash, zone -> zone, (one, other) -> one));
         mAggregators = new ZoneAggregators(peers, self, "demand");
-    }
-
-    private static int hash(ZoneId zone) {
-        return zone.value().hashCode();
+        mExchange =
+                new DemandExchange(
+                        self,
+                        mAggregators,
+                        this::send,
+                        part -> mTraffic.execute(() -> apply(part)));
     }
 
     /** Sets the source of this instance's demand. To be called before the start. */
@@ -111,7 +109,7 @@
         mTraffic.scheduleWithFixedDelay(
                 this::report, REPORT_PERIOD_MILLIS, REPORT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         mControl.scheduleWithFixedDelay(
-                this::reportToZones,
+                () -> mExchange.reportToZones(mTimeSource.monotonicNanos()),
                 REPORT_ZONES_PERIOD_MILLIS,
                 REPORT_ZONES_PERIOD_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -127,73 +125,26 @@
         mTotals.setSendingInstances(senders);
         Map<DemandKey, Demand> demand = isActive ? mSource.demand(now) : Map.of();
         mRegions.update(demand, now);
-        boolean isDue = senders <= MANY_INSTANCES || mReports++ % 2 == 0;
-        if (isDue) {
+        if (!isActive) {
+            if (mWasActive) {
+                mControl.execute(mExchange::suspend);
+            }
+        } else if (senders <= MANY_INSTANCES || mReports++ % 2 == 0) {
             DemandReport report = DemandReport.ofInstance(demand);
-            mControl.execute(() -> reportToAggregator(isActive, report));
+            mControl.execute(() -> mExchange.report(report, mTimeSource.monotonicNanos()));
         }
-    }
-
-    private void reportToAggregator(boolean isActive, DemandReport report) {
-        mIsActive = isActive;
-        PeerInstance aggregator = isActive ? mAggregators.next() : null;
-        if (aggregator == null) {
-            return;
-        }
-        if (aggregator.id().equals(mSelf.id())) {
-            long now = mTimeSource.monotonicNanos();
-            mAggregator.received(mSelf.id(), 0, 1, report, now);
-            DemandReport others = mAggregator.forInstance(mSelf.id(), now);
-            Map<Integer, DemandReport> zones = otherZones(now);
-            mTraffic.execute(
-                    () -> {
-                        apply(new DemandCodec.Part(DemandCodec.Kind.OTHERS, 0, 1, others));
-                        apply(new DemandCodec.Part(0, 1, zones));
-                    });
-            return;
-        }
-        send(List.of(aggregator), DemandCodec.Kind.INSTANCE, report);
-    }
-
-    private Map<Integer, DemandReport> otherZones(long nowNanos) {
-        Map<Integer, DemandReport> zones = new HashMap<>();
-        mAggregator.otherZones(nowNanos).forEach((zone, report) -> zones.put(hash(zone), report));
-        return zones;
+        mWasActive = isActive;
     }
 
     private void receive(ServerAddress sender, DemandCodec.Part part) {
         PeerInstance reporter = mAggregators.instance(sender);
-        if (reporter == null) {
-            return;
-        }
-        boolean isOwnZone = reporter.zone().equals(mSelf.zone());
-        if (isOwnZone == (part.kind() == DemandCodec.Kind.ZONE)) {
-            return;
-        }
-        long now = mTimeSource.monotonicNanos();
-        switch (part.kind()) {
-            case INSTANCE -> {
-                mAggregator.received(reporter.id(), part.part(), part.parts(), part.report(), now);
-                if (part.part() == 0) {
-                    reply(reporter, now);
-                }
-            }
-            case ZONE ->
-                    mAggregator.received(
-                            reporter.zone(), part.part(), part.parts(), part.report(), now);
-            case OTHERS, OTHER_ZONES -> mTraffic.execute(() -> apply(part));
-            default -> throw new IllegalStateException("The kind is unknown.");
+        if (reporter != null) {
+            mExchange.receive(reporter, part, mTimeSource.monotonicNanos());
         }
     }
 
-    private void reply(PeerInstance reporter, long nowNanos) {
-        List<PeerInstance> receiver = List.of(reporter);
-        send(receiver, DemandCodec.Kind.OTHERS, mAggregator.forInstance(reporter.id(), nowNanos));
-        Map<Integer, DemandReport> zones = otherZones(nowNanos);
-        int parts = DemandCodec.parts(zones);
-        for (int part = 0; part < parts && !zones.isEmpty(); part++) {
-            send(receiver, new DemandCodec.Part(part, parts, zones));
-        }
+    private void send(List<PeerInstance> receivers, DemandCodec.Part part) {
+        mPeers.sendDatagram(receivers, out -> DemandCodec.write(part, out));
     }
 
     /** Applies the demand of other instances, on the traffic thread. */
@@ -212,26 +163,4 @@
                             }
                         });
     }
-
-    private void reportToZones() {
-        if (!mIsActive || !mAggregators.isFirst()) {
-            return;
-        }
-        List<PeerInstance> others = mAggregators.ofOtherZones();
-        if (!others.isEmpty()) {
-            DemandReport sum = mAggregator.ofZone(mTimeSource.monotonicNanos());
-            send(others, DemandCodec.Kind.ZONE, sum);
-        }
-    }
-
-    private void send(List<PeerInstance> receivers, DemandCodec.Kind kind, DemandReport report) {
-        int parts = DemandCodec.parts(report);
-        for (int part = 0; part < parts; part++) {
-            send(receivers, new DemandCodec.Part(kind, part, parts, report));
-        }
-    }
-
-    private void send(List<PeerInstance> receivers, DemandCodec.Part part) {
-        mPeers.sendDatagram(receivers, out -> DemandCodec.write(part, out));
-    }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
@@ -160,6 +161,19 @@
         assertThat(disconnected.isPlain()).isFalse();
     }
 
+    @Example
+    void stepOfRegionWeightIsOneLine() {
+        mBatch.add(
+                0,
+                new ViewChange.RegionWeight(
+                        new ServiceId("cart"), new RegionId("north"), 3, 0.91234));
+        mBatch.write();
+        assertThat(mOutput.text())
+                .contains("\"event\":\"region-weight\"")
+                .contains("\"service\":\"cart\",\"region\":\"north\",\"steps\":3")
+                .containsPattern("\"utilization\":0\\.91");
+    }
+
     @Example
     void omitsOnlyLineThatCannotBeEncoded() {
         write(answered("r1"));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.WorkspaceId;
@@ -140,6 +141,28 @@
                         "masticpond_entry_store_calls_total{kind=\"delete\",result=\"done\"} 1.0");
     }
 
+    /** Guards against a scrape that grows with the number of services and regions. */
+    @Example
+    void weightsOfFurtherServicesAndRegionsShareOneLabel() {
+        EntryMetrics metrics =
+                new EntryMetrics(
+                        new LineCounts(),
+                        values -> {
+                            for (int each = 0; each < 900; each++) {
+                                values.setRegionWeight(
+                                        new ServiceId("service-" + each / 30),
+                                        new RegionId("region-" + each % 30),
+                                        each == 899 ? 0.5 : 1);
+                            }
+                        });
+        assertThat(metrics.scrape().lines().filter(line -> line.contains("region_weight{")))
+                .hasSize(25 * 9)
+                .contains(
+                        "masticpond_entry_region_weight{region=\"other\",service=\"other\"} 0.5",
+                        "masticpond_entry_region_weight"
+                                + "{region=\"region-7\",service=\"service-23\"} 1.0");
+    }
+
     @Example
     void operationsPageListsEachMetricAndItsLabels() throws IOException {
         EntryMetrics all =
@@ -149,6 +172,7 @@
                             for (EntryValue value : EntryValue.values()) {
                                 values.set(value, 1);
                             }
+                            values.setRegionWeight(new ServiceId("cart"), new RegionId("north"), 1);
                         });
         RequestRecord refused = routed("shop");
         refused.refused("no-room", 503, 100, millis(1));
