Show the load of services to operators

Cause: an operator could not see for which services load control is active, what it decides on, and how old these values are.

Change: view /v1/load and command "entry load [SERVICE]" show, for each service of the routes, the rule of activation with its reason, capacity, fullness, demand and share by zone, slots and weight by region, refusals of the last 10 s, and slow servers. The sources are set on LoadSources; until they are, the view has the rule of activation and weights of 1. "entry losses" counts by workspace where request lines name one.

No check was removed.

--- a/masticpond-command/src/main/java/io/masticpond/command/task/EntryShowCommand.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/task/EntryShowCommand.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
 
 /** Command that shows a document of the first instance that responds. */
 @Command
@@ -24,15 +25,19 @@
     /** Creates a command for each document. */
     static List<CommandSpec> createAll(CommandContext context) {
         return Stream.of(EntryDocument.values())
-                .map(
-                        document ->
-                                document == EntryDocument.SERVERS
-                                        ? new Servers(context)
-                                        : new EntryShowCommand(context, document))
+                .map(document -> create(context, document))
                 .map(EntryShowCommand::spec)
                 .toList();
     }
 
+    private static EntryShowCommand create(CommandContext context, EntryDocument document) {
+        return switch (document) {
+            case SERVERS -> new Servers(context);
+            case LOAD -> new Load(context);
+            default -> new EntryShowCommand(context, document);
+        };
+    }
+
     @Override
     protected final Either<CommandError, ExitCode> run(OperatorClient client) {
         return translate(client.get("v1/" + mDocument.resourceName() + query())).map(this::show);
@@ -43,6 +48,10 @@
         return "";
     }
 
+    private static String serviceQuery(String service) {
+        return service == null ? "" : "?service=" + service;
+    }
+
     private ExitCode show(JsonNode document) {
         if (context().isJson()) {
             return writeJson(document);
@@ -74,7 +83,28 @@
 
         @Override
         String query() {
-            return mService == null ? "" : "?service=" + mService;
+            return serviceQuery(mService);
+        }
+    }
+
+    /** Command that shows the load of all services or of one. */
+    @Command
+    private static final class Load extends EntryShowCommand {
+
+        @Parameters(
+                arity = "0..1",
+                paramLabel = "SERVICE",
+                converter = IdentifierConverter.class,
+                description = "Only the load of this service.")
+        private String mService;
+
+        Load(CommandContext context) {
+            super(context, EntryDocument.LOAD);
+        }
+
+        @Override
+        String query() {
+            return serviceQuery(mService);
         }
     }
 }
--- a/masticpond-command/src/main/java/io/masticpond/command/view/EntryDocument.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/view/EntryDocument.java
@@ -54,6 +54,25 @@
                     Field.numberField("PENALTY", "penalty"),
                     Field.numberField("FAILED", "failureShare"),
                     Field.numberField("MEAN MS", "meanMillis"))),
+    /** The load of each service, and the state of its load control. */
+    LOAD(
+            "Show the load of each service, who is refused, and the values behind it with their"
+                    + " ages.",
+            List.of(
+                    Field.textField("SERVICE", "service"),
+                    Field.textField("ACTIVE", "active"),
+                    Field.textField("REASON", "reason"),
+                    Field.numberField("REPORTED MS", "reportAgeMillis"),
+                    Field.textField("FULL", "full"),
+                    Field.numberField("FULLNESS", "fullness"),
+                    Field.numberField("CAPACITY/S", "capacityPerSecond"),
+                    Field.numberField("TAKES MS", "occupationMillis"),
+                    Field.numberField("PERSISTENCE MS", "speedPersistenceMillis"))) {
+        @Override
+        void showDetails(JsonNode services, Page page) {
+            LoadTables.show(services, page);
+        }
+    },
     /** The instances. */
     MEMBERS(
             "Show the instances as the first that answers sees them.",
@@ -189,11 +208,16 @@
      * @param page the page to write to
      */
     public void show(JsonNode document, Page page) {
-        page.table(Field.table(mFields, document.path(listFieldName())));
+        JsonNode list = document.path(listFieldName());
+        page.table(Field.table(mFields, list));
+        showDetails(list, page);
         page.blankLine();
         page.line("As " + Field.text(document.path("instance")) + " sees it.");
     }
 
+    /** Shows further tables of the list. */
+    void showDetails(JsonNode list, Page page) {}
+
     /** Returns the name of the field that contains the list. */
     String listFieldName() {
         return resourceName();
--- a/masticpond-command/src/main/java/io/masticpond/command/view/LossCounts.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/view/LossCounts.java
@@ -61,6 +61,7 @@
                     Comparator.comparing(LossKey::route)
                             .thenComparing(LossKey::service)
                             .thenComparing(LossKey::end));
+    private final Map<String, Group> mGroupsByWorkspace = new TreeMap<>();
     private int mRequestCount;
 
     /**
@@ -89,6 +90,11 @@
         mGroupsByWindow.computeIfAbsent(window, key -> new Group()).add(end, millis, sends);
         LossKey lossKey = new LossKey(text(line, "route"), text(line, "service"), end);
         mGroupsByLossKey.computeIfAbsent(lossKey, key -> new Group()).add(end, millis, sends);
+        if (line.has("workspace")) {
+            mGroupsByWorkspace
+                    .computeIfAbsent(text(line, "workspace"), key -> new Group())
+                    .add(end, millis, sends);
+        }
     }
 
     /**
@@ -101,7 +107,7 @@
     }
 
     /**
-     * Shows the counts by time, and by route and cause.
+     * Shows the counts by time, by route and cause, and by workspace if any line names one.
      *
      * @param page the page to write to
      */
@@ -109,37 +115,60 @@
         page.table(timeTable());
         page.blankLine();
         page.table(causeTable());
+        if (!mGroupsByWorkspace.isEmpty()) {
+            page.blankLine();
+            page.table(workspaceTable());
+        }
     }
 
     private TextTable timeTable() {
-        TextTable table =
-                new TextTable(
-                        Column.textColumn("from"),
-                        Column.numberColumn("requests"),
-                        Column.numberColumn("in time"),
-                        Column.numberColumn("late"),
-                        Column.numberColumn("refused"),
-                        Column.numberColumn("gave up"),
-                        Column.numberColumn("client gone"),
-                        Column.numberColumn("p50 ms"),
-                        Column.numberColumn("p99 ms"),
-                        Column.numberColumn("sends"));
+        TextTable table = endTable("from");
         mGroupsByWindow.forEach(
                 (window, group) ->
                         table.add(
-                                Cell.of(Instant.ofEpochMilli(window * mWindow.toMillis())),
-                                Cell.of(group.mDurationsMillis.size()),
-                                Cell.of(group.count(IN_TIME)),
-                                Cell.of(group.count(LATE)),
-                                Cell.of(group.withPrefix("refused")),
-                                Cell.of(group.withPrefix("gave-up")),
-                                Cell.of(group.withPrefix("client-gone")),
-                                Cell.of(group.percentile(50)),
-                                Cell.of(group.percentile(99)),
-                                Cell.of(group.mSendCount)));
+                                endCells(
+                                        Instant.ofEpochMilli(window * mWindow.toMillis()), group)));
         return table;
     }
 
+    /** Returns the counts by workspace, the one with the most requests first. */
+    private TextTable workspaceTable() {
+        TextTable table = endTable("workspace");
+        mGroupsByWorkspace.entrySet().stream()
+                .sorted(Comparator.comparingInt(each -> -each.getValue().mDurationsMillis.size()))
+                .forEach(each -> table.add(endCells(each.getKey(), each.getValue())));
+        return table;
+    }
+
+    private static TextTable endTable(String title) {
+        return new TextTable(
+                Column.textColumn(title),
+                Column.numberColumn("requests"),
+                Column.numberColumn("in time"),
+                Column.numberColumn("late"),
+                Column.numberColumn("refused"),
+                Column.numberColumn("gave up"),
+                Column.numberColumn("client gone"),
+                Column.numberColumn("p50 ms"),
+                Column.numberColumn("p99 ms"),
+                Column.numberColumn("sends"));
+    }
+
+    private static Cell[] endCells(Object name, Group group) {
+        return new Cell[] {
+            Cell.of(name),
+            Cell.of(group.mDurationsMillis.size()),
+            Cell.of(group.count(IN_TIME)),
+            Cell.of(group.count(LATE)),
+            Cell.of(group.withPrefix("refused")),
+            Cell.of(group.withPrefix("gave-up")),
+            Cell.of(group.withPrefix("client-gone")),
+            Cell.of(group.percentile(50)),
+            Cell.of(group.percentile(99)),
+            Cell.of(group.mSendCount)
+        };
+    }
+
     private TextTable causeTable() {
         TextTable table =
                 new TextTable(
--- a/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
+++ b/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
@@ -16,6 +16,21 @@
  */
 class EntryCommandsTest extends AbstractCommandTest {
 
+    private static final String LOAD =
+            """
+            {"instance":"a","ageMillis":3,"load":[
+             {"service":"lookup","mode":"automatic","active":true,"reason":"times-reported",
+              "reportAgeMillis":40,"full":true,"fullness":0.97,"capacityPerSecond":740.5,
+              "occupationMillis":613,"demandAgeMillis":180,
+              "zones":[{"zone":"north-1","demandPerSecond":900.0,"sharePerSecond":300.0}],
+              "refusals":[{"cause":"share","priority":1,"zone":"north-1","workspace":"w",
+               "count":7}],
+              "regions":[{"region":"north","slots":456,"inFlight":440.5,"free":15.5,
+               "weight":0.5}],
+              "speedPersistenceMillis":450,
+              "slowServers":[{"server":"s-1","slowdown":2.5,"ageMillis":70}]}]}
+            """;
+
     @Example
     void showsDocumentOfFirstRespondingInstanceWithoutToken() {
         String servers =
@@ -62,6 +77,99 @@
                 .isEqualTo(ExitCode.FAILED.code());
     }
 
+    /** Guards against losses of one workspace that are hidden in the counts of all. */
+    @Example
+    void countsLossesByWorkspace() throws IOException {
+        Path log = Files.createTempFile("instance", ".log");
+        Files.writeString(
+                log,
+                loss("06:00:00.100", "answered", "", 150)
+                        + workspaceLoss("large", "answered", "", 150)
+                        + workspaceLoss("large", "refused", "share", 0)
+                        + workspaceLoss("small", "answered", "", 450));
+        assertThat(run(Map.of(), List.of("entry", "losses", log.toString()))).isZero();
+        assertThat(mTerminal.outputText())
+                .containsPattern("large +2 +1 +0 +1 +0 ")
+                .containsPattern("small +1 +0 +1 +0 +0 ");
+    }
+
+    /** Guards against an empty table for deployments without workspaces. */
+    @Example
+    void lossesWithoutWorkspacesShowNoTableOfThem() throws IOException {
+        Path log = Files.createTempFile("instance", ".log");
+        Files.writeString(log, loss("06:00:00.100", "answered", "", 150));
+        assertThat(run(Map.of(), List.of("entry", "losses", log.toString()))).isZero();
+        assertThat(mTerminal.outputText()).doesNotContain("workspace");
+    }
+
+    private static String workspaceLoss(
+            String workspace, String outcome, String cause, int millis) {
+        return loss("06:00:00.100", outcome, cause, millis)
+                .replace("\"attempts\"", "\"workspace\":\"" + workspace + "\",\"attempts\"");
+    }
+
+    /** Guards against a value that an instance reports and the command does not show. */
+    @Example
+    void showsLoadOfServiceWithAllItsParts() {
+        try (FakeInstance instance = new FakeInstance().expectsNoToken()) {
+            instance.answers("GET /v1/load", 200, LOAD);
+            assertThat(entry(instance.address(), "load", "lookup")).isZero();
+            assertThat(instance.requests()).containsOnly("GET /v1/load?service=lookup");
+            assertThat(mTerminal.outputText())
+                    .containsPattern(
+                            "lookup +true +times-reported +40 +true +0.97 +740.5 +613 +450")
+                    .containsPattern("north +lookup +456 +440.5 +15.5 +0.5")
+                    .containsPattern("north-1 +lookup +900.0 +300.0 +180")
+                    .containsPattern("share +lookup +1 +north-1 +w +7")
+                    .containsPattern("s-1 +lookup +2.5 +70")
+                    .contains("As a sees it.");
+        }
+    }
+
+    /** Guards against empty tables for services whose load is not known. */
+    @Example
+    void showsLoadOfServiceWithoutLoadControl() {
+        try (FakeInstance instance = new FakeInstance().expectsNoToken()) {
+            instance.answers(
+                    "GET /v1/load",
+                    200,
+                    """
+                    {"instance":"a","load":[{"service":"docs","mode":"automatic",
+                     "active":false,"reason":"no-times-reported","regions":[]}]}
+                    """);
+            assertThat(entry(instance.address(), "load")).isZero();
+            assertThat(instance.requests()).containsOnly("GET /v1/load");
+            assertThat(mTerminal.outputText())
+                    .containsPattern("docs +false +no-times-reported +- +- +- +- +- +-")
+                    .doesNotContain("REFUSED FOR", "SLOW SERVER", "REGION");
+        }
+    }
+
+    /** Guards against JSON that differs from what the instance reports. */
+    @Example
+    void loadAsJsonIsTheDocumentOfTheInstance() {
+        try (FakeInstance instance = new FakeInstance().expectsNoToken()) {
+            instance.answers("GET /v1/load", 200, LOAD);
+            assertThat(entry(instance.address(), "load", "--output=json")).isZero();
+            assertThat(mTerminal.outputText())
+                    .contains("\"slowServers\":[{\"server\":\"s-1\"", "\"fullness\":0.97");
+        }
+    }
+
+    /** Guards against an empty table, or a query that ends at another path, for a wrong name. */
+    @Example
+    void reportsUnknownServiceOfLoad() {
+        try (FakeInstance instance = new FakeInstance().expectsNoToken()) {
+            String detail = "The routes in force name no service 'nothing'.";
+            instance.answers("GET /v1/load", 404, "{\"status\":404,\"detail\":\"" + detail + "\"}");
+            assertThat(entry(instance.address(), "load", "nothing"))
+                    .isEqualTo(ExitCode.REFUSED.code());
+            assertThat(mTerminal.errorText()).contains(detail);
+            assertThat(entry(instance.address(), "load", "a/../b"))
+                    .isEqualTo(ExitCode.BAD_USAGE.code());
+        }
+    }
+
     private static String loss(String time, String outcome, String cause, int millis) {
         return String.format(
                 "{\"at\":\"2026-12-02T%sZ\",\"event\":\"request\",\"route\":\"r\","
@@ -154,7 +262,7 @@
         assertThat(run(Map.of(), List.of("entry", "--help"))).isZero();
         assertThat(mTerminal.outputText())
                 .contains("versions", "timeline", "services", "routes", "servers", "members")
-                .contains("evacuations", "budget");
+                .contains("evacuations", "budget", "load");
     }
 
     private int entry(String instances, String... arguments) {
--- a/masticpond-core/src/main/java/io/masticpond/core/loadcontrol/LoadControlActivation.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/loadcontrol/LoadControlActivation.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.support.Assert;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -64,6 +65,18 @@
         mReportedNanos.put(service, nowNanos);
     }
 
+    /**
+     * Returns the age of the last report of a server on how long its work takes.
+     *
+     * @param service the service of the server
+     * @param nowNanos the current monotonic time, in nanoseconds
+     * @return nanoseconds, or empty if there is no report
+     */
+    public OptionalLong reportAgeNanos(ServiceId service, long nowNanos) {
+        Long reported = mReportedNanos.get(service);
+        return reported == null ? OptionalLong.empty() : OptionalLong.of(nowNanos - reported);
+    }
+
     /**
      * Removes the state of services that are no longer configured.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -103,17 +103,9 @@
     }
 
     Either<ControlProblem, ObjectNode> servers(Optional<String> service) {
-        boolean isKnown =
-                service.isEmpty()
-                        || mSources.replica().snapshot().routing().stream()
-                                .flatMap(routing -> routing.services().keySet().stream())
-                                .anyMatch(each -> each.value().equals(service.get()));
-        if (!isKnown) {
-            return Either.left(
-                    ControlProblem.notFound(
-                            "no-such-service",
-                            "The routes in force name no service '%s'.",
-                            service.get()));
+        Optional<ControlProblem> unknown = unknownService(service);
+        if (unknown.isPresent()) {
+            return Either.left(unknown.get());
         }
         ObjectNode document = newTrafficDocument();
         ArrayNode servers = document.putArray("servers");
@@ -126,6 +118,38 @@
         return Either.right(document);
     }
 
+    Either<ControlProblem, ObjectNode> load(Optional<String> service) {
+        Optional<ControlProblem> unknown = unknownService(service);
+        if (unknown.isPresent()) {
+            return Either.left(unknown.get());
+        }
+        ObjectNode document = newTrafficDocument();
+        ArrayNode loads = document.putArray("load");
+        mTraffic.loads().stream()
+                .filter(each -> service.isEmpty() || each.service().value().equals(service.get()))
+                .forEach(
+                        each ->
+                                LoadDocument.write(
+                                        each, mSources.self().zone(), loads.addObject()));
+        return Either.right(document);
+    }
+
+    /** Returns the problem of a request for a service that is not configured. */
+    private Optional<ControlProblem> unknownService(Optional<String> service) {
+        boolean isKnown =
+                service.isEmpty()
+                        || mSources.replica().snapshot().routing().stream()
+                                .flatMap(routing -> routing.services().keySet().stream())
+                                .anyMatch(each -> each.value().equals(service.get()));
+        return isKnown
+                ? Optional.empty()
+                : Optional.of(
+                        ControlProblem.notFound(
+                                "no-such-service",
+                                "The routes in force name no service '%s'.",
+                                service.get()));
+    }
+
     ObjectNode budget() {
         ObjectNode document = newTrafficDocument();
         document.put("shareholders", mSources.heartbeats().shareholders());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
@@ -52,7 +52,9 @@
                         sources.timeSource(),
                         sources.traffic(),
                         sources.control(),
-                        now -> TrafficSnapshot.take(sources.flow(), sources.limits(), now));
+                        now ->
+                                TrafficSnapshot.take(
+                                        sources.flow(), sources.limits(), sources.loads(), now));
     }
 
     @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlSources.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlSources.java
@@ -21,6 +21,7 @@
  * @param control runs tasks on the control thread
  * @param flow the request path; read on the traffic thread
  * @param limits the shared limits; read on the traffic thread
+ * @param loads the sources of the load of services; read on the traffic thread
  * @param replica the replica of the store; read on the control thread
  * @param heartbeats the service that knows the other instances; read on the control thread
  * @param ready whether this instance accepts new clients
@@ -36,6 +37,7 @@
         ScheduledExecutorService control,
         RequestFlow flow,
         SharedLimitStatus limits,
+        LoadSources loads,
         FleetReplica replica,
         HeartbeatService heartbeats,
         BooleanSupplier ready,
@@ -50,6 +52,7 @@
         Assert.notNull(control, "A control thread");
         Assert.notNull(flow, "A request path");
         Assert.notNull(limits, "Shared limits");
+        Assert.notNull(loads, "Sources of the load");
         Assert.notNull(replica, "A replica");
         Assert.notNull(heartbeats, "Heartbeats");
         Assert.notNull(ready, "A readiness state");
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
@@ -48,6 +48,19 @@
             return true;
         }
     },
+    /** The load of each service, and the state of its load control. */
+    LOAD(ControlView.SERVICE) {
+        @Override
+        Either<ControlProblem, ObjectNode> build(
+                ControlRequest request, ControlDocuments documents) {
+            return documents.load(request.parameter(SERVICE));
+        }
+
+        @Override
+        boolean needsTraffic() {
+            return true;
+        }
+    },
     /** The instances. */
     MEMBERS {
         @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -31,6 +31,7 @@
  * @param spendings the spending in each open shift
  * @param crashes the view of the requests during which backend servers terminated
  * @param workspaces the view of the workspaces
+ * @param loads the load of each configured service, ordered by name
  */
 record TrafficSnapshot(
         long takenNanos,
@@ -38,7 +39,8 @@
         Map<ServiceId, RetryBudgetUsage> budgets,
         List<SpendingView> spendings,
         List<CrashView> crashes,
-        WorkspaceSnapshot workspaces) {
+        WorkspaceSnapshot workspaces,
+        List<ServiceLoadSnapshot> loads) {
 
     private static final Comparator<ServerSnapshot> ORDER =
             Comparator.<ServerSnapshot, String>comparing(each -> each.server().service().value())
@@ -49,10 +51,12 @@
         budgets = Map.copyOf(budgets);
         spendings = List.copyOf(spendings);
         crashes = List.copyOf(crashes);
+        loads = List.copyOf(loads);
     }
 
     /** Takes a snapshot. Must be called on the traffic thread. */
-    static TrafficSnapshot take(RequestFlow flow, SharedLimitStatus limits, long nowNanos) {
+    static TrafficSnapshot take(
+            RequestFlow flow, SharedLimitStatus limits, LoadSources loads, long nowNanos) {
         FleetSnapshot fleet = flow.state().snapshot();
         TreeSet<ServiceId> services =
                 new TreeSet<>(Comparator.comparing((ServiceId service) -> service.value()));
@@ -82,7 +86,8 @@
                 limits.budgets(nowNanos),
                 flow.spending().map(SpendingCheck::views).orElse(List.of()),
                 flow.crashGuard().views(),
-                WorkspaceSnapshot.take(flow.authenticator(), nowNanos));
+                WorkspaceSnapshot.take(flow.authenticator(), nowNanos),
+                loads.take(fleet, flow.servers()::region, nowNanos));
     }
 
     private static ServerSnapshot snapshot(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LifecycleModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/LifecycleModule.java
@@ -2,9 +2,11 @@
 
 import dagger.Module;
 import dagger.Provides;
+import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.control.ControlHandler;
 import io.masticpond.entry.control.ControlSources;
+import io.masticpond.entry.control.LoadSources;
 import io.masticpond.entry.lifecycle.Readiness;
 import io.masticpond.entry.log.RecentDecisions;
 import io.masticpond.entry.peer.PeerInstance;
@@ -26,6 +28,12 @@
         return new Readiness(replica::isUsable, listeners::isListening, stop::isStopping);
     }
 
+    @Provides
+    @Singleton
+    static LoadSources loadSources(LoadControlActivation activation) {
+        return new LoadSources(activation);
+    }
+
     /**
      * Creates the handler for operators. It is created only where the settings name its listening
      * address, so the port is present.
@@ -40,6 +48,7 @@
             @ControlThread EventLoop control,
             RequestFlow flow,
             SharedLimits limits,
+            LoadSources loads,
             ControlComponents controlComponents,
             Readiness readiness,
             StopSwitch stop,
@@ -54,6 +63,7 @@
                         control,
                         flow,
                         limits,
+                        loads,
                         controlComponents.replica(),
                         controlComponents.heartbeats(),
                         readiness::isReady,
--- a/masticpond-entry/src/test/java/io/masticpond/entry/control/TrafficReaderTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/control/TrafficReaderTest.java
@@ -77,7 +77,13 @@
             throw new IllegalStateException("No snapshot.");
         }
         return new TrafficSnapshot(
-                nowNanos, List.of(), Map.of(), List.of(), List.of(), WorkspaceSnapshot.NONE);
+                nowNanos,
+                List.of(),
+                Map.of(),
+                List.of(),
+                List.of(),
+                WorkspaceSnapshot.NONE,
+                List.of());
     }
 
     private void read(int times) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -108,15 +108,17 @@
         assertThat(members).hasSize(1);
         assertThat(members.get(0).path("state").asText()).isEqualTo("self");
         assertThat(members.get(0).path("control").asText()).isEqualTo(HOST + ":" + metrics);
-        for (String list : List.of("services", "routes", "servers", "evacuations")) {
+        for (String list : List.of("services", "routes", "servers", "evacuations", "load")) {
             assertThat(document(metrics, "/v1/" + list).path(list).isArray()).as(list).isTrue();
         }
         assertThat(document(metrics, "/v1/budget").path("budgets").isArray()).isTrue();
         JsonNode viewChanges = document(metrics, "/v1/timeline").path("beliefs");
         assertThat(viewChanges.get(0).path("state").asText()).isEqualTo("started");
-        HttpResponse<String> invalid = get(metrics, "/v1/servers?service=none");
-        assertThat(invalid.statusCode()).isEqualTo(404);
-        assertThat(invalid.body()).contains("no-such-service", "'none'");
+        for (String list : List.of("servers", "load")) {
+            HttpResponse<String> invalid = get(metrics, "/v1/" + list + "?service=none");
+            assertThat(invalid.statusCode()).as(list).isEqualTo(404);
+            assertThat(invalid.body()).contains("no-such-service", "'none'");
+        }
     }
 
     @Example
