--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
 
 /**
  * Placer that decides to which server a request is sent or whether it is refused, by the choice of
@@ -30,6 +31,7 @@
     private final ServerChooser mChooser;
     private final LoadGate mGate;
     private final SharedLoads mSharedLoads = new SharedLoads();
+    private ObjLongConsumer<PlacementRequest> mPlacementListener = (request, nowNanos) -> {};
 
     /**
      * Creates a placer.
@@ -60,6 +62,15 @@
         return mSharedLoads;
     }
 
+    /**
+     * Sets the listener for requests that are placed for their first attempt.
+     *
+     * @param listener the listener, which receives the request and the monotonic time
+     */
+    public void setPlacementListener(ObjLongConsumer<PlacementRequest> listener) {
+        mPlacementListener = Assert.notNull(listener, "A listener");
+    }
+
     /**
      * Records the load that a server reported with an answer, after its request was counted as
      * ended. The load of a terminated run is ignored and not shared, since other instances know the
@@ -112,6 +123,7 @@
             List<ServerLoad> servers,
             Candidates candidates,
             long nowNanos) {
+        mPlacementListener.accept(request, nowNanos);
         List<ServerLoad> usable = usable(servers, candidates);
         OptionalDouble limited = candidates.limitedPerSecond();
         if (limited.isPresent() && !mGate.admits(request, limited.getAsDouble(), nowNanos)) {
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -183,6 +183,19 @@
                 .max(Comparator.comparingDouble(ServerChoice::score));
     }
 
+    /**
+     * Returns the homes of the key of a request, regardless of load.
+     *
+     * @param usable the servers that may take the request
+     * @param request the request
+     * @param nowNanos the current monotonic time
+     * @return the homes, the first home first
+     */
+    public List<ServerLoad> homeServers(
+            List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
+        return homes(usable, request, nowNanos).stream().map(Preference::load).toList();
+    }
+
     /** Returns the servers, the most preferred first. */
     private List<Preference> preferences(
             List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -135,6 +135,17 @@
         mIsReported = true;
     }
 
+    /**
+     * Returns the age of the last load that the server reported to this instance, or that another
+     * instance passed on.
+     *
+     * @param nowNanos the current monotonic time
+     * @return nanoseconds, or {@link Long#MAX_VALUE} if no load was reported
+     */
+    public long reportAgeNanos(long nowNanos) {
+        return mIsReported ? nowNanos - mOtherRequestsNanos : Long.MAX_VALUE;
+    }
+
     /**
      * Records a load that another instance reported, capped at a number that is plausible for the
      * server's slots. The report was delayed by batching, so it is ignored if an answer to this
