Probe backend servers for their load where settings ask for it

Change: ProbeClient requests the health path over pooled connections with a timeout of 500 ms, ProbedServers names the obstacles and applies answers like those of requests, Probing runs both on the traffic thread, counts probes_total by result and logs results at most once per second.

Result: ProbeClientTest (loopback), ProbedServersTest, EntryMetricsTest and EntryInstanceTest pass. EntryMetricsTest checks that metrics.md lists the new metric.

Ruled out: the timeout of the call itself, which closes all idle connections to a server that only has no free slot.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerMatch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerMatch.java
@@ -43,7 +43,8 @@
     }
 
     private boolean mayOmitId(HttpResponse response) {
-        return response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+        return mRequest.answerMayOmitId()
+                || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
                 || response.headers().contains(mOptions.notExecutedHeader());
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendRequest.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendRequest.java
@@ -19,6 +19,8 @@
  * @param repeatable whether the request may be repeated after an uncertain outcome; one that may
  *     not be repeated is not sent on connections that the server may have dropped or that may be
  *     cut off
+ * @param answerMayOmitId whether an answer without a request id is accepted; one with another id is
+ *     rejected in any case
  * @since 0.2
  */
 public record BackendRequest(
@@ -28,7 +30,31 @@
         HttpHeaders headers,
         ByteBuf body,
         long timeoutNanos,
-        boolean repeatable) {
+        boolean repeatable,
+        boolean answerMayOmitId) {
+
+    /**
+     * Creates a request whose answer must echo its id.
+     *
+     * @param requestId the id that the server's answer must echo
+     * @param method the method
+     * @param target the path and query, unchanged
+     * @param headers the headers to send, without hop-by-hop headers
+     * @param body the complete body
+     * @param timeoutNanos the time in nanoseconds without a complete answer after which the call
+     *     fails
+     * @param repeatable whether the request may be repeated after an uncertain outcome
+     */
+    public BackendRequest(
+            String requestId,
+            HttpMethod method,
+            String target,
+            HttpHeaders headers,
+            ByteBuf body,
+            long timeoutNanos,
+            boolean repeatable) {
+        this(requestId, method, target, headers, body, timeoutNanos, repeatable, false);
+    }
 
     /** Validates that there is a request id to match the answer by. */
     public BackendRequest {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.metrics;
 
+import io.masticpond.core.probe.ProbeResult;
 import io.masticpond.core.support.Assert;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LineCounts;
@@ -21,6 +22,7 @@
 
     private final RequestCounts mRequests = new RequestCounts();
     private final StoreCallCounts mStoreCalls = new StoreCallCounts();
+    private final ProbeCounts mProbes = new ProbeCounts();
     private final LineCounts mLines;
     private final Consumer<EntryValues> mSource;
 
@@ -65,6 +67,15 @@
         return CountingConditionalStore.of(Assert.notNull(next, "A store"), mStoreCalls);
     }
 
+    /**
+     * Counts a probe of a backend server that has ended.
+     *
+     * @param result its result
+     */
+    public void countProbe(ProbeResult result) {
+        mProbes.ended(result);
+    }
+
     /**
      * Formats all metrics for a scraper, in the format of {@link #CONTENT_TYPE}. The first call
      * loads the metrics library and takes tens of milliseconds.
@@ -83,6 +94,6 @@
     public byte[] scrapeBytes() {
         EntryValues values = new EntryValues();
         mSource.accept(values);
-        return new MetricPage(mRequests, mStoreCalls, mLines, values).text();
+        return new MetricPage(mRequests, mStoreCalls, mProbes, mLines, values).text();
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.metrics;
 
+import io.masticpond.core.probe.ProbeResult;
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.LineCounts;
 import io.masticpond.entry.log.LinePriority;
@@ -29,6 +30,7 @@
 
     private final RequestCounts mRequests;
     private final StoreCallCounts mStoreCalls;
+    private final ProbeCounts mProbes;
     private final LineCounts mLines;
     private final EntryValues mValues;
     private final MetricSnapshots.Builder mPage = MetricSnapshots.builder();
@@ -36,10 +38,12 @@
     MetricPage(
             RequestCounts requests,
             StoreCallCounts storeCalls,
+            ProbeCounts probes,
             LineCounts lines,
             EntryValues values) {
         mRequests = requests;
         mStoreCalls = storeCalls;
+        mProbes = probes;
         mLines = lines;
         mValues = values;
     }
@@ -50,6 +54,7 @@
         addLatencies();
         addAttempts();
         addStoreCalls();
+        addProbes();
         addLines();
         mValues.all().forEach(this::addValue);
         ByteArrayOutputStream text = new ByteArrayOutputStream();
@@ -188,6 +193,15 @@
         mPage.metricSnapshot(counter.build());
     }
 
+    private void addProbes() {
+        CounterSnapshot.Builder counter =
+                counter("probes", "Probes of backend servers for their load that ended.");
+        for (ProbeResult result : ProbeResult.values()) {
+            addPoint(counter, Labels.of("result", text(result)), mProbes.probes(result));
+        }
+        mPage.metricSnapshot(counter.build());
+    }
+
     private void addLines() {
         CounterSnapshot.Builder written = counter("log_lines", "Log lines by what became of them.");
         addPoint(written, Labels.of("fate", "written"), mLines.written());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -34,6 +34,7 @@
     private final ProofSharing mProofSharing;
     private final RateSharing mRateSharing;
     private final LimitSharing mLimitSharing;
+    private final Probing mProbing;
 
     @Inject
     EntryInstance(
@@ -50,7 +51,8 @@
             CrashSharing crashSharing,
             ProofSharing proofSharing,
             RateSharing rateSharing,
-            LimitSharing limitSharing) {
+            LimitSharing limitSharing,
+            Probing probing) {
         mProcessChanges = processChanges;
         mTraffic = traffic;
         mControl = control;
@@ -65,6 +67,7 @@
         mProofSharing = proofSharing;
         mRateSharing = rateSharing;
         mLimitSharing = limitSharing;
+        mProbing = probing;
     }
 
     /** Starts all parts. The instance becomes ready once routes and backend servers are known. */
@@ -75,6 +78,7 @@
         mProofSharing.start();
         mRateSharing.start();
         mLimitSharing.start();
+        mProbing.start();
         if (mFlow.spending().isPresent()) {
             SpendingCheck spending = mFlow.spending().get();
             mTraffic.execute(spending::start);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/BackendFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/BackendFixture.java
@@ -115,6 +115,10 @@
         mClock.stepWallClock(Duration.ofMillis(millis));
     }
 
+    EventLoop loop() {
+        return mLoop;
+    }
+
     long opened() throws Exception {
         return onLoop(() -> mConnections.counts().opened());
     }
