--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -35,6 +35,7 @@
     private final RateSharing mRateSharing;
     private final LimitSharing mLimitSharing;
     private final DemandSharing mDemandSharing;
+    private final Probing mProbing;
 
     @Inject
     EntryInstance(
@@ -52,7 +53,8 @@
             ProofSharing proofSharing,
             RateSharing rateSharing,
             LimitSharing limitSharing,
-            DemandSharing demandSharing) {
+            DemandSharing demandSharing,
+            Probing probing) {
         mProcessChanges = processChanges;
         mTraffic = traffic;
         mControl = control;
@@ -68,6 +70,7 @@
         mRateSharing = rateSharing;
         mLimitSharing = limitSharing;
         mDemandSharing = demandSharing;
+        mProbing = probing;
     }
 
     /** Starts all parts. The instance becomes ready once routes and backend servers are known. */
@@ -79,6 +82,7 @@
         mRateSharing.start();
         mLimitSharing.start();
         mDemandSharing.start();
+        mProbing.start();
         if (mFlow.spending().isPresent()) {
             SpendingCheck spending = mFlow.spending().get();
             mTraffic.execute(spending::start);
