--- a/masticpond-core/src/main/java/io/masticpond/core/body/BodyBudget.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/body/BodyBudget.java
@@ -119,6 +119,17 @@
         return mRefusals;
     }
 
+    /**
+     * Returns whether a body had to wait or was refused for lack of room, and the direction has not
+     * been free since.
+     *
+     * @param direction the direction
+     * @return whether the direction is exhausted
+     */
+    public boolean isExhausted(BodyDirection direction) {
+        return direction == BodyDirection.REQUESTS ? mAreRequestsExhausted : mAreResponsesExhausted;
+    }
+
     /** Counts a request that was refused for lack of room. */
     public void recordRefusal() {
         mRefusals++;
@@ -201,7 +212,7 @@
 
     void exhausted(BodyDirection direction) {
         boolean isRequests = direction == BodyDirection.REQUESTS;
-        boolean wasExhausted = isRequests ? mAreRequestsExhausted : mAreResponsesExhausted;
+        boolean wasExhausted = isExhausted(direction);
         mAreRequestsExhausted |= isRequests;
         mAreResponsesExhausted |= !isRequests;
         if (!wasExhausted) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
@@ -1,8 +1,8 @@
 package io.masticpond.entry.backend;
 
+import io.masticpond.core.body.ResponseAdmission;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -39,17 +39,27 @@
     private final ConnectionOptions mOptions;
     private final AnswerMatch mMatch;
     private final ByteBufAllocator mAllocator;
+    private final ResponseReading mReading;
     private State mState = State.AWAITING;
     private Framing mFraming = Framing.WITHOUT_BODY;
     private HttpResponse mHead;
-    private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+
+    /** Null before the first byte, and once the answer was taken. */
+    private HeldBody mBody;
+
     private long mStatedLength;
     private boolean mSawMismatch;
+    private boolean mIsTaken;
 
-    AnswerAssembler(ConnectionOptions options, BackendRequest request, ByteBufAllocator allocator) {
+    AnswerAssembler(
+            ConnectionOptions options,
+            BackendRequest request,
+            ByteBufAllocator allocator,
+            ResponseReading reading) {
         mOptions = options;
         mMatch = new AnswerMatch(options, request);
         mAllocator = allocator;
+        mReading = reading;
     }
 
     boolean isComplete() {
@@ -120,15 +130,32 @@
     /** Returns the complete answer and transfers the ownership of its body to the caller. */
     BackendAnswer takeAnswer() {
         ConnectionHeaders.remove(mHead.headers());
+        mReading.complete();
+        mIsTaken = true;
         ByteBuf body = mBody;
-        mBody = Unpooled.EMPTY_BUFFER;
+        if (mBody == null) {
+            mReading.release();
+            body = Unpooled.EMPTY_BUFFER;
+        }
+        mBody = null;
         return new BackendAnswer(mHead.status().code(), mHead.headers(), body);
     }
 
-    /** Releases the body collected so far. */
+    /** Releases the body collected so far, unless the answer was taken. */
     void release() {
-        mBody.release();
-        mBody = Unpooled.EMPTY_BUFFER;
+        if (mIsTaken) {
+            return;
+        }
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+        mReading.release();
+    }
+
+    /** Returns whether the answer waits for room in the body budget and is not read. */
+    boolean isPaused() {
+        return mReading.isPaused();
     }
 
     private void begin(HttpResponse head) {
@@ -174,28 +201,36 @@
         } else {
             mFraming = Framing.UNTIL_END;
         }
+        if (mState == State.COLLECTING) {
+            mReading.begin(expectedBytes());
+        }
+    }
+
+    private long expectedBytes() {
+        return switch (mFraming) {
+            case WITHOUT_BODY -> 0;
+            case LENGTH -> mStatedLength;
+            case CHUNKS, UNTIL_END -> ResponseAdmission.UNSTATED;
+        };
+    }
+
+    private long collectedBytes() {
+        return mBody == null ? 0 : mBody.readableBytes();
     }
 
     private void collect(ByteBuf content) {
         if (!content.isReadable()) {
             return;
         }
-        long size = (long) mBody.readableBytes() + content.readableBytes();
-        if (size > mOptions.maximumAnswerBytes()) {
+        if (collectedBytes() + content.readableBytes() > mOptions.maximumAnswerBytes()) {
             mState = State.BAD;
             return;
         }
-        if (!mBody.isReadable()) {
-            mBody = content.retain();
-        } else if (mBody instanceof CompositeByteBuf parts) {
-            parts.addComponent(true, content.retain());
-        } else {
-            mBody =
-                    mAllocator
-                            .compositeBuffer(Integer.MAX_VALUE)
-                            .addComponent(true, mBody)
-                            .addComponent(true, content.retain());
+        if (mBody == null) {
+            mBody = new HeldBody(mAllocator, mReading.bytes());
         }
+        mBody.addComponent(true, content.retain());
+        mReading.received(content.readableBytes());
     }
 
     private void finish(boolean isEnding, boolean isOrderlyEnd) {
@@ -207,8 +242,8 @@
         }
         boolean isComplete =
                 switch (mFraming) {
-                    case WITHOUT_BODY -> !mBody.isReadable();
-                    case LENGTH -> mBody.readableBytes() == mStatedLength;
+                    case WITHOUT_BODY -> collectedBytes() == 0;
+                    case LENGTH -> collectedBytes() == mStatedLength;
                     case CHUNKS -> !isEnding;
                     case UNTIL_END -> isEnding && isOrderlyEnd;
                 };
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCall.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendCall.java
@@ -20,4 +20,14 @@
      *     the call is cancelled
      */
     boolean isWritten();
+
+    /**
+     * Returns whether the answer has begun and is not read for lack of memory, so that its delay is
+     * not the server's.
+     *
+     * @return whether reading is paused
+     */
+    default boolean isReadingPaused() {
+        return false;
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -127,7 +127,12 @@
         mStartedNanos = mPool.nowNanos();
         call.setConnection(this);
         mLastRequestId = call.request().requestId();
-        mAssembler = new AnswerAssembler(mPool.options(), call.request(), mChannel.alloc());
+        mAssembler =
+                new AnswerAssembler(
+                        mPool.options(),
+                        call.request(),
+                        mChannel.alloc(),
+                        mPool.newReading(mChannel));
         mWrite = new RequestWrite(call, this::writeEnded);
         mWriteStarting = true;
         mWrite.start(mChannel);
@@ -193,6 +198,16 @@
         mPool.bytesReceived();
     }
 
+    /** Returns whether the head of the current answer has been received. */
+    boolean isReadingBody() {
+        return mState == State.BUSY && mAssembler.hasHead();
+    }
+
+    /** Returns whether the answer waits for room in the body budget and is not read. */
+    boolean isReadingPaused() {
+        return mState == State.BUSY && mAssembler.isPaused();
+    }
+
     boolean expectsBytes() {
         return mState == State.BUSY && !mAssembler.isComplete();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/CallFailure.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/CallFailure.java
@@ -34,7 +34,9 @@
         /** The server sent data that is not an answer to this request, or more than one answer. */
         BAD_ANSWER(true),
         /** No complete answer was received in time. */
-        TIMED_OUT(true);
+        TIMED_OUT(true),
+        /** No complete answer was read in time, as it waited for room in the body budget. */
+        UNREAD(false);
 
         private final boolean mServerFailure;
 
@@ -42,6 +44,15 @@
             mServerFailure = serverFailure;
         }
 
+        /**
+         * Returns whether the time for the call has elapsed.
+         *
+         * @return whether it is a timeout
+         */
+        public boolean isTimeout() {
+            return this == TIMED_OUT || this == UNREAD;
+        }
+
         /**
          * Returns whether this kind of failure counts against the server.
          *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOpener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOpener.java
@@ -30,6 +30,8 @@
         NioSocketChannel channel = new NioSocketChannel();
         configure(channel.config());
         BackendConnection connection = new BackendConnection(pool, channel);
+        channel.config()
+                .setRecvByteBufAllocator(new HeadFirstReceiveAllocator(connection::isReadingBody));
         channel.pipeline().addLast(new AnswerDecoder(connection), connection);
         mEventLoop.register(channel);
         mEventLoop.execute(() -> connect(channel, connection, pool.socketAddress()));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.backend;
 
+import io.masticpond.core.body.BodyBudget;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.support.Assert;
@@ -41,9 +42,13 @@
      * @param eventLoop the traffic thread
      * @param timeSource the clock
      * @param options the options
+     * @param budget the budget of the bodies of responses, confined to the same event loop
      */
     public NettyBackendConnections(
-            EventLoop eventLoop, TimeSource timeSource, ConnectionOptions options) {
+            EventLoop eventLoop,
+            TimeSource timeSource,
+            ConnectionOptions options,
+            BodyBudget budget) {
         mEventLoop = Assert.notNull(eventLoop, "An event loop");
         mTimeSource = Assert.notNull(timeSource, "A time source");
         mContext =
@@ -54,6 +59,7 @@
                         timeSource,
                         mCounts,
                         new IdleReusePolicy(),
+                        Assert.notNull(budget, "A body budget"),
                         this::scheduleSweep);
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
@@ -44,6 +44,11 @@
         return mWritten;
     }
 
+    @Override
+    public boolean isReadingPaused() {
+        return !mEnded && mConnection != null && mConnection.isReadingPaused();
+    }
+
     BackendRequest request() {
         return mRequest;
     }
@@ -101,11 +106,12 @@
         if (mEnded) {
             return;
         }
+        boolean isPaused = isReadingPaused();
         if (mConnection != null) {
             mConnection.abandon();
         }
         mPool.timedOut(this);
-        fail(CallFailure.Kind.TIMED_OUT);
+        fail(isPaused ? CallFailure.Kind.UNREAD : CallFailure.Kind.TIMED_OUT);
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PoolContext.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PoolContext.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.backend;
 
+import io.masticpond.core.body.BodyBudget;
 import io.masticpond.core.time.TimeSource;
 import io.netty.channel.EventLoop;
 
@@ -11,4 +12,5 @@
         TimeSource timeSource,
         ConnectionCounts counts,
         IdleReusePolicy idleReusePolicy,
+        BodyBudget budget,
         Runnable onIdle) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.fleet.ServerAddress;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -51,6 +52,11 @@
         return mContext.options();
     }
 
+    /** Creates the reading of one answer from a connection. */
+    ResponseReading newReading(Channel channel) {
+        return new ResponseReading(mContext.budget(), mContext.timeSource(), channel);
+    }
+
     long nowNanos() {
         return mContext.timeSource().monotonicNanos();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
@@ -31,6 +31,7 @@
 
     private final EntryConnections mConnections;
     private final ArrayDeque<Exchange> mPendingExchanges = new ArrayDeque<>(4);
+    private final RoomWait mRoomWait;
 
     private ChannelHandlerContext mContext;
     private RequestReader mReader;
@@ -47,6 +48,7 @@
 
     ClientConnection(EntryConnections connections) {
         mConnections = connections;
+        mRoomWait = new RoomWait(connections, this::processPending);
     }
 
     EntryConnections connections() {
@@ -155,13 +157,20 @@
     /** Reads requests, and returns whether there was at least one. */
     private boolean readRequests() {
         boolean isRead = false;
+        mRoomWait.beginRead();
         while (!mIsInputStopped && mInput != null && !isPaused()) {
             RequestReader.Progress progress = mReader.read(mInput);
             if (progress == RequestReader.Progress.MORE) {
+                mRoomWait.progressed();
                 recordContinueExpectation();
                 break;
             }
+            if (progress == RequestReader.Progress.BLOCKED) {
+                mRoomWait.block(mReader.isExhausted());
+                break;
+            }
             isRead = true;
+            mRoomWait.progressed();
             if (progress == RequestReader.Progress.FAILED) {
                 reject(mReader.failure());
                 break;
@@ -180,7 +189,7 @@
 
     private void handleRequest() {
         RequestHead head = mReader.head();
-        Exchange exchange = new Exchange(this, head, mReader.takeCharge());
+        Exchange exchange = new Exchange(this, head, mReader.takeBytes());
         mIsContinueDue = false;
         mPendingExchanges.add(exchange);
         mConnections.requestOpened();
@@ -208,11 +217,12 @@
     /** Answers in place of the handler and stops reading from the connection. */
     private void reject(HttpResponseStatus status) {
         stopInput();
-        Exchange exchange = new Exchange(this, null, 0);
+        Exchange exchange = new Exchange(this, null, null);
         mPendingExchanges.add(exchange);
         mConnections.requestOpened();
         OutgoingAnswer answer = emptyAnswer(status);
         if (status == SERVICE_UNAVAILABLE) {
+            mConnections.budget().recordRefusal();
             answer.headers().set(HttpHeaderNames.RETRY_AFTER, mConnections.options().retryAfter());
         }
         exchange.answer(answer);
@@ -281,7 +291,7 @@
         if (mIsInputStopped) {
             return;
         }
-        if (mInput != null && !mInput.isReadable()) {
+        if (mInput != null && !mInput.isReadable() && !mRoomWait.isBlocked()) {
             mInput.release();
             mInput = null;
             mRequestBeginNanos = mReader.isInHead() ? UNSET : mRequestBeginNanos;
@@ -294,7 +304,12 @@
             mConnections.scheduleCheckWithin(mConnections.limits().headerTimeout().toNanos());
         }
         boolean isFull = mInput != null && mInput.readableBytes() > MAXIMUM_BUFFERED_INPUT_BYTES;
-        mContext.channel().config().setAutoRead(!isPaused || !isFull);
+        mContext.channel().config().setAutoRead(!mRoomWait.isBlocked() && (!isPaused || !isFull));
+    }
+
+    /** Returns for how long the client has taken nothing of an answer, in nanoseconds. */
+    long stallNanos(long nowNanos) {
+        return mOutput.stallNanos(nowNanos);
     }
 
     /**
@@ -307,6 +322,9 @@
         if (mOutput.isLingering()) {
             return mOutput.checkLinger(nowNanos);
         }
+        if (mRoomWait.isTimed()) {
+            return rejectIfDue(mRoomWait.remainingNanos(nowNanos), SERVICE_UNAVAILABLE);
+        }
         if (mOutput.isWriting()) {
             return mOutput.checkWrites(nowNanos);
         }
@@ -315,13 +333,15 @@
         }
         RequestLimits limits = mConnections.limits();
         if (mHeadBeginNanos != UNSET) {
-            return rejectIfDue(limits.headerTimeout().toNanos() - (nowNanos - mHeadBeginNanos));
+            return rejectIfDue(
+                    limits.headerTimeout().toNanos() - (nowNanos - mHeadBeginNanos),
+                    REQUEST_TIMEOUT);
         }
         long idleNanos = limits.idleTimeout().toNanos();
         if (!mReader.isInHead()) {
-            return mIsContinueDue
+            return mIsContinueDue || mRoomWait.isBlocked()
                     ? Long.MAX_VALUE
-                    : rejectIfDue(idleNanos - (nowNanos - mLastReadNanos));
+                    : rejectIfDue(idleNanos - (nowNanos - mLastReadNanos), REQUEST_TIMEOUT);
         }
         return mPendingExchanges.isEmpty() ? checkIdle(nowNanos, idleNanos) : Long.MAX_VALUE;
     }
@@ -343,9 +363,9 @@
         return remainingNanos;
     }
 
-    private long rejectIfDue(long remainingNanos) {
+    private long rejectIfDue(long remainingNanos, HttpResponseStatus status) {
         if (remainingNanos <= 0) {
-            reject(REQUEST_TIMEOUT);
+            reject(status);
             return Long.MAX_VALUE;
         }
         return remainingNanos;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientOutput.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientOutput.java
@@ -47,7 +47,11 @@
         ByteBuf body = answer.body();
         boolean isHead = exchange.isHeadMethod();
         int length = AnswerEncoder.hasBody(answer.status(), isHead) ? body.readableBytes() : 0;
-        boolean isInline = length <= MAXIMUM_INLINE_BODY_BYTES;
+        // A copy is made only of a body that is likely written at once. One behind others may wait
+        // for
+        // the client, and its memory would be used twice.
+        boolean isInline =
+                length <= MAXIMUM_INLINE_BODY_BYTES && (length == 0 || mPendingWrites == 0);
         String connection = isLast ? "close" : exchange.isHttp10() ? "keep-alive" : null;
         int extraCapacity = isInline ? length : 0;
         ByteBuf head =
@@ -61,12 +65,29 @@
         mIsFlushDue = true;
         if (isInline) {
             head.writeBytes(body, body.readerIndex(), length);
-            body.release();
-            mContext.write(head).addListener(mWriteListener);
+            addWriteListener(mContext.write(head), body, length);
         } else {
             mContext.write(head);
-            mContext.write(body).addListener(mWriteListener);
+            addWriteListener(mContext.write(body.retain()), body, length);
+        }
+    }
+
+    /**
+     * Releases the body once it has been written, since its bytes are held as long as they wait for
+     * the client.
+     */
+    private void addWriteListener(ChannelFuture written, ByteBuf body, int length) {
+        if (length == 0) {
+            body.release();
+            written.addListener(mWriteListener);
+            return;
         }
+        written.addListener(
+                (ChannelFutureListener)
+                        future -> {
+                            body.release();
+                            writeCompleted(future);
+                        });
     }
 
     /** Writes {@code 100 Continue}, upon which the client sends the body. */
@@ -141,6 +162,17 @@
      * then.
      */
     long checkWrites(long nowNanos) {
+        return closeIfDue(mConnections.options().writeStall().toNanos() - stallNanos(nowNanos));
+    }
+
+    /**
+     * Returns for how long the client has taken nothing of the answers that are being written, in
+     * nanoseconds; 0 if there are none. The precision is that of the interval between two calls.
+     */
+    long stallNanos(long nowNanos) {
+        if (!isWriting()) {
+            return 0;
+        }
         ChannelOutboundBuffer buffer = mContext.channel().unsafe().outboundBuffer();
         long unsentBytes =
                 buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
@@ -148,8 +180,7 @@
             mUnsentBytes = unsentBytes;
             mWriteProgressNanos = nowNanos;
         }
-        return closeIfDue(
-                mConnections.options().writeStall().toNanos() - (nowNanos - mWriteProgressNanos));
+        return nowNanos - mWriteProgressNanos;
     }
 
     private long closeIfDue(long remainingNanos) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/EntryConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/EntryConnections.java
@@ -1,5 +1,9 @@
 package io.masticpond.entry.http;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetListener;
+import io.masticpond.core.body.BodyDirection;
+import io.masticpond.core.body.StalledConnections;
 import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
@@ -7,6 +11,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -25,12 +30,15 @@
     private static final long MINIMUM_CHECK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int CHECKS_PER_IDLE_TIMEOUT = 4;
 
+    /** Interval in which the progress of clients is checked while responses wait for room. */
+    private static final long STALL_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final EventExecutor mLoop;
     private final RequestHandler mHandler;
     private final Supplier<RequestLimits> mLimits;
     private final TimeSource mTime;
     private final HttpEntryOptions mOptions;
-    private final ByteBudget mBudget;
+    private final BodyBudget mBudget;
     private final HeadParser mHeadParser = new HeadParser();
     private final AnswerEncoder mEncoder = new AnswerEncoder();
     private final List<ClientConnection> mClientConnections = new ArrayList<>();
@@ -49,13 +57,15 @@
             RequestHandler handler,
             Supplier<RequestLimits> limits,
             TimeSource time,
-            HttpEntryOptions options) {
+            HttpEntryOptions options,
+            BodyBudget budget) {
         mLoop = Assert.notNull(loop, "An event loop");
         mHandler = Assert.notNull(handler, "A request handler");
         mLimits = Assert.notNull(limits, "A supplier of limits");
         mTime = Assert.notNull(time, "A time source");
         mOptions = Assert.notNull(options, "Options");
-        mBudget = new ByteBudget(options.bufferedBytes());
+        mBudget = Assert.notNull(budget, "A body budget");
+        mBudget.addListener(new ExhaustionListener());
     }
 
     void add(ClientConnection connection) {
@@ -128,11 +138,33 @@
                 next = Math.min(next, mClientConnections.get(i).checkTimeouts(nowNanos));
             }
         }
+        if (mBudget.isExhausted(BodyDirection.RESPONSES)) {
+            closeStalled(nowNanos);
+            next = Math.min(next, STALL_CHECK_NANOS);
+        }
         if (!mClientConnections.isEmpty()) {
             scheduleCheckWithin(next);
         }
     }
 
+    /** Closes the connections that have stalled longest until no response waits for room. */
+    private void closeStalled(long nowNanos) {
+        for (int i = mClientConnections.size(); i > 0 && mBudget.responses().isAnyWaiting(); i--) {
+            Optional<ClientConnection> longest =
+                    StalledConnections.choose(
+                            mClientConnections, each -> each.stallNanos(nowNanos));
+            if (longest.isEmpty()) {
+                return;
+            }
+            longest.get().close();
+        }
+    }
+
+    /** Runs a task on the traffic thread after the current one. */
+    void execute(Runnable task) {
+        mLoop.execute(task);
+    }
+
     boolean isDraining() {
         return mIsDraining;
     }
@@ -157,7 +189,7 @@
         return mOptions;
     }
 
-    ByteBudget budget() {
+    BodyBudget budget() {
         return mBudget;
     }
 
@@ -192,4 +224,18 @@
     int openConnections() {
         return mOpenConnections.get();
     }
+
+    /** Listener that starts to check the progress of clients when responses wait for room. */
+    private final class ExhaustionListener implements BodyBudgetListener {
+
+        @Override
+        public void onExhausted(BodyDirection direction, long heldBytes, long limitBytes) {
+            if (direction == BodyDirection.RESPONSES && !mClientConnections.isEmpty()) {
+                scheduleCheckWithin(STALL_CHECK_NANOS);
+            }
+        }
+
+        @Override
+        public void onFree(BodyDirection direction, long heldBytes, long limitBytes) {}
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/Exchange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/Exchange.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.http;
 
+import io.masticpond.core.body.RequestBytes;
 import io.netty.handler.codec.http.HttpMethod;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,7 +16,7 @@
 
     private final ClientConnection mConnection;
     private final RequestHead mHead;
-    private long mCharge;
+    private final RequestBytes mBytes;
     private OutgoingAnswer mAnswer;
     private boolean mIsDone;
     private boolean mIsClientDisconnected;
@@ -27,12 +28,12 @@
      * @param connection the connection
      * @param head the head of the request, or {@code null} if it was rejected before the head could
      *     be parsed
-     * @param charge the bytes to release to the budget once the request is done
+     * @param bytes the bytes of the request, released once it is done; {@code null} if none
      */
-    Exchange(ClientConnection connection, RequestHead head, long charge) {
+    Exchange(ClientConnection connection, RequestHead head, RequestBytes bytes) {
         mConnection = connection;
         mHead = head;
-        mCharge = charge;
+        mBytes = bytes;
     }
 
     @Override
@@ -103,7 +104,7 @@
     void discard() {
         mIsClientDisconnected = true;
         mIsDone = true;
-        releaseCharge();
+        releaseBytes();
         if (mAnswer != null) {
             mAnswer.body().release();
             mAnswer = null;
@@ -125,12 +126,13 @@
 
     private void finish() {
         mIsDone = true;
-        releaseCharge();
+        releaseBytes();
         mConnection.processPending();
     }
 
-    private void releaseCharge() {
-        mConnection.connections().budget().release(mCharge);
-        mCharge = 0;
+    private void releaseBytes() {
+        if (mBytes != null) {
+            mBytes.release();
+        }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryOptions.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryOptions.java
@@ -8,8 +8,6 @@
  *
  * @param pipelinedRequests the maximum number of requests of one connection that are handled
  *     concurrently
- * @param bufferedBytes the maximum number of request bytes that are buffered for all connections
- *     together
  * @param retryAfter the seconds after which a client that was rejected for lack of memory may retry
  * @param writeStall how long a client may read nothing of an answer before its connection is closed
  * @param lingerTimeout how long a connection is still read from after its output was closed, so
@@ -19,17 +17,15 @@
  */
 public record HttpEntryOptions(
         int pipelinedRequests,
-        long bufferedBytes,
         String retryAfter,
         Duration writeStall,
         Duration lingerTimeout,
         Duration drainPause) {
 
-    /** Default options, suitable for a process with a few hundred megabytes of memory. */
+    /** Default options. */
     public static final HttpEntryOptions DEFAULT =
             new HttpEntryOptions(
                     32,
-                    48L * 1024 * 1024,
                     "0.5",
                     Duration.ofSeconds(10),
                     Duration.ofSeconds(1),
@@ -38,7 +34,6 @@
     /** Validates that all limits are positive. */
     public HttpEntryOptions {
         Assert.positive(pipelinedRequests, "A number of pipelined requests");
-        Assert.positive(bufferedBytes, "A bound of buffered bytes");
         Assert.hasText(retryAfter, "A time to retry after");
         Assert.positive(writeStall.toNanos(), "A time for a stalled write");
         Assert.positive(lingerTimeout.toNanos(), "A time to linger");
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.http;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.support.Assert;
@@ -34,6 +36,7 @@
 
     private static final Logger sLogger = LoggerFactory.getLogger(HttpEntryServer.class);
     private static final int BACKLOG = 1024;
+    private static final int DEFAULT_MEMORY_MEGABYTES = 256;
 
     private final EventLoop mLoop;
     private final InetSocketAddress mAddress;
@@ -41,7 +44,7 @@
     private volatile Channel mChannel;
 
     /**
-     * Creates a server that does not listen yet.
+     * Creates a server that does not listen yet, with a body budget of its own.
      *
      * @param traffic the traffic thread, a group of one event loop
      * @param address the address to listen on
@@ -57,13 +60,36 @@
             Supplier<RequestLimits> limits,
             TimeSource time,
             HttpEntryOptions options) {
+        this(traffic, address, handler, limits, time, options, defaultBudget());
+    }
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param traffic the traffic thread, a group of one event loop
+     * @param address the address to listen on
+     * @param handler the handler of the requests
+     * @param limits the supplier of the limits in force
+     * @param time the time source
+     * @param options further limits and timeouts
+     * @param budget the body budget, which must be confined to the traffic thread
+     */
+    public HttpEntryServer(
+            EventLoopGroup traffic,
+            ServerAddress address,
+            RequestHandler handler,
+            Supplier<RequestLimits> limits,
+            TimeSource time,
+            HttpEntryOptions options,
+            BodyBudget budget) {
         this(
                 traffic,
                 new InetSocketAddress(address.ip(), address.port()),
                 handler,
                 limits,
                 time,
-                options);
+                options,
+                budget);
     }
 
     HttpEntryServer(
@@ -72,10 +98,15 @@
             RequestHandler handler,
             Supplier<RequestLimits> limits,
             TimeSource time,
-            HttpEntryOptions options) {
+            HttpEntryOptions options,
+            BodyBudget budget) {
         mLoop = Assert.notNull(traffic, "A traffic thread").next();
         mAddress = address;
-        mConnections = new EntryConnections(mLoop, handler, limits, time, options);
+        mConnections = new EntryConnections(mLoop, handler, limits, time, options, budget);
+    }
+
+    private static BodyBudget defaultBudget() {
+        return new BodyBudget(BodyBudgetSettings.ofMemory(DEFAULT_MEMORY_MEGABYTES));
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/RequestReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/RequestReader.java
@@ -5,6 +5,10 @@
 import static io.netty.handler.codec.http.HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
 import static io.netty.handler.codec.http.HttpResponseStatus.SERVICE_UNAVAILABLE;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.ClientBytes;
+import io.masticpond.core.body.RequestBytes;
+import io.masticpond.core.body.RequestReservation;
 import io.masticpond.core.routing.RequestLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -16,8 +20,9 @@
  * Reader that decodes the requests of one connection from its bytes one after the other, each with
  * its complete body.
  *
- * <p>Every buffered byte of a request is charged to the budget; the caller of {@link #takeCharge}
- * becomes responsible for releasing the charge of a complete request.
+ * <p>The head and the stated length of the body are reserved before the body is read, and a chunked
+ * body as it arrives. The caller of {@link #takeBytes} becomes responsible for releasing the bytes
+ * of a complete request.
  *
  * @since 0.2
  */
@@ -27,6 +32,8 @@
     enum Progress {
         /** More bytes are needed. */
         MORE,
+        /** Bytes that were received can't be read for lack of room in the budget. */
+        BLOCKED,
         /** A request is complete. */
         COMPLETE,
         /** The request is rejected; nothing after it can be read. */
@@ -35,6 +42,7 @@
 
     private enum Phase {
         HEAD,
+        RESERVATION,
         LENGTH,
         CHUNK_SIZE,
         CHUNK,
@@ -44,13 +52,17 @@
 
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
-    private static final int INITIAL_BODY_CAPACITY = 64 * 1024;
+
+    /** Larger bodies grow, so that a client which states a length uses no memory by that alone. */
+    private static final int MAXIMUM_INITIAL_CAPACITY = 1024 * 1024;
+
     private static final int MAXIMUM_CHUNK_LINE_BYTES = 1024;
     private static final int HEXADECIMAL_RADIX = 16;
     private static final int MAXIMUM_CHUNK_SIZE_DIGITS = 15;
 
     private final EntryConnections mConnections;
     private final ByteBufAllocator mAllocator;
+    private final ClientBytes mClientBytes;
 
     private Phase mPhase = Phase.HEAD;
     private int mScannedBytes;
@@ -59,7 +71,9 @@
     private ByteBuf mBody;
     private long mBodyLength;
     private long mRemainingBytes;
-    private long mCharge;
+    private RequestBytes mBytes;
+    private int mHeadLength;
+    private boolean mIsExhausted;
     private int mTrailerBytes;
     private boolean mIsContinueDue;
     private RequestLimits mLimits = RequestLimits.DEFAULT;
@@ -68,6 +82,7 @@
     RequestReader(EntryConnections connections, ByteBufAllocator allocator) {
         mConnections = connections;
         mAllocator = allocator;
+        mClientBytes = connections.budget().newClient();
     }
 
     /**
@@ -79,6 +94,7 @@
             progress =
                     switch (mPhase) {
                         case HEAD -> readHead(in);
+                        case RESERVATION -> reserve(in);
                         case LENGTH -> readFixedBody(in);
                         case CHUNK_SIZE -> readChunkSize(in);
                         case CHUNK -> readChunk(in);
@@ -124,20 +140,28 @@
         return body;
     }
 
+    /** Returns the bytes held for a complete request, which the caller must release. */
+    RequestBytes takeBytes() {
+        RequestBytes bytes = mBytes;
+        mBytes = null;
+        return bytes;
+    }
+
     /**
-     * Returns the bytes charged for a complete request, which the caller must release to the
-     * budget.
+     * Returns whether the budget was exhausted when reading was blocked last; if not, earlier
+     * requests of the connection must end first.
      */
-    long takeCharge() {
-        long charge = mCharge;
-        mCharge = 0;
-        return charge;
+    boolean isExhausted() {
+        return mIsExhausted;
     }
 
     /** Discards what has been read of an incomplete request. */
     void close() {
         takeBody().release();
-        mConnections.budget().release(takeCharge());
+        RequestBytes bytes = takeBytes();
+        if (bytes != null) {
+            bytes.release();
+        }
     }
 
     private Progress readHead(ByteBuf in) {
@@ -184,8 +208,16 @@
         if (mHead.length() > mLimits.bodyBytes()) {
             return fail(REQUEST_ENTITY_TOO_LARGE);
         }
-        if (!mConnections.budget().hasRoomFor(length + mHead.length()) || !charge(length)) {
-            return fail(SERVICE_UNAVAILABLE);
+        mHeadLength = length;
+        mBytes = mClientBytes.newRequest();
+        mPhase = Phase.RESERVATION;
+        return null;
+    }
+
+    /** Reserves the head and the stated length of the body before any of the body is read. */
+    private Progress reserve(ByteBuf in) {
+        if (!tryReserve(mHeadLength + mHead.length(), mHead.length())) {
+            return mIsExhausted ? fail(SERVICE_UNAVAILABLE) : Progress.BLOCKED;
         }
         if (!mHead.hasBody()) {
             return Progress.COMPLETE;
@@ -205,11 +237,13 @@
     private Progress readBody(ByteBuf in) {
         int bytes = (int) Math.min(mRemainingBytes, in.readableBytes());
         if (bytes > 0) {
-            if (!charge(bytes)) {
-                return fail(SERVICE_UNAVAILABLE);
+            if (mHead.isChunked() && !tryReserve(bytes, bodyBytes() + bytes)) {
+                return Progress.BLOCKED;
             }
             if (mBody == null) {
-                mBody = mAllocator.buffer((int) Math.min(mRemainingBytes, INITIAL_BODY_CAPACITY));
+                mBody =
+                        mAllocator.buffer(
+                                (int) Math.min(mRemainingBytes, MAXIMUM_INITIAL_CAPACITY));
             }
             mBody.writeBytes(in, bytes);
             mRemainingBytes -= bytes;
@@ -335,12 +369,15 @@
         return lineFeed == begin || in.getByte(lineFeed - 1) != CARRIAGE_RETURN ? -1 : length;
     }
 
-    private boolean charge(long bytes) {
-        if (!mConnections.budget().tryReserve(bytes)) {
-            return false;
-        }
-        mCharge += bytes;
-        return true;
+    private long bodyBytes() {
+        return mBody == null ? 0 : mBody.readableBytes();
+    }
+
+    private boolean tryReserve(long bytes, long bodyBytes) {
+        boolean isSmall = bodyBytes <= BodyBudget.SMALL_BODY_BYTES;
+        RequestReservation result = mBytes.tryReserve(bytes, isSmall);
+        mIsExhausted = result == RequestReservation.EXHAUSTED;
+        return result == RequestReservation.RESERVED;
     }
 
     private Progress fail(HttpResponseStatus status) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptResult.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptResult.java
@@ -26,6 +26,8 @@
     BAD_ANSWER,
     /** No complete answer arrived before the timeout. */
     TIMED_OUT,
+    /** The answer waited for room in the body budget until the timeout. */
+    UNREAD,
     /** This instance ended the call: the client had disconnected or its deadline had passed. */
     CANCELLED;
 
@@ -43,6 +45,7 @@
             case BROKEN_OFF -> BROKEN_OFF;
             case BAD_ANSWER -> BAD_ANSWER;
             case TIMED_OUT -> TIMED_OUT;
+            case UNREAD -> UNREAD;
         };
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
@@ -20,6 +20,10 @@
     LIMITED,
     /** The route must not be served in the server's region. */
     NOT_HOME,
+    /**
+     * The server has as many bytes of request bodies in flight as its service was found to bear.
+     */
+    BODY_LIMIT,
     /** The server failed recently. */
     FAILING,
     /** The request has already been attempted on the server. */
@@ -32,7 +36,7 @@
      */
     public boolean isTransient() {
         return switch (this) {
-            case COLD, FULL, LIMITED, FAILING, TRIED -> true;
+            case COLD, FULL, LIMITED, BODY_LIMIT, FAILING, TRIED -> true;
             case LEAVING, PAUSED, EVACUATED, NOT_HOME -> false;
         };
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -16,7 +16,21 @@
  *
  * @since 0.2
  */
-public sealed interface ViewChange extends LineContent {
+public sealed interface ViewChange extends LineContent
+        permits BodyChange,
+                ViewChange.Routing,
+                ViewChange.Registry,
+                ViewChange.Server,
+                ViewChange.ServerCheck,
+                ViewChange.CrashingRequest,
+                ViewChange.ServerLimit,
+                ViewChange.MalformedLimit,
+                ViewChange.Withdrawal,
+                ViewChange.MalformedStatement,
+                ViewChange.Zone,
+                ViewChange.Peer,
+                ViewChange.Store,
+                ViewChange.Proof {
 
     /** States into which a backend server changes. */
     enum ServerState {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -90,6 +90,12 @@
     /** Answers with a statement on a withdrawal that is not valid. */
     MALFORMED_WITHDRAWALS(
             "malformed_withdrawals", "Answers whose word on leaving or a pause is none.", true),
+    /** Bytes of request bodies held. */
+    HELD_REQUEST_BYTES("held_body_bytes", "Bytes of bodies held.", false, "requests"),
+    /** Bytes of response bodies held. */
+    HELD_RESPONSE_BYTES("held_body_bytes", "Bytes of bodies held.", false, "responses"),
+    /** Requests refused for lack of room for their bodies. */
+    BODY_REFUSALS("body_refusals", "Requests refused for lack of room for their bodies.", true),
     /** Workspaces in force. */
     WORKSPACES("workspaces", "Workspaces in force.", false),
     /** Keys of these workspaces. */
@@ -110,11 +116,17 @@
     private final String mName;
     private final String mHelp;
     private final boolean mTotal;
+    private final String mDirection;
 
     EntryValue(String name, String help, boolean total) {
+        this(name, help, total, null);
+    }
+
+    EntryValue(String name, String help, boolean total, String direction) {
         mName = name;
         mHelp = help;
         mTotal = total;
+        mDirection = direction;
     }
 
     /** Returns the name in lower case, without the common prefix of all metrics. */
@@ -127,6 +139,11 @@
         return mHelp;
     }
 
+    /** Returns the direction of one of several values with the same name, or null. */
+    String direction() {
+        return mDirection;
+    }
+
     /** Returns whether the value only ever increases. */
     boolean isTotal() {
         return mTotal;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
@@ -17,6 +17,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.IntToLongFunction;
@@ -32,6 +33,7 @@
     private final LineCounts mLines;
     private final EntryValues mValues;
     private final MetricSnapshots.Builder mPage = MetricSnapshots.builder();
+    private final Map<String, GaugeSnapshot.Builder> mGauges = new LinkedHashMap<>();
 
     MetricPage(
             RequestCounts requests,
@@ -52,6 +54,7 @@
         addStoreCalls();
         addLines();
         mValues.all().forEach(this::addValue);
+        mGauges.values().forEach(gauge -> mPage.metricSnapshot(gauge.build()));
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create()
@@ -207,15 +210,17 @@
             mPage.metricSnapshot(counter.build());
             return;
         }
-        mPage.metricSnapshot(
-                GaugeSnapshot.builder()
-                        .name(PREFIX + value.metricName())
-                        .help(value.help())
-                        .dataPoint(
-                                GaugeSnapshot.GaugeDataPointSnapshot.builder()
-                                        .value(number)
-                                        .build())
-                        .build());
+        String name = PREFIX + value.metricName();
+        Labels labels =
+                value.direction() == null
+                        ? Labels.EMPTY
+                        : Labels.of("direction", value.direction());
+        mGauges.computeIfAbsent(name, key -> GaugeSnapshot.builder().name(key).help(value.help()))
+                .dataPoint(
+                        GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                .labels(labels)
+                                .value(number)
+                                .build());
     }
 
     private static CounterSnapshot.Builder counter(String name, String help) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashCheck.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashCheck.java
@@ -68,6 +68,7 @@
     /** Records that the request broke off at a server, which may have ended. */
     void recordBrokenOff(RegisteredServer server, long sentNanos, long nowNanos) {
         mFacts.fingerprint(fingerprint());
+        mGuard.bodies().brokenOff(server, mRequest.body().readableBytes(), nowNanos);
         mGuard.recordBrokenOff(
                 server, new BrokenOffRequests.Request(fingerprint(), sentNanos, nowNanos));
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
@@ -30,6 +30,7 @@
     private final TimeSource mTimeSource;
     private final DecisionLog mLog;
     private final BrokenOffRequests mBrokenOff;
+    private final ServerBodies mBodies;
     private final Fingerprints mFingerprints = new Fingerprints();
     private final CrashingRequests mRequests;
     private final Consumer<RequestFingerprint> mRejectionListener;
@@ -45,6 +46,7 @@
         mTimeSource = timeSource;
         mLog = log;
         mBrokenOff = new BrokenOffRequests(eventLoop, timeSource, connections, log);
+        mBodies = new ServerBodies(timeSource, log);
         mRequests = new CrashingRequests(CrashSettings.DEFAULT, new Output());
         mRejectionListener = rejectionListener;
     }
@@ -116,6 +118,11 @@
         return mServerEnds;
     }
 
+    /** Returns the gate of the request bodies in flight to each server. */
+    ServerBodies bodies() {
+        return mBodies;
+    }
+
     RequestFingerprint fingerprint(IncomingRequest request) {
         return mFingerprints.of(request);
     }
@@ -154,6 +161,7 @@
 
     private void onServerEnded(RegisteredServer server, BrokenOffRequests.Request request) {
         mServerEnds++;
+        mBodies.terminated(server);
         mRequests.addServerEnd(
                 request.fingerprint(),
                 HashMixer.hash(server.id().value()),
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -86,7 +86,7 @@
                         request.headers(), flow.names(), hasDeadline, caller.workspace());
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
-        mSearch = new ServerSearch(flow, facts, caller, service, key);
+        mSearch = new ServerSearch(flow, facts, caller, service, key, request.body());
         mCrashCheck = new CrashCheck(flow.crashGuard(), request, facts);
         mCompletion = new RequestCompletion(flow.answers(), facts, mRequestId);
         mAttemptCharge = AttemptCharge.of(flow.spending(), facts, service);
@@ -247,7 +247,7 @@
         if (failure.kind() == CallFailure.Kind.BROKEN_OFF) {
             mCrashCheck.recordBrokenOff(server.server(), mSentNanos, now);
         }
-        if (failure.kind() == CallFailure.Kind.TIMED_OUT) {
+        if (failure.kind().isTimeout()) {
             onTimeout();
             return;
         }
@@ -318,7 +318,7 @@
     }
 
     private void finishAttempt(ServerLoad server) {
-        server.requestEnded();
+        mSearch.attemptEnded(server);
         mCall = null;
     }
 
@@ -335,7 +335,7 @@
         if (mDone) {
             return;
         }
-        if (mCall != null) {
+        if (mCall != null && !mCall.isReadingPaused()) {
             mFlow.placer().failed(mServer, mFlow.nowNanos());
         }
         cancelCall();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -13,6 +13,7 @@
 import io.masticpond.core.support.HashMixer;
 import io.masticpond.entry.log.Exclusion;
 import io.masticpond.entry.log.RequestRecord;
+import io.netty.buffer.ByteBuf;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -32,17 +33,24 @@
     private final Route mRoute;
     private final ServiceId mService;
     private final long mKeyHash;
+    private final int mBodyBytes;
     private final Set<BackendServerId> mTried = new HashSet<>();
     private final Set<BackendServerId> mWithoutPermit = new HashSet<>();
 
     ServerSearch(
-            RequestFlow flow, RequestRecord facts, Caller caller, ServiceId service, String key) {
+            RequestFlow flow,
+            RequestRecord facts,
+            Caller caller,
+            ServiceId service,
+            String key,
+            ByteBuf body) {
         mFlow = flow;
         mFacts = facts;
         mCaller = caller;
         mRoute = caller.route();
         mService = service;
         mKeyHash = keyHash(key, mRoute);
+        mBodyBytes = body.readableBytes();
     }
 
     private static long keyHash(String key, Route route) {
@@ -109,6 +117,13 @@
     /** Records that the request was sent to a server, so that the server is not chosen again. */
     void markTried(ServerLoad load) {
         mTried.add(load.server().id());
+        mFlow.crashGuard().bodies().started(load, mBodyBytes);
+    }
+
+    /** Records that the attempt at a server has ended in any way. */
+    void attemptEnded(ServerLoad load) {
+        load.requestEnded();
+        mFlow.crashGuard().bodies().ended(load, mBodyBytes);
     }
 
     /** Determines whether a server is cold. */
@@ -144,6 +159,9 @@
         if (!mWithoutPermit.isEmpty() && mWithoutPermit.contains(load.server().id())) {
             return Exclusion.COLD;
         }
+        if (!mFlow.crashGuard().bodies().accepts(load, mBodyBytes, now)) {
+            return Exclusion.BODY_LIMIT;
+        }
         return load.isAvoided(now) ? Exclusion.FAILING : null;
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -1,6 +1,8 @@
 package io.masticpond.entry.wiring;
 
 import dagger.Lazy;
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.time.TimeSource;
@@ -19,6 +21,9 @@
 @Singleton
 final class EntryListeners {
 
+    /** Budget of the operators' server; its requests are small, its responses below 1 MB. */
+    private static final BodyBudgetSettings OPERATORS_BODIES = BodyBudgetSettings.ofMemory(0);
+
     private final TimeSource mTimeSource;
     private final EventLoopGroup mControlGroup;
     private final EntrySettings.Listeners mAddresses;
@@ -41,6 +46,7 @@
             PlatformAdapter platform,
             TimeSource timeSource,
             RequestFlow flow,
+            BodyBudget budget,
             DirectoryHandler directory,
             Lazy<Readiness> readiness,
             Lazy<ControlHandler> controlHandler) {
@@ -48,24 +54,29 @@
         mControlGroup = controlGroup;
         mAddresses = settings.listeners();
         mControlHandler = controlHandler;
-        mEntry = server(trafficGroup, mAddresses.entry(), flow);
-        mDirectory = server(trafficGroup, mAddresses.directory(), directory);
+        mEntry = server(trafficGroup, mAddresses.entry(), flow, budget);
+        mDirectory = server(trafficGroup, mAddresses.directory(), directory, budget);
         mReadiness =
                 server(
                         trafficGroup,
                         mAddresses.readiness(),
-                        platform.readinessHandler(() -> readiness.get().isReady()));
+                        platform.readinessHandler(() -> readiness.get().isReady()),
+                        budget);
     }
 
     private HttpEntryServer server(
-            EventLoopGroup group, ServerAddress address, RequestHandler handler) {
+            EventLoopGroup group,
+            ServerAddress address,
+            RequestHandler handler,
+            BodyBudget budget) {
         return new HttpEntryServer(
                 group,
                 address,
                 handler,
                 () -> mRequestLimits,
                 mTimeSource,
-                HttpEntryOptions.DEFAULT);
+                HttpEntryOptions.DEFAULT,
+                budget);
     }
 
     /**
@@ -92,11 +103,14 @@
         mAddresses.metrics().ifPresent(this::serveOperators);
     }
 
-    /** The handler is created by the first request, since its creation must not delay the start. */
+    /**
+     * The handler is created by the first request, since its creation must not delay the start. The
+     * server has a budget of its own, as it is not on the traffic thread.
+     */
     private void serveOperators(ServerAddress address) {
         RequestHandler handler =
                 (request, responder) -> mControlHandler.get().handle(request, responder);
-        server(mControlGroup, address, handler).start();
+        server(mControlGroup, address, handler, new BodyBudget(OPERATORS_BODIES)).start();
     }
 
     void setRequestLimits(RequestLimits limits) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyDirection;
 import io.masticpond.core.crash.CrashView;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
@@ -48,6 +50,7 @@
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
+    private final BodyBudget mBodies;
     private volatile Traffic mTraffic =
             new Traffic(
                     0,
@@ -63,7 +66,8 @@
                     Optional.empty(),
                     Keys.NONE,
                     Limits.NONE,
-                    Withdrawals.NONE);
+                    Withdrawals.NONE,
+                    Bodies.NONE);
 
     /** The metrics of the workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -108,6 +112,19 @@
         }
     }
 
+    /** The metrics of the body budget. */
+    private record Bodies(long requestBytes, long responseBytes, long refusals) {
+
+        static final Bodies NONE = new Bodies(0, 0, 0);
+
+        static Bodies of(BodyBudget budget) {
+            return new Bodies(
+                    budget.held(BodyDirection.REQUESTS),
+                    budget.held(BodyDirection.RESPONSES),
+                    budget.refusals());
+        }
+    }
+
     /** The metrics of the traffic thread. */
     private record Traffic(
             int open,
@@ -123,7 +140,8 @@
             Optional<List<SpendingView>> spendings,
             Keys keys,
             Limits limits,
-            Withdrawals withdrawals) {
+            Withdrawals withdrawals,
+            Bodies bodies) {
 
         double sum(ToDoubleFunction<RetryBudgetUsage> value) {
             return retries.stream().mapToDouble(value).sum();
@@ -137,13 +155,15 @@
             RequestFlow flow,
             SharedLimits limits,
             NettyBackendConnections connections,
-            EntryListeners listeners) {
+            EntryListeners listeners,
+            BodyBudget bodies) {
         mTimeSource = timeSource;
         mControl = control;
         mFlow = flow;
         mLimits = limits;
         mConnections = connections.counts();
         mListeners = listeners;
+        mBodies = bodies;
     }
 
     /** Reads what the traffic thread owns, on that thread. */
@@ -164,7 +184,8 @@
                         mFlow.spending().map(SpendingCheck::views),
                         Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.statements().limits()),
-                        Withdrawals.of(mFlow.statements()));
+                        Withdrawals.of(mFlow.statements()),
+                        Bodies.of(mBodies));
     }
 
     /** Sets all metric values. Must be called on the control thread. */
@@ -208,6 +229,9 @@
         values.set(EntryValue.SERVERS_STATED_LEAVING, traffic.withdrawals().leaving());
         values.set(EntryValue.PAUSED_SERVERS, traffic.withdrawals().paused());
         values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
+        values.set(EntryValue.HELD_REQUEST_BYTES, traffic.bodies().requestBytes());
+        values.set(EntryValue.HELD_RESPONSE_BYTES, traffic.bodies().responseBytes());
+        values.set(EntryValue.BODY_REFUSALS, traffic.bodies().refusals());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUsage::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUsage::bound));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.entry.log.ProcessChange;
@@ -27,6 +29,7 @@
     private final ServerChooser mChooser;
     private final LoadControlActivation mLoadControl;
     private final RequestFlow mFlow;
+    private final BodyBudget mBodies;
     private final StopSwitch mStop;
     private final ProcessChangeLog mProcessChanges;
     private EntrySettings mSettings;
@@ -42,6 +45,7 @@
             ServerChooser chooser,
             LoadControlActivation loadControl,
             RequestFlow flow,
+            BodyBudget bodies,
             StopSwitch stop,
             ProcessChangeLog processChanges) {
         mSettings = settings;
@@ -53,6 +57,7 @@
         mChooser = chooser;
         mLoadControl = loadControl;
         mFlow = flow;
+        mBodies = bodies;
         mStop = stop;
         mProcessChanges = processChanges;
     }
@@ -62,9 +67,11 @@
         mDirectory.apply(settings.bounds());
         mStop.apply(settings.bounds());
         mHeartbeats.setSeeds(Seeds.internal(settings, mSelf));
+        int memoryMegabytes = settings.resources().memoryMegabytes();
         mTraffic.execute(
                 () -> {
                     mLimits.apply(settings.bounds());
+                    mBodies.applySettings(BodyBudgetSettings.ofMemory(memoryMegabytes));
                     mChooser.applySettings(settings.placement());
                     mLoadControl.applySettings(settings.loadControl());
                     mFlow.crashGuard().applySettings(settings.crashes());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -2,6 +2,8 @@
 
 import dagger.Module;
 import dagger.Provides;
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.CallOutlierDetector;
 import io.masticpond.core.limit.CallOutlierDetectorSettings;
@@ -75,10 +77,22 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 1));
     }
 
+    @Provides
+    @Singleton
+    static BodyBudget bodyBudget(EntrySettings settings, DecisionLog log) {
+        int memoryMegabytes = settings.resources().memoryMegabytes();
+        BodyBudget budget = new BodyBudget(BodyBudgetSettings.ofMemory(memoryMegabytes));
+        budget.addListener(new BodyBudgetLog(log));
+        return budget;
+    }
+
     @Provides
     @Singleton
     static NettyBackendConnections connections(
-            @TrafficThread EventLoop traffic, TimeSource timeSource, HeaderNames names) {
+            @TrafficThread EventLoop traffic,
+            TimeSource timeSource,
+            HeaderNames names,
+            BodyBudget budget) {
         return new NettyBackendConnections(
                 traffic,
                 timeSource,
@@ -87,7 +101,8 @@
                         names.notExecuted(),
                         CONNECT_TIMEOUT_NANOS,
                         IDLE_NANOS,
-                        MAXIMUM_ANSWER_BYTES));
+                        MAXIMUM_ANSWER_BYTES),
+                budget);
     }
 
     @Provides
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/BackendFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/BackendFixture.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.backend;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
 import io.masticpond.core.id.BackendServerId;
@@ -27,6 +29,7 @@
     private static final long MAXIMUM_BYTES = 64L << 20;
     static final String NOT_EXECUTED = "X-Not-Executed";
 
+    final BodyBudget mBudget = new BodyBudget(BodyBudgetSettings.ofMemory(256));
     final RawServer mServer;
     final ManualTimeSource mClock = new ManualTimeSource(Instant.EPOCH);
     final NettyBackendConnections mConnections;
@@ -47,7 +50,7 @@
 
     BackendFixture(ConnectionOptions options) throws Exception {
         mServer = new RawServer();
-        mConnections = new NettyBackendConnections(mLoop, mClock, options);
+        mConnections = new NettyBackendConnections(mLoop, mClock, options, mBudget);
         mTarget =
                 new RegisteredServer(
                         new BackendServerId("server-1"),
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/AnswerOrderTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/AnswerOrderTest.java
@@ -71,7 +71,7 @@
         fixture.mResponders.get(1).onClientDisconnected(() -> disconnected.add("late"));
         assertThat(disconnected).endsWith("late");
         fixture.answer(0, 200, "too late");
-        assertThat(fixture.mConnections.budget().used()).isZero();
+        assertThat(fixture.mConnections.budget().held()).isZero();
         assertThat(fixture.mConnections.openRequests()).isZero();
         assertThat(fixture.mConnections.openConnections()).isZero();
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/ConnectionTimesTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/ConnectionTimesTest.java
@@ -36,7 +36,7 @@
         fixture.advance(Duration.ofSeconds(5));
 
         assertThat(fixture.sent()).startsWith("HTTP/1.1 408 ");
-        assertThat(fixture.mConnections.budget().used()).isZero();
+        assertThat(fixture.mConnections.budget().held()).isZero();
     }
 
     @Example
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/EntryFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/EntryFixture.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.http;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.time.ManualTimeSource;
 import io.netty.buffer.ByteBuf;
@@ -25,20 +27,27 @@
     static final HttpEntryOptions OPTIONS =
             new HttpEntryOptions(
                     4,
-                    2000,
                     "0.5",
                     Duration.ofSeconds(10),
                     Duration.ofSeconds(1),
                     Duration.ofMillis(500));
 
+    final BodyBudget mBudget;
     final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
     final List<IncomingRequest> mRequests = new ArrayList<>();
     final List<Responder> mResponders = new ArrayList<>();
     final EmbeddedChannel mChannel = new EmbeddedChannel();
-    final EntryConnections mConnections =
-            new EntryConnections(mChannel.eventLoop(), this::handle, () -> LIMITS, mTime, OPTIONS);
+    final EntryConnections mConnections;
 
     EntryFixture() {
+        this(new BodyBudgetSettings(2000, 2000, 2000, 0), LIMITS);
+    }
+
+    EntryFixture(BodyBudgetSettings bodies, RequestLimits limits) {
+        mBudget = new BodyBudget(bodies);
+        mConnections =
+                new EntryConnections(
+                        mChannel.eventLoop(), this::handle, () -> limits, mTime, OPTIONS, mBudget);
         mChannel.freezeTime();
         open(mChannel);
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.time.ManualTimeSource;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -39,7 +41,8 @@
                     this::handle,
                     () -> EntryFixture.LIMITS,
                     mTime,
-                    EntryFixture.OPTIONS);
+                    EntryFixture.OPTIONS,
+                    new BodyBudget(BodyBudgetSettings.ofMemory(256)));
 
     HttpEntryServerTest() {
         mServer.start().syncUninterruptibly();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/RequestReadingTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/RequestReadingTest.java
@@ -83,7 +83,7 @@
                                     + "Connection: close\r\n\r\n");
             assertThat(fixture.targets()).as(input).isEmpty();
             assertThat(fixture.mChannel.isOpen()).as(input).isFalse();
-            assertThat(fixture.mConnections.budget().used()).as(input).isZero();
+            assertThat(fixture.mConnections.budget().held()).as(input).isZero();
             assertThat(fixture.mConnections.openRequests()).as(input).isZero();
         }
     }
@@ -156,7 +156,7 @@
         assertThat(fixture.mRequests).hasSize(1);
         fixture.answer(0, 200, "");
         second.close();
-        assertThat(fixture.mConnections.budget().used()).isZero();
+        assertThat(fixture.mConnections.budget().held()).isZero();
         fixture.send(head + "d".repeat(900));
         assertThat(fixture.mRequests).hasSize(2);
     }
