--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyDirection;
 import io.masticpond.core.crash.CrashView;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
@@ -52,6 +54,7 @@
     private final ConnectionCounts mConnections;
     private final EntryListeners mListeners;
     private final RegionBalancing mRegions;
+    private final BodyBudget mBodies;
     private volatile Traffic mTraffic =
             new Traffic(
                     0,
@@ -68,7 +71,8 @@
                     Keys.NONE,
                     Limits.NONE,
                     Withdrawals.NONE,
-                    Map.of());
+                    Map.of(),
+                    Bodies.NONE);
 
     /** The metrics of the workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -117,6 +121,19 @@
         }
     }
 
+    /** The metrics of the body budget. */
+    private record Bodies(long requestBytes, long responseBytes, long refusals) {
+
+        static final Bodies NONE = new Bodies(0, 0, 0);
+
+        static Bodies of(BodyBudget budget) {
+            return new Bodies(
+                    budget.held(BodyDirection.REQUESTS),
+                    budget.held(BodyDirection.RESPONSES),
+                    budget.refusals());
+        }
+    }
+
     /** The metrics of the traffic thread. */
     private record Traffic(
             int open,
@@ -133,7 +150,8 @@
             Keys keys,
             Limits limits,
             Withdrawals withdrawals,
-            Map<ServiceId, Map<RegionId, Double>> regionWeights) {
+            Map<ServiceId, Map<RegionId, Double>> regionWeights,
+            Bodies bodies) {
 
         double sum(ToDoubleFunction<RetryBudgetUsage> value) {
             return retries.stream().mapToDouble(value).sum();
@@ -148,7 +166,8 @@
             SharedLimits limits,
             NettyBackendConnections connections,
             EntryListeners listeners,
-            RegionBalancing regions) {
+            RegionBalancing regions,
+            BodyBudget bodies) {
         mTimeSource = timeSource;
         mControl = control;
         mFlow = flow;
@@ -156,6 +175,7 @@
         mConnections = connections.counts();
         mListeners = listeners;
         mRegions = regions;
+        mBodies = bodies;
     }
 
     /** Reads what the traffic thread owns, on that thread. */
@@ -177,7 +197,8 @@
                         Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.statements().limits()),
                         Withdrawals.of(mFlow.statements()),
-                        mRegions.factors());
+                        mRegions.factors(),
+                        Bodies.of(mBodies));
     }
 
     /** Sets all metric values. Must be called on the control thread. */
@@ -227,7 +248,10 @@
         values.set(EntryValue.SERVERS_STATED_LEAVING, traffic.withdrawals().leaving());
         values.set(EntryValue.PAUSED_SERVERS, traffic.withdrawals().paused());
         values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
-        values.set(EntryValue.MALFORMED_LOAD_HEADERS, traffic.withdrawals().malformedLoads());
+        values.set(EntryValue.MALFORMED_LOAD_HEADERS, traffic.withdrawals().malformedLoads(),
+        values.set(EntryValue.HELD_REQUEST_BYTES, traffic.bodies().requestBytes());
+        values.set(EntryValue.HELD_RESPONSE_BYTES, traffic.bodies().responseBytes());
+        values.set(EntryValue.BODY_REFUSALS, traffic.bodies().refusals());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUsage::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUsage::bound));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.entry.log.ProcessChange;
@@ -28,6 +30,7 @@
     private final LoadControlActivation mLoadControl;
     private final RegionBalancing mRegions;
     private final RequestFlow mFlow;
+    private final BodyBudget mBodies;
     private final StopSwitch mStop;
     private final ProcessChangeLog mProcessChanges;
     private EntrySettings mSettings;
@@ -44,6 +47,7 @@
             LoadControlActivation loadControl,
             RegionBalancing regions,
             RequestFlow flow,
+            BodyBudget bodies,
             StopSwitch stop,
             ProcessChangeLog processChanges) {
         mSettings = settings;
@@ -56,6 +60,7 @@
         mLoadControl = loadControl;
         mRegions = regions;
         mFlow = flow;
+        mBodies = bodies;
         mStop = stop;
         mProcessChanges = processChanges;
     }
@@ -65,9 +70,11 @@
         mDirectory.apply(settings.bounds());
         mStop.apply(settings.bounds());
         mHeartbeats.setSeeds(Seeds.internal(settings, mSelf));
+        int memoryMegabytes = settings.resources().memoryMegabytes();
         mTraffic.execute(
                 () -> {
                     mLimits.apply(settings.bounds());
+                    mBodies.applySettings(BodyBudgetSettings.ofMemory(memoryMegabytes));
                     mChooser.applySettings(settings.placement());
                     mLoadControl.applySettings(settings.loadControl());
                     mRegions.apply(settings.bounds());
