Admit requests for a full service by the shares of their callers

Cause: the priority gate decides by the wait at one server, so a hot group of callers takes the slots of the others while a service is full. Change: CapacityGate wraps the priority gate and decides while no slots of a service are free. The placer passes servers, reports, answer times and the workspace to the gate. Refusals beyond a share have the cause 'share'. A line in the log and three metrics state when a service is full. Ruled out: a token bucket for each group, since a share below one request per second would admit nothing at an instance with few requests.

--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/DecayingRate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/DecayingRate.java
@@ -16,11 +16,9 @@
      * Creates a rate without events.
      *
      * @param timeConstantNanos the time in which the weight of an event falls to 1/e
-     * @param nowNanos the current monotonic time, in nanoseconds
      */
-    DecayingRate(long timeConstantNanos, long nowNanos) {
+    DecayingRate(long timeConstantNanos) {
         mTimeConstantNanos = timeConstantNanos;
-        mNowNanos = nowNanos;
     }
 
     void add(long nowNanos) {
@@ -44,6 +42,10 @@
     }
 
     private void decay(long nowNanos) {
+        if (mCount == 0) {
+            mNowNanos = nowNanos;
+            return;
+        }
         if (nowNanos - mNowNanos > 0) {
             mCount *= Math.exp(-(nowNanos - mNowNanos) / mTimeConstantNanos);
             mNowNanos = nowNanos;
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/DemandMeter.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/DemandMeter.java
@@ -44,12 +44,18 @@
 
     /** Counts a request that arrived; called once for each request. */
     void arrived(DemandKey key, long nowNanos) {
-        rates(key, nowNanos).mArrived.add(nowNanos);
+        rates(key).mArrived.add(nowNanos);
     }
 
     /** Counts a request that was admitted. */
     void admitted(DemandKey key, long nowNanos) {
-        rates(key, nowNanos).mAdmitted.add(nowNanos);
+        rates(key).mAdmitted.add(nowNanos);
+    }
+
+    /** Returns the requests per second of a group that arrive. */
+    double perSecond(DemandKey key, long nowNanos) {
+        Rates rates = mServices.getOrDefault(key.service(), Map.of()).get(key);
+        return rates == null ? 0 : rates.mArrived.perSecond(nowNanos);
     }
 
     /** Returns the demand for a service by workspace, for each priority from the most urgent on. */
@@ -129,22 +135,17 @@
         mServices.keySet().retainAll(services);
     }
 
-    private Rates rates(DemandKey key, long nowNanos) {
+    private Rates rates(DemandKey key) {
         return mServices
                 .computeIfAbsent(key.service(), service -> new HashMap<>())
-                .computeIfAbsent(key, group -> new Rates(nowNanos));
+                .computeIfAbsent(key, group -> new Rates());
     }
 
     /** Rates of one group. */
     private static final class Rates {
 
-        private final DecayingRate mArrived;
-        private final DecayingRate mAdmitted;
-
-        Rates(long nowNanos) {
-            mArrived = new DecayingRate(WINDOW_NANOS, nowNanos);
-            mAdmitted = new DecayingRate(WINDOW_NANOS, nowNanos);
-        }
+        private final DecayingRate mArrived = new DecayingRate(WINDOW_NANOS);
+        private final DecayingRate mAdmitted = new DecayingRate(WINDOW_NANOS);
 
         Demand demand(long nowNanos) {
             return new Demand(mArrived.perSecond(nowNanos), mAdmitted.perSecond(nowNanos));
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/LoadGate.java
@@ -1,9 +1,11 @@
 package io.masticpond.core.placement;
 
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.limit.AdmissionDecision;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -28,6 +30,56 @@
      */
     default void arrived(Route route, ServiceId service, long nowNanos) {}
 
+    /**
+     * Records a request for a service; called once for each request.
+     *
+     * @param route its route
+     * @param service the chosen service
+     * @param workspace the workspace of its caller, or empty if the route requires none
+     * @param nowNanos the current monotonic time
+     */
+    default void arrived(
+            Route route, ServiceId service, Optional<WorkspaceId> workspace, long nowNanos) {
+        arrived(route, service, nowNanos);
+    }
+
+    /**
+     * Provides the servers of a service before a request for it is decided.
+     *
+     * @param request the request
+     * @param servers all servers of the service
+     * @param usable those that may take the request
+     * @param candidates determines which of these accept requests at a bounded rate
+     * @param nowNanos the current monotonic time
+     */
+    default void observeServers(
+            PlacementRequest request,
+            List<ServerLoad> servers,
+            List<ServerLoad> usable,
+            Candidates candidates,
+            long nowNanos) {}
+
+    /**
+     * Records the load that a server reported with an answer to this instance.
+     *
+     * @param load the server
+     * @param reported the reported load
+     * @param nowNanos the current monotonic time
+     */
+    default void reported(ServerLoad load, ReportedLoad reported, long nowNanos) {}
+
+    /**
+     * Records the time of a successful answer.
+     *
+     * @param route the route of the request
+     * @param service the service of the server
+     * @param nanos the time in nanoseconds from the sending to the answer
+     * @param hasWaited whether requests waited for a slot there
+     * @param nowNanos the current monotonic time
+     */
+    default void answered(
+            Route route, ServiceId service, long nanos, boolean hasWaited, long nowNanos) {}
+
     /**
      * Removes the state of routes and services that are no longer configured.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.limit.AdmissionDecision;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
@@ -74,6 +75,7 @@
             return;
         }
         load.recordReport(reported, nowNanos);
+        mGate.reported(load, reported, nowNanos);
         mSharedLoads.recordLoad(load, reported);
     }
 
@@ -85,7 +87,20 @@
      * @param nowNanos the current monotonic time
      */
     public void arrived(Route route, ServiceId service, long nowNanos) {
-        mGate.arrived(route, service, nowNanos);
+        arrived(route, service, Optional.empty(), nowNanos);
+    }
+
+    /**
+     * Records a request before it is placed; called once for each request.
+     *
+     * @param route its route
+     * @param service the chosen service
+     * @param workspace the workspace of its caller, or empty if the route requires none
+     * @param nowNanos the current monotonic time
+     */
+    public void arrived(
+            Route route, ServiceId service, Optional<WorkspaceId> workspace, long nowNanos) {
+        mGate.arrived(route, service, workspace, nowNanos);
     }
 
     /**
@@ -113,6 +128,7 @@
             Candidates candidates,
             long nowNanos) {
         List<ServerLoad> usable = usable(servers, candidates);
+        mGate.observeServers(request, servers, usable, candidates, nowNanos);
         OptionalDouble limited = candidates.limitedPerSecond();
         if (limited.isPresent() && !mGate.admits(request, limited.getAsDouble(), nowNanos)) {
             return noPlacement(request, candidates, nowNanos);
@@ -220,6 +236,24 @@
         }
     }
 
+    /**
+     * Records a successful answer to a request of a route; an answer of a terminated run is
+     * ignored.
+     *
+     * @param route the route of the request
+     * @param load the server
+     * @param nanos the time in nanoseconds from the sending to the answer
+     * @param hasWaited whether requests waited for a slot there
+     * @param nowNanos the current monotonic time
+     */
+    public void succeeded(
+            Route route, ServerLoad load, long nanos, boolean hasWaited, long nowNanos) {
+        succeeded(load, nanos, hasWaited, nowNanos);
+        if (!load.isTerminated()) {
+            mGate.answered(route, load.server().service(), nanos, hasWaited, nowNanos);
+        }
+    }
+
     /**
      * Records a failure that is attributed to a server; a failure of a terminated run is ignored.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.support.HashMixer;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -251,6 +252,20 @@
         return mOwnRequests + decayedOtherRequests(nowNanos);
     }
 
+    /**
+     * Returns the number of requests of all instances there by a recent report, without the decay
+     * of {@link #inFlight}.
+     *
+     * @param maximumAgeNanos the greatest age of the report, in nanoseconds
+     * @param nowNanos the current monotonic time
+     * @return the number, or empty without such a report
+     */
+    public OptionalDouble recentInFlight(long maximumAgeNanos, long nowNanos) {
+        return mIsReported && nowNanos - mOtherRequestsNanos <= maximumAgeNanos
+                ? OptionalDouble.of(mOwnRequests + mOtherRequests)
+                : OptionalDouble.empty();
+    }
+
     private double decayedOtherRequests(long nowNanos) {
         return mOtherRequests * Math.exp(-(nowNanos - mOtherRequestsNanos) / DECAY_NANOS);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -363,6 +363,9 @@
         }
     }
 
+    /** Change in what an instance knows of the load of a service. */
+    non-sealed interface Load extends ViewChange {}
+
     private static void writeOrigin(JsonGenerator line, long revision, UpdateSource source)
             throws IOException {
         RequestLine.writeRevision(line, "revision", revision);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValues.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValues.java
@@ -1,7 +1,9 @@
 package io.masticpond.entry.metrics;
 
+import io.masticpond.core.id.ServiceId;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Collector of the values for one scrape, which are set by the components that maintain them.
@@ -10,10 +12,36 @@
  */
 public final class EntryValues {
 
+    /** Maximum number of services with a label of their own. */
+    private static final int SERVICES = 24;
+
     private final Map<EntryValue, Double> mValues = new EnumMap<>(EntryValue.class);
 
+    private final Map<ServiceValue, Map<String, Double>> mServiceValues =
+            new EnumMap<>(ServiceValue.class);
+
     EntryValues() {}
 
+    /**
+     * Sets a value of a service. The values of services beyond the maximum number of labels are
+     * shown as one, which is their sum.
+     *
+     * @param value the metric
+     * @param service the service
+     * @param number the value
+     */
+    public void set(ServiceValue value, ServiceId service, double number) {
+        Map<String, Double> services =
+                mServiceValues.computeIfAbsent(value, each -> new TreeMap<>());
+        boolean isNamed = services.containsKey(service.value()) || services.size() < SERVICES;
+        services.merge(isNamed ? service.value() : BoundedNames.OTHER, number, Double::sum);
+    }
+
+    /** Returns the values of services by name. */
+    Map<ServiceValue, Map<String, Double>> ofServices() {
+        return mServiceValues;
+    }
+
     /**
      * Sets a value. A metric without a value is not shown.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
@@ -52,6 +52,7 @@
         addStoreCalls();
         addLines();
         mValues.all().forEach(this::addValue);
+        mValues.ofServices().forEach(this::addServiceValues);
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create()
@@ -218,6 +219,27 @@
                         .build());
     }
 
+    private void addServiceValues(ServiceValue value, Map<String, Double> services) {
+        if (value.isTotal()) {
+            CounterSnapshot.Builder counter = counter(value.metricName(), value.help());
+            services.forEach(
+                    (service, number) ->
+                            addPoint(counter, Labels.of("service", service), number.longValue()));
+            mPage.metricSnapshot(counter.build());
+            return;
+        }
+        GaugeSnapshot.Builder gauge =
+                GaugeSnapshot.builder().name(PREFIX + value.metricName()).help(value.help());
+        services.forEach(
+                (service, number) ->
+                        gauge.dataPoint(
+                                GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                        .labels(Labels.of("service", service))
+                                        .value(number)
+                                        .build()));
+        mPage.metricSnapshot(gauge.build());
+    }
+
     private static CounterSnapshot.Builder counter(String name, String help) {
         return CounterSnapshot.builder().name(PREFIX + name).help(help);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -95,7 +95,7 @@
     void begin() {
         long now = mFlow.nowNanos();
         mFlow.retries().recordFirstAttempt(mService, now);
-        mFlow.placer().arrived(mRoute, mService, now);
+        mFlow.placer().arrived(mRoute, mService, mCaller.workspace(), now);
         long left = mTimes.leftNanos(now);
         if (left <= 0) {
             refuse("deadline-passed");
@@ -138,7 +138,7 @@
     private void refuseForLoad(AdmissionDecision decision, List<ServerLoad> servers, long now) {
         mSearch.recordRankedCandidates(servers, mTimes.leftNanos(now), now);
         mFacts.expectedWait(decision.expectedWaitNanos(), decision.maximumWaitNanos());
-        refuse(Rejection.unavailable("overload", Duration.ofNanos(decision.retryAfterNanos())));
+        refuse(Rejection.unavailable(decision.cause().text(), decision.retryAfter()));
     }
 
     /** Charges the next attempt, or ends the request if the charge is refused. */
@@ -206,7 +206,7 @@
             mFlow.placer().failed(server, now);
         } else if (!failed) {
             boolean waited = statement.load().filter(load -> load.waiting() > 0).isPresent();
-            mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
+            mFlow.placer().succeeded(mRoute, server, now - mSentNanos, waited, now);
             mCrashCheck.recordAnswer();
         }
         if (failed && mRoute.idempotent() && tryAcquireRetry(now)) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -1,9 +1,12 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.capacity.CapacityGate;
+import io.masticpond.core.capacity.ServiceLoadView;
 import io.masticpond.core.crash.CrashView;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.StoreRevision;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUsage;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.serverlimit.LimitView;
@@ -15,6 +18,7 @@
 import io.masticpond.entry.log.RequestRecord;
 import io.masticpond.entry.metrics.EntryValue;
 import io.masticpond.entry.metrics.EntryValues;
+import io.masticpond.entry.metrics.ServiceValue;
 import io.masticpond.entry.peer.PeerMember;
 import io.masticpond.entry.replica.Category;
 import io.masticpond.entry.replica.CategoryStatus;
@@ -27,6 +31,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -47,6 +52,7 @@
     private final RequestFlow mFlow;
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
+    private final CapacityGate mGate;
     private final EntryListeners mListeners;
     private volatile Traffic mTraffic =
             new Traffic(
@@ -63,7 +69,8 @@
                     Optional.empty(),
                     Keys.NONE,
                     Limits.NONE,
-                    Withdrawals.NONE);
+                    Withdrawals.NONE,
+                    ServiceLoads.NONE);
 
     /** The metrics of the workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -108,6 +115,21 @@
         }
     }
 
+    /** The metrics of the load of services. */
+    private record ServiceLoads(List<ServiceLoadView> views, Map<ServiceId, Long> refusals) {
+
+        static final ServiceLoads NONE = new ServiceLoads(List.of(), Map.of());
+
+        void set(EntryValues values) {
+            for (ServiceLoadView view : views) {
+                values.set(ServiceValue.FULLNESS, view.service(), view.fullness());
+                values.set(ServiceValue.CAPACITY, view.service(), view.capacityPerSecond());
+            }
+            refusals.forEach(
+                    (service, count) -> values.set(ServiceValue.SHARE_REFUSALS, service, count));
+        }
+    }
+
     /** The metrics of the traffic thread. */
     private record Traffic(
             int open,
@@ -123,7 +145,8 @@
             Optional<List<SpendingView>> spendings,
             Keys keys,
             Limits limits,
-            Withdrawals withdrawals) {
+            Withdrawals withdrawals,
+            ServiceLoads loads) {
 
         double sum(ToDoubleFunction<RetryBudgetUsage> value) {
             return retries.stream().mapToDouble(value).sum();
@@ -137,12 +160,14 @@
             RequestFlow flow,
             SharedLimits limits,
             NettyBackendConnections connections,
+            CapacityGate gate,
             EntryListeners listeners) {
         mTimeSource = timeSource;
         mControl = control;
         mFlow = flow;
         mLimits = limits;
         mConnections = connections.counts();
+        mGate = gate;
         mListeners = listeners;
     }
 
@@ -164,7 +189,9 @@
                         mFlow.spending().map(SpendingCheck::views),
                         Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.statements().limits()),
-                        Withdrawals.of(mFlow.statements()));
+                        Withdrawals.of(mFlow.statements()),
+                        new ServiceLoads(
+                                mGate.views(mTimeSource.monotonicNanos()), mGate.shareRefusals()));
     }
 
     /** Sets all metric values. Must be called on the control thread. */
@@ -213,6 +240,7 @@
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUsage::bound));
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUsage::used));
         setKeys(values, traffic.keys());
+        traffic.loads().set(values);
         traffic.spendings().ifPresent(spendings -> setSpending(values, spendings));
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -2,6 +2,7 @@
 
 import dagger.Module;
 import dagger.Provides;
+import io.masticpond.core.capacity.CapacityGate;
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.CallOutlierDetector;
 import io.masticpond.core.limit.CallOutlierDetectorSettings;
@@ -18,6 +19,7 @@
 import io.masticpond.entry.backend.ConnectionOptions;
 import io.masticpond.entry.backend.NettyBackendConnections;
 import io.masticpond.entry.log.DecisionLog;
+import io.masticpond.entry.log.LoadChange;
 import io.masticpond.entry.metrics.EntryMetrics;
 import io.masticpond.entry.peer.PeerInstance;
 import io.masticpond.entry.peer.PeerView;
@@ -69,10 +71,25 @@
 
     @Provides
     @Singleton
-    static PriorityLoadGate loadGate(PeerInstance self) {
-        return new PriorityLoadGate(
-                AdmissionLimitSettings.DEFAULT,
-                RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 1));
+    static CapacityGate loadGate(
+            PeerInstance self,
+            EntrySettings settings,
+            LoadControlActivation loadControl,
+            DecisionLog log) {
+        PriorityLoadGate wrapped =
+                new PriorityLoadGate(
+                        AdmissionLimitSettings.DEFAULT,
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 1));
+        CapacityGate gate =
+                new CapacityGate(
+                        wrapped,
+                        loadControl,
+                        settings.zone(),
+                        settings.zones(),
+                        AdmissionLimitSettings.DEFAULT,
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 3));
+        gate.setListener(view -> log.viewChanged(new LoadChange.Fullness(view)));
+        return gate;
     }
 
     @Provides
@@ -155,7 +172,7 @@
             EntrySettings settings,
             ServerChooser chooser,
             SharedLimits limits,
-            PriorityLoadGate loadGate,
+            CapacityGate loadGate,
             ServiceSplit split,
             PeerView peers,
             PlatformAdapter platform,
