--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
@@ -59,8 +59,9 @@
         addProbes();
         addLines();
         mValues.all().forEach(this::addValue);
-        addRegionWeights(,
+        addRegionWeights();
         mGauges.values().forEach(gauge -> mPage.metricSnapshot(gauge.build()));
+        mValues.ofServices().forEach(this::addServiceValues);
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create()
@@ -262,6 +263,27 @@
         mPage.metricSnapshot(gauge.build());
     }
 
+    private void addServiceValues(ServiceValue value, Map<String, Double> services) {
+        if (value.isTotal()) {
+            CounterSnapshot.Builder counter = counter(value.metricName(), value.help());
+            services.forEach(
+                    (service, number) ->
+                            addPoint(counter, Labels.of("service", service), number.longValue()));
+            mPage.metricSnapshot(counter.build());
+            return;
+        }
+        GaugeSnapshot.Builder gauge =
+                GaugeSnapshot.builder().name(PREFIX + value.metricName()).help(value.help());
+        services.forEach(
+                (service, number) ->
+                        gauge.dataPoint(
+                                GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                        .labels(Labels.of("service", service))
+                                        .value(number)
+                                        .build()));
+        mPage.metricSnapshot(gauge.build());
+    }
+
     private static CounterSnapshot.Builder counter(String name, String help) {
         return CounterSnapshot.builder().name(PREFIX + name).help(help);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -116,7 +116,7 @@
     /** Records a successful answer of the chosen server, and the load that it reported with it. */
     void succeeded(ServerLoad load, Optional<ReportedLoad> reported, long nanos, long now) {
         boolean waited = reported.filter(each -> each.waiting() > 0).isPresent();
-        mFlow.placer().succeeded(load, nanos, waited, now);
+        mFlow.placer().succeeded(mRoute, load, nanos, waited, now);
         if (mChosen.load() == load) {
             long roundTripNanos = mFlow.connections().roundTripNanos(load.server());
             mFlow.placer()
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -2,6 +2,8 @@
 
 import io.masticpond.core.body.BodyBudget;
 import io.masticpond.core.body.BodyDirection;
+import io.masticpond.core.capacity.CapacityGate;
+import io.masticpond.core.capacity.ServiceLoadView;
 import io.masticpond.core.crash.CrashView;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
@@ -19,6 +21,7 @@
 import io.masticpond.entry.log.RequestRecord;
 import io.masticpond.entry.metrics.EntryValue;
 import io.masticpond.entry.metrics.EntryValues;
+import io.masticpond.entry.metrics.ServiceValue;
 import io.masticpond.entry.peer.PeerMember;
 import io.masticpond.entry.replica.Category;
 import io.masticpond.entry.replica.CategoryStatus;
@@ -52,6 +55,7 @@
     private final RequestFlow mFlow;
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
+    private final CapacityGate mGate;
     private final EntryListeners mListeners;
     private final RegionBalancing mRegions;
     private final BodyBudget mBodies;
@@ -72,7 +76,8 @@
                     Limits.NONE,
                     Withdrawals.NONE,
                     Map.of(),
-                    Bodies.NONE);
+                    Bodies.NONE,
+                    ServiceLoads.NONE);
 
     /** The metrics of the workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -134,6 +139,21 @@
         }
     }
 
+    /** The metrics of the load of services. */
+    private record ServiceLoads(List<ServiceLoadView> views, Map<ServiceId, Long> refusals) {
+
+        static final ServiceLoads NONE = new ServiceLoads(List.of(), Map.of());
+
+        void set(EntryValues values) {
+            for (ServiceLoadView view : views) {
+                values.set(ServiceValue.FULLNESS, view.service(), view.fullness());
+                values.set(ServiceValue.CAPACITY, view.service(), view.capacityPerSecond());
+            }
+            refusals.forEach(
+                    (service, count) -> values.set(ServiceValue.SHARE_REFUSALS, service, count));
+        }
+    }
+
     /** The metrics of the traffic thread. */
     private record Traffic(
             int open,
@@ -151,7 +171,8 @@
             Limits limits,
             Withdrawals withdrawals,
             Map<ServiceId, Map<RegionId, Double>> regionWeights,
-            Bodies bodies) {
+            Bodies bodies,
+            ServiceLoads loads) {
 
         double sum(ToDoubleFunction<RetryBudgetUsage> value) {
             return retries.stream().mapToDouble(value).sum();
@@ -165,6 +186,7 @@
             RequestFlow flow,
             SharedLimits limits,
             NettyBackendConnections connections,
+            CapacityGate gate,
             EntryListeners listeners,
             RegionBalancing regions,
             BodyBudget bodies) {
@@ -173,6 +195,7 @@
         mFlow = flow;
         mLimits = limits;
         mConnections = connections.counts();
+        mGate = gate;
         mListeners = listeners;
         mRegions = regions;
         mBodies = bodies;
@@ -198,7 +221,9 @@
                         Limits.of(mFlow.statements().limits()),
                         Withdrawals.of(mFlow.statements()),
                         mRegions.factors(),
-                        Bodies.of(mBodies));
+                        Bodies.of(mBodies),
+                        new ServiceLoads(
+                                mGate.views(mTimeSource.monotonicNanos()), mGate.shareRefusals()));
     }
 
     /** Sets all metric values. Must be called on the control thread. */
@@ -257,6 +282,7 @@
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUsage::bound));
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUsage::used));
         setKeys(values, traffic.keys());
+        traffic.loads().set(values);
         traffic.spendings().ifPresent(spendings -> setSpending(values, spendings));
     }
 
