Connect the parts of load control

The gate reports the demand at this instance and receives that of the others, regions are balanced by the times that the gate measures, and operators see all parts. No measurement yet.

--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/CapacityGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/CapacityGate.java
@@ -100,14 +100,28 @@
         return mContext.meter();
     }
 
+    /**
+     * Returns the mean time that a request for a service occupies a slot, without the time that it
+     * waits for the slot.
+     *
+     * @param service the service
+     * @param nowNanos the current monotonic time, in nanoseconds
+     * @return nanoseconds, 0 if unknown or if load control is not active for the service
+     */
+    public long occupationNanos(ServiceId service, long nowNanos) {
+        ServiceAdmission admission = mServices.get(service);
+        return admission == null || !mContext.activation().isActive(service, nowNanos)
+                ? 0
+                : admission.occupationNanos();
+    }
+
     /**
      * Returns the number of requests that were refused because their group had used up its share.
      *
      * @return the number for each service since the start, ordered by the name of the service
      */
     public Map<ServiceId, Long> shareRefusals() {
-        Map<ServiceId, Long> refusals =
-                new TreeMap<>(Comparator.comparing(ServiceId::value));
+        Map<ServiceId, Long> refusals = new TreeMap<>(Comparator.comparing(ServiceId::value));
         mServices.forEach((service, admission) -> refusals.put(service, admission.shareRefusals()));
         return refusals;
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/ServiceAdmission.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/ServiceAdmission.java
@@ -151,6 +151,11 @@
         }
     }
 
+    /** Returns the mean time that a request occupies a slot, 0 if unknown. */
+    long occupationNanos() {
+        return (long) mTimes.occupationNanos();
+    }
+
     DemandDetail detail() {
         return mIsFull || mCapacity.slotsInUse() >= DETAIL_FULLNESS
                 ? DemandDetail.WORKSPACES
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerChooser.java
@@ -267,7 +267,9 @@
      */
     public List<ServerLoad> homeServers(
             List<ServerLoad> usable, PlacementRequest request, long nowNanos) {
-        return homes(usable, request, nowNanos).stream().map(Preference::load).toList();
+        return homes(usable, request, scorer(usable, request, nowNanos), nowNanos).stream()
+                .map(Preference::load)
+                .toList();
     }
 
     /** Returns the servers, the most preferred first. */
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServiceSpeeds.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServiceSpeeds.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.speed.ServerSpeed;
 import io.masticpond.core.speed.ServiceSpeed;
+import io.masticpond.core.speed.SpeedPersistence;
 import io.masticpond.core.support.Assert;
 import java.util.HashMap;
 import java.util.Map;
@@ -128,17 +129,34 @@
 
     /** Determines whether a reported slowdown is far above the mean of the service. */
     boolean isSlow(ServerLoad server, ReportedLoad load) {
-        ServiceSpeed service = mServices.get(server.server().service());
-        return service != null
-                && load.timePercent().isPresent()
-                && ServerSpeed.slowdown(load.timePercent().getAsInt())
-                        > mActivation.settings().slowFactor() * service.meanSlowdown();
+        return load.timePercent().isPresent()
+                && isSlow(
+                        server.server().service(),
+                        ServerSpeed.slowdown(load.timePercent().getAsInt()));
     }
 
-    /** Returns how long a reported slowdown of a server remains meaningful, in nanoseconds. */
-    long persistenceNanos(ServerLoad server) {
-        ServiceSpeed service = mServices.get(server.server().service());
-        return service == null ? 0 : service.persistence().nanos();
+    /**
+     * Determines whether a slowdown is far above the mean of a service.
+     *
+     * @param service the service
+     * @param slowdown the slowdown of a server, 1 is normal
+     * @return whether it exceeds the mean by the configured factor; false if the mean is unknown
+     */
+    public boolean isSlow(ServiceId service, double slowdown) {
+        ServiceSpeed speed = mServices.get(service);
+        return speed != null
+                && slowdown > mActivation.settings().slowFactor() * speed.meanSlowdown();
+    }
+
+    /**
+     * Returns how long a reported slowdown of a server remains meaningful.
+     *
+     * @param service the service
+     * @return nanoseconds, the default if nothing is known of the service
+     */
+    public long persistenceNanos(ServiceId service) {
+        ServiceSpeed speed = mServices.get(service);
+        return speed == null ? SpeedPersistence.DEFAULT_NANOS : speed.persistence().nanos();
     }
 
     /** Removes services that are no longer configured. */
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/SharedLoads.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/SharedLoads.java
@@ -84,7 +84,8 @@
     }
 
     private boolean isOutdated(ServerLoad server, long nowNanos) {
-        return server.reportedSlowAgeNanos(nowNanos) >= mSpeeds.persistenceNanos(server);
+        return server.reportedSlowAgeNanos(nowNanos)
+                >= mSpeeds.persistenceNanos(server.server().service());
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/speed/SpeedPersistence.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/speed/SpeedPersistence.java
@@ -15,7 +15,7 @@
 public final class SpeedPersistence {
 
     /** Time constant until enough pairs are known. */
-    static final long DEFAULT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    public static final long DEFAULT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Number of pairs from which on their time constant is used. */
     static final int MINIMUM_PAIRS = 200;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/LoadChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/LoadChange.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.masticpond.core.capacity.ServiceLoadView;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
 import java.io.IOException;
 
 /**
@@ -9,7 +11,7 @@
  *
  * @since 0.3
  */
-public sealed interface LoadChange extends ViewChange.Load {
+public sealed interface LoadChange extends ViewChange {
 
     /**
      * A service became full or is no longer full.
@@ -38,4 +40,29 @@
             }
         }
     }
+
+    /**
+     * Step of the weight of a region.
+     *
+     * @param service the service
+     * @param region the region
+     * @param steps the steps of a quarter of an octave by which the weight is lowered now
+     * @param utilization the utilization of the region that is predicted with these steps
+     */
+    record RegionWeight(ServiceId service, RegionId region, int steps, double utilization)
+            implements LoadChange {
+
+        @Override
+        public String event() {
+            return "region-weight";
+        }
+
+        @Override
+        public void write(JsonGenerator line) throws IOException {
+            line.writeStringField("service", service.value());
+            line.writeStringField("region", region.value());
+            line.writeNumberField("steps", steps);
+            line.writeNumberField("utilization", RequestLine.rounded(utilization));
+        }
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -4,7 +4,6 @@
 import io.masticpond.core.crash.CrashView;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.InstanceId;
-import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.serverlimit.LimitView;
@@ -19,6 +18,7 @@
  */
 public sealed interface ViewChange extends LineContent
         permits BodyChange,
+                LoadChange,
                 ViewChange.Routing,
                 ViewChange.Registry,
                 ViewChange.Server,
@@ -329,31 +329,6 @@
         }
     }
 
-    /**
-     * Step of the weight of a region.
-     *
-     * @param service the service
-     * @param region the region
-     * @param steps the steps of a quarter of an octave by which the weight is lowered now
-     * @param utilization the utilization of the region that is predicted with these steps
-     */
-    record RegionWeight(ServiceId service, RegionId region, int steps, double utilization)
-            implements ViewChange {
-
-        @Override
-        public String event() {
-            return "region-weight";
-        }
-
-        @Override
-        public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("service", service.value());
-            line.writeStringField("region", region.value());
-            line.writeNumberField("steps", steps);
-            line.writeNumberField("utilization", RequestLine.rounded(utilization));
-        }
-    }
-
     /**
      * Loss of the platform's store, or its return.
      *
@@ -403,9 +378,6 @@
         }
     }
 
-    /** Change in what an instance knows of the load of a service. */
-    non-sealed interface Load extends ViewChange {}
-
     private static void writeOrigin(JsonGenerator line, long revision, UpdateSource source)
             throws IOException {
         RequestLine.writeRevision(line, "revision", revision);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
@@ -113,7 +113,7 @@
      */
     public ProbeResult applyAnswer(
             ServerLoad server, int status, HttpHeaders headers, long sentNanos) {
-        ServerStatement statement = mFlow.statements().read(status, headers);
+        ServerStatement statement = mFlow.statements().read(server, status, headers);
         if (!server.isTerminated()) {
             mFlow.statements().applyAnswer(server, statement, sentNanos);
             statement
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -34,7 +34,7 @@
     private final ProofSharing mProofSharing;
     private final RateSharing mRateSharing;
     private final LimitSharing mLimitSharing;
-    private final DemandSharing mDemandSharing;
+    private final LoadControlWiring mLoadControl;
     private final Probing mProbing;
 
     @Inject
@@ -53,7 +53,7 @@
             ProofSharing proofSharing,
             RateSharing rateSharing,
             LimitSharing limitSharing,
-            DemandSharing demandSharing,
+            LoadControlWiring loadControl,
             Probing probing) {
         mProcessChanges = processChanges;
         mTraffic = traffic;
@@ -69,7 +69,7 @@
         mProofSharing = proofSharing;
         mRateSharing = rateSharing;
         mLimitSharing = limitSharing;
-        mDemandSharing = demandSharing;
+        mLoadControl = loadControl;
         mProbing = probing;
     }
 
@@ -81,7 +81,7 @@
         mProofSharing.start();
         mRateSharing.start();
         mLimitSharing.start();
-        mDemandSharing.start();
+        mLoadControl.start();
         mProbing.start();
         if (mFlow.spending().isPresent()) {
             SpendingCheck spending = mFlow.spending().get();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -273,7 +273,7 @@
         values.set(EntryValue.SERVERS_STATED_LEAVING, traffic.withdrawals().leaving());
         values.set(EntryValue.PAUSED_SERVERS, traffic.withdrawals().paused());
         values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
-        values.set(EntryValue.MALFORMED_LOAD_HEADERS, traffic.withdrawals().malformedLoads(),
+        values.set(EntryValue.MALFORMED_LOAD_HEADERS, traffic.withdrawals().malformedLoads());
         values.set(EntryValue.HELD_REQUEST_BYTES, traffic.bodies().requestBytes());
         values.set(EntryValue.HELD_RESPONSE_BYTES, traffic.bodies().responseBytes());
         values.set(EntryValue.BODY_REFUSALS, traffic.bodies().refusals());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Probing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Probing.java
@@ -41,12 +41,6 @@
 
     private static final long LOG_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /**
-     * Age of a load value from which on it is out of date. It equals the persistence that is
-     * assumed of a service until enough values are known.
-     */
-    private static final long PERSISTENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
     private final EventLoop mTraffic;
     private final TimeSource mTimeSource;
     private final RequestFlow mFlow;
@@ -74,7 +68,7 @@
         mLoadControl = loadControl;
         mMetrics = metrics;
         mPlanner = new ProbePlanner(flow.placer().chooser());
-        mServers = new ProbedServers(flow, service -> PERSISTENCE_NANOS);
+        mServers = new ProbedServers(flow, flow.placer().chooser().speeds()::persistenceNanos);
         mClient =
                 new ProbeClient(
                         connections,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RegionBalancing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/RegionBalancing.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.loadcontrol.LoadControlActivation;
+import io.masticpond.core.placement.RegionWeights;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.core.room.LinkUsage;
 import io.masticpond.core.room.RegionBalancer;
@@ -15,7 +16,7 @@
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.support.Assert;
 import io.masticpond.entry.log.DecisionLog;
-import io.masticpond.entry.log.ViewChange;
+import io.masticpond.entry.log.LoadChange;
 import io.masticpond.entry.peer.PeerInstance;
 import io.masticpond.entry.peer.PeerView;
 import io.masticpond.entry.request.RequestFlow;
@@ -78,7 +79,7 @@
         mBalancer.setListener(
                 (service, region, steps, utilization) ->
                         mLog.viewChanged(
-                                new ViewChange.RegionWeight(service, region, steps, utilization)));
+                                new LoadChange.RegionWeight(service, region, steps, utilization)));
         mFlow.placer().chooser().setRegionWeights(mBalancer);
         mFlow.placer()
                 .setTransferListener(
@@ -119,6 +120,11 @@
         }
     }
 
+    /** Returns the weights in force. */
+    RegionWeights weights() {
+        return mBalancer;
+    }
+
     /** Returns the factors by service and region. */
     Map<ServiceId, Map<RegionId, Double>> factors() {
         return mBalancer.factors();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -165,7 +165,7 @@
     void stepOfRegionWeightIsOneLine() {
         mBatch.add(
                 0,
-                new ViewChange.RegionWeight(
+                new LoadChange.RegionWeight(
                         new ServiceId("cart"), new RegionId("north"), 3, 0.91234));
         mBatch.write();
         assertThat(mOutput.text())
