--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -196,11 +196,11 @@
         request.answered(200, 0);
         write(request);
         JsonNode candidates = mOutput.lines().get(0).path("candidates");
-        assertThat(candidates.get(0).path("expectedMillis").asInt()).isEqualTo(320);
+        assertThat(candidates.get(0).path("expectedLatencyMillis").asInt()).isEqualTo(320);
         assertThat(candidates.get(0).path("speedAgeMillis").asInt()).isEqualTo(45);
-        assertThat(candidates.get(1).path("expectedMillis").asInt()).isEqualTo(330);
+        assertThat(candidates.get(1).path("expectedLatencyMillis").asInt()).isEqualTo(330);
         assertThat(candidates.get(1).has("speedAgeMillis")).isFalse();
-        assertThat(candidates.get(2).has("expectedMillis")).isFalse();
+        assertThat(candidates.get(2).has("expectedLatencyMillis")).isFalse();
     }
 
     private RequestRecord retried() {
