Test the prediction of regions, and instances that step at different times

Change: instances start at other times and know other times in a slot. The bounds of the test are unchanged.

--- a/masticpond-core/src/test/java/io/masticpond/core/room/RegionBalancerTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/room/RegionBalancerTest.java
@@ -48,7 +48,7 @@
 
     /** Guards against steps that go on although nothing changes. */
     @Example
-    void oneRegionHasATenth() {
+    void oneRegionHasTenthOfServers() {
         mSimulation.mScale = region -> region == 0 ? 1.3 : 0.9;
         assertThat(mSimulation.utilization(0, false, false)).isGreaterThan(0.95);
         mSimulation.advanceSeconds(20, false, ALL);
@@ -130,7 +130,8 @@
         List<RegionSimulation> instances = new ArrayList<>();
         for (int each = 0; each < 6; each++) {
             RegionSimulation instance = new RegionSimulation(LoadControlMode.ON);
-            instance.mNowMillis += random.nextInt(250);
+            instance.mNowMillis += random.nextInt(2_000);
+            instance.mOccupationScale = 0.97 + 0.06 * random.nextDouble();
             instances.add(instance);
         }
         double greatest = 0;
@@ -139,7 +140,7 @@
         for (int second = 0; second < 108; second++) {
             List<int[]> homes = new ArrayList<>();
             for (RegionSimulation instance : instances) {
-                for (int each = 0; each < 4; each++) {
+                while (instance.mNowMillis < 4_000 + 1_000L * second) {
                     for (int zone = 0; zone < 6; zone++) {
                         instance.mNoise.put(zone(zone), 0.97 + 0.06 * random.nextDouble());
                     }
--- a/masticpond-core/src/test/java/io/masticpond/core/room/RegionSimulation.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/room/RegionSimulation.java
@@ -45,6 +45,7 @@
     final ServerTable mTable;
     final Map<ZoneId, Double> mNoise = new HashMap<>();
     long mNowMillis = 1_000;
+    double mOccupationScale = 1;
     DoubleUnaryOperator mScale = region -> 1;
 
     RegionSimulation(LoadControlMode mode) {
@@ -103,7 +104,8 @@
         }
         mBalancer.update(
                 SERVICE,
-                new RegionBalancer.Observation(perSecond, OCCUPATION_NANOS, FAR),
+                new RegionBalancer.Observation(
+                        perSecond, (long) (OCCUPATION_NANOS * mOccupationScale), FAR),
                 mTable,
                 Map.of(),
                 REGION_SHIFT,
