Read the next response when one completes without more room

Cause: a response without a stated length that completed while it waited left the queue without the next one being tried, so that one waited until the next release.

Change: completion always tries those that wait. A further loopback test has 110 clients that read nothing and 20 that do.

--- a/masticpond-core/src/main/java/io/masticpond/core/body/ResponseBytes.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/body/ResponseBytes.java
@@ -62,13 +62,14 @@
 
     /** Records that the response is complete: it holds what was received and waits no longer. */
     public void complete() {
+        if (mIsReleased) {
+            return;
+        }
         long before = held();
         stopWaiting();
         mReservedBytes = 0;
-        if (!mIsReleased && before > held()) {
-            mAdmission.add(held() - before);
-            mAdmission.onReleased();
-        }
+        mAdmission.add(held() - before);
+        mAdmission.onReleased();
     }
 
     /** Releases all bytes; further calls have no effect. */
--- a/masticpond-core/src/test/java/io/masticpond/core/body/BodyBudgetTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/body/BodyBudgetTest.java
@@ -141,6 +141,20 @@
         assertThat(mBudget.held(BodyDirection.RESPONSES)).isEqualTo(6 * MB);
     }
 
+    /** Guards against a response that waits behind one that needs no more room. */
+    @Example
+    void nextResponseIsReadWhenTheOneBeforeItCompletesWithoutMoreRoom() {
+        for (int each = 0; each < 6; each++) {
+            begin("held", 1_000 * KB, 0);
+        }
+        ResponseBytes unstated = begin("unstated", ResponseAdmission.UNSTATED, 0);
+        unstated.received(85 * KB, 0);
+        begin("next", 50 * KB, 0);
+        assertThat(unstated.isWaiting()).isTrue();
+        unstated.complete();
+        assertThat(mResumed).containsExactly("next");
+    }
+
     @Example
     void reportsOnceThatItIsExhaustedAndOnceThatItIsFree() {
         mBudget.addListener(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/SlowReadersTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/SlowReadersTest.java
@@ -46,6 +46,10 @@
 class SlowReadersTest {
 
     private static final int READERS = 1_000;
+
+    /** Readers whose answers together exceed the total of the budget. */
+    private static final int STALLED_READERS = 110;
+
     private static final int BODY_BYTES = 90_000;
 
     /** The second round uses the connections of the first, whose receive buffers have grown. */
@@ -63,6 +67,7 @@
     private final SystemTimeSource mTime = new SystemTimeSource();
     private NettyBackendConnections mConnections;
     private RegisteredServer mServer;
+    private EntryConnections mClients;
     private int mRequests;
     private long mMaximumHeld;
     private long mMaximumDirect;
@@ -78,12 +83,40 @@
     void allAnswersArriveCompleteWithinTheBudget() throws Exception {
         BodyBudget budget = new BodyBudget(BodyBudgetSettings.ofMemory(96));
         long before = PlatformDependent.usedDirectMemory();
-        run(budget);
+        List<SocketChannel> readers = connect(start(budget), READERS);
+        for (int round = 0; round < ROUNDS; round++) {
+            requestAll(readers);
+            readAll(readers, budget);
+        }
+        assertThat(held(budget)).isZero();
+        closeAll(readers);
         assertThat(mMaximumHeld).isBetween(4L << 20, budget.settings().totalBytes());
         assertThat(mMaximumDirect - before).isLessThan(3 * budget.settings().totalBytes());
     }
 
-    private void run(BodyBudget budget) throws Exception {
+    /** Guards against clients that read nothing and keep the answers of all others waiting. */
+    @Example
+    void stalledReadersAreClosedSoThatOthersAreServed() throws Exception {
+        BodyBudget budget = new BodyBudget(BodyBudgetSettings.ofMemory(96));
+        int port = start(budget);
+        List<SocketChannel> stalled = connect(port, STALLED_READERS);
+        requestAll(stalled);
+        while (mLoop.submit(() -> budget.responses().waiting()).get() == 0) {
+            Thread.onSpinWait();
+        }
+        List<SocketChannel> readers = connect(port, 20);
+        requestAll(readers);
+        readAll(readers, budget);
+        assertThat(mClients.openConnections()).isBetween(21, STALLED_READERS + 19);
+        closeAll(stalled);
+        closeAll(readers);
+        while (held(budget) > 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Starts to listen, and returns the port. */
+    private int start(BodyBudget budget) throws Exception {
         Channel backend = listen(mServers, new AnsweringServer());
         mServer =
                 new RegisteredServer(
@@ -97,7 +130,7 @@
         mConnections =
                 new NettyBackendConnections(
                         mLoop, mTime, ConnectionOptions.of("X-Request-Id", "X-Not-Run"), budget);
-        EntryConnections clients =
+        mClients =
                 new EntryConnections(
                         mLoop,
                         this::forward,
@@ -111,18 +144,16 @@
                         new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel channel) {
-                                channel.pipeline().addLast(new ClientConnection(clients));
+                                channel.pipeline().addLast(new ClientConnection(mClients));
                             }
                         });
-        List<SocketChannel> readers = connect(port(entry));
-        for (int round = 0; round < ROUNDS; round++) {
-            requestAll(readers);
-            readAll(readers, budget);
-        }
-        for (SocketChannel each : readers) {
+        return port(entry);
+    }
+
+    private static void closeAll(List<SocketChannel> clients) throws Exception {
+        for (SocketChannel each : clients) {
             each.close();
         }
-        assertThat(held(budget)).isZero();
     }
 
     private static Channel listen(MultiThreadIoEventLoopGroup group, ChannelHandler handler) {
@@ -168,9 +199,9 @@
                 });
     }
 
-    private static List<SocketChannel> connect(int port) throws Exception {
+    private static List<SocketChannel> connect(int port, int count) throws Exception {
         List<SocketChannel> readers = new ArrayList<>();
-        for (int each = 0; each < READERS; each++) {
+        for (int each = 0; each < count; each++) {
             SocketChannel reader = SocketChannel.open();
             reader.setOption(StandardSocketOptions.SO_RCVBUF, READ_BYTES);
             reader.connect(new InetSocketAddress("127.0.0.1", port));
@@ -190,11 +221,11 @@
     /** Reads some bytes of each answer in turn, until all are complete. */
     private void readAll(List<SocketChannel> readers, BodyBudget budget) throws Exception {
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
-        int[] received = new int[READERS];
+        int[] received = new int[readers.size()];
         int complete = 0;
         ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
-        while (complete < READERS && System.nanoTime() < deadlineNanos) {
-            for (int each = 0; each < READERS; each++) {
+        while (complete < readers.size() && System.nanoTime() < deadlineNanos) {
+            for (int each = 0; each < readers.size(); each++) {
                 int before = received[each];
                 received[each] += Math.max(0, readers.get(each).read(buffer.clear()));
                 complete += before < BODY_BYTES && received[each] > BODY_BYTES ? 1 : 0;
@@ -202,7 +233,7 @@
             mMaximumHeld = Math.max(mMaximumHeld, held(budget));
             mMaximumDirect = Math.max(mMaximumDirect, PlatformDependent.usedDirectMemory());
         }
-        assertThat(complete).isEqualTo(READERS);
+        assertThat(complete).isEqualTo(readers.size());
     }
 
     private long held(BodyBudget budget) throws Exception {
