Clarify two comments on body limits

Cause: they were figurative, or described an allocation that happens only with the first byte. Change: comments only.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/RequestReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/RequestReader.java
@@ -53,7 +53,7 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
 
-    /** Larger bodies grow, so that a client which states a length uses no memory by that alone. */
+    /** A body up to this length is allocated at once; growth by doubling would exceed its bytes. */
     private static final int MAXIMUM_INITIAL_CAPACITY = 1024 * 1024;
 
     private static final int MAXIMUM_CHUNK_LINE_BYTES = 1024;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Exclusion.java
@@ -20,9 +20,7 @@
     LIMITED,
     /** The route must not be served in the server's region. */
     NOT_HOME,
-    /**
-     * The server has as many bytes of request bodies in flight as its service was found to bear.
-     */
+    /** The bytes of request bodies in flight to the server are at the limit of its service. */
     BODY_LIMIT,
     /** The server failed recently. */
     FAILING,
