Test admission to a full service and restrain zones that are served better

Change: the wait that a request may have depends on its group's part relative to the best-served group, and on the advantage of its zone over the worst-served one.

--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/AnswerTimes.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/AnswerTimes.java
@@ -38,6 +38,13 @@
      */
     private static final double MINIMUM_WAIT_PART = 0.25;
 
+    /**
+     * Part of the spare time that requests may wait by the estimated loads. The loads are up to a
+     * second old and several instances act on them at once, so the waits are longer than estimated:
+     * with all of the spare time, fewer answers were in time.
+     */
+    private static final double SAFE_PART = 0.75;
+
     private final Map<RouteId, RouteTimes> mRoutes = new HashMap<>();
     private double mMeanNanos;
     private double mMissNanos;
@@ -127,7 +134,8 @@
             if (mQuickNanos >= mTargetNanos) {
                 return Long.MAX_VALUE;
             }
-            return Math.max(MINIMUM_WAIT_PART * mTargetNanos, mTargetNanos - mQuickNanos);
+            return Math.max(
+                    MINIMUM_WAIT_PART * mTargetNanos, SAFE_PART * (mTargetNanos - mQuickNanos));
         }
     }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/CapacityGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/CapacityGate.java
@@ -106,8 +106,7 @@
      * @return the number for each service since the start, ordered by the name of the service
      */
     public Map<ServiceId, Long> shareRefusals() {
-        Map<ServiceId, Long> refusals =
-                new TreeMap<>(Comparator.comparing(ServiceId::value));
+        Map<ServiceId, Long> refusals = new TreeMap<>(Comparator.comparing(ServiceId::value));
         mServices.forEach((service, admission) -> refusals.put(service, admission.shareRefusals()));
         return refusals;
     }
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/ServiceAdmission.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/ServiceAdmission.java
@@ -171,7 +171,12 @@
         double deadlinePart = mContext.settings().deadlinePart();
         long byDeadline = (long) (request.leftNanos() * deadlinePart - occupation);
         Standing standing = standing(group, callers);
-        long limit = standing.limitNanos(mTimes.waitInTimeNanos(nowNanos), byDeadline);
+        long limit =
+                standing.limitNanos(
+                        mTimes.waitInTimeNanos(nowNanos),
+                        byDeadline,
+                        mShares.relativePart(group),
+                        mShares.advantage());
         if (wait == 0 || wait <= limit) {
             return Optional.empty();
         }
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/ShareTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/ShareTable.java
@@ -21,15 +21,20 @@
  *     urgent one are not
  * @param shareByZone the requests per second that each availability zone may send
  * @param demandByZone the requests per second of each availability zone
+ * @param highestPart the highest part of a group or zone with demand, above 0
+ * @param advantage how much greater the admitted part of the requests of the own zone is than that
+ *     of the worst-served zone, 0 to 1
  */
 record ShareTable(
         Map<Group, Double> parts,
         Set<Integer> urgent,
         Map<ZoneId, Double> shareByZone,
-        Map<ZoneId, Double> demandByZone) {
+        Map<ZoneId, Double> demandByZone,
+        double highestPart,
+        double advantage) {
 
     /** Table before the first computation: all requests are within their share. */
-    static final ShareTable EMPTY = new ShareTable(Map.of(), Set.of(), Map.of(), Map.of());
+    static final ShareTable EMPTY = new ShareTable(Map.of(), Set.of(), Map.of(), Map.of(), 1, 0);
 
     /**
      * Age of the reports from which on they say nothing. It is the validity of a single report; the
@@ -40,6 +45,9 @@
     /** Relative difference of sums that is due to their rounding. */
     private static final double ROUNDING = 1e-9;
 
+    /** Demand of a zone below which its admitted part is a matter of chance. */
+    private static final double MINIMUM_PER_SECOND = 5;
+
     /** Callers with one priority of one workspace. */
     record Group(int priority, WorkspaceHash workspace) {}
 
@@ -48,6 +56,15 @@
         return parts.getOrDefault(group, 1.0);
     }
 
+    /**
+     * Returns the part of a group relative to the highest one. It does not depend on the capacity
+     * if all groups demand more than their share, so a wrong capacity puts none of them at a
+     * disadvantage.
+     */
+    double relativePart(Group group) {
+        return highestPart > 0 ? Math.min(1, part(group) / highestPart) : 1;
+    }
+
     /** Determines whether requests of a priority precede others that compete with them. */
     boolean isUrgent(int priority) {
         return urgent.contains(priority);
@@ -81,13 +98,12 @@
             return (double) known / Math.max(known, fleet.sendingInstances());
         }
 
-        private Map<ZoneId, Double> byZone(int priority, double own) {
-            Map<ZoneId, Double> demands = new HashMap<>();
+        private Map<ZoneId, Demand> byZone(int priority, Demand own) {
+            Map<ZoneId, Demand> demands = new HashMap<>();
             if (hasReports()) {
-                fleet.byZone(service, priority, nowNanos)
-                        .forEach((zone, demand) -> demands.put(zone, positive(demand)));
+                demands.putAll(fleet.byZone(service, priority, nowNanos));
             }
-            demands.merge(ownZone, own, Double::sum);
+            demands.merge(ownZone, own, Demand::plus);
             return demands;
         }
 
@@ -129,20 +145,33 @@
         Map<Group, Double> parts = new HashMap<>();
         Map<ZoneId, Double> shareByZone = new HashMap<>();
         Map<ZoneId, Double> demandByZone = new HashMap<>();
+        Map<ZoneId, Demand> totals = new HashMap<>();
         Set<Integer> met = new HashSet<>();
         boolean isShort = false;
+        double highestPart = 0;
         double remaining = capacityPerSecond * inputs.knownPart();
         for (Map.Entry<Integer, Map<WorkspaceHash, Demand>> each : all.entrySet()) {
             int priority = each.getKey();
-            double ownDemand =
-                    each.getValue().values().stream().mapToDouble(Demand::perSecond).sum();
-            Map<ZoneId, Double> zones = inputs.byZone(priority, ownDemand);
+            Demand ownDemand = each.getValue().values().stream().reduce(Demand.NONE, Demand::plus);
+            Map<ZoneId, Demand> zoneDemands = inputs.byZone(priority, ownDemand);
+            zoneDemands.forEach((zone, demand) -> totals.merge(zone, demand, Demand::plus));
+            Map<ZoneId, Double> zones = new HashMap<>();
+            zoneDemands.forEach((zone, demand) -> zones.put(zone, Inputs.positive(demand)));
             Map<ZoneId, Double> zoneShares = FairShares.maxMin(remaining, zones, zone -> 1);
             double ownShare = zoneShares.get(inputs.ownZone());
             if (ownShare < zones.get(inputs.ownZone()) * (1 - ROUNDING)) {
                 Map<WorkspaceHash, Double> workspaces =
                         inputs.byWorkspace(priority, each.getValue());
-                addParts(priority, workspaces, ownShare, inputs, parts);
+                highestPart =
+                        Math.max(
+                                highestPart,
+                                addParts(priority, workspaces, ownShare, inputs, parts));
+            }
+            for (Map.Entry<ZoneId, Double> zone : zones.entrySet()) {
+                if (zone.getValue() > 0) {
+                    double part = zoneShares.get(zone.getKey()) / zone.getValue();
+                    highestPart = Math.max(highestPart, part);
+                }
             }
             double demanded = sum(zones);
             if (demanded > remaining * (1 + ROUNDING)) {
@@ -156,24 +185,51 @@
                 remaining -= share.getValue();
             }
         }
-        return new ShareTable(parts, isShort ? met : Set.of(), shareByZone, demandByZone);
+        return new ShareTable(
+                parts,
+                isShort ? met : Set.of(),
+                shareByZone,
+                demandByZone,
+                highestPart,
+                advantage(totals, inputs.ownZone()));
+    }
+
+    private static double advantage(Map<ZoneId, Demand> totals, ZoneId ownZone) {
+        double worst = 1;
+        for (Demand each : totals.values()) {
+            worst = Math.min(worst, admittedPart(each));
+        }
+        return admittedPart(totals.getOrDefault(ownZone, Demand.NONE)) - worst;
+    }
+
+    /** Returns the admitted part of the requests of a zone. */
+    private static double admittedPart(Demand demand) {
+        return demand.perSecond() >= MINIMUM_PER_SECOND
+                ? Math.max(0, Math.min(1, demand.admittedPerSecond() / demand.perSecond()))
+                : 1;
     }
 
     /** Divides the share of the own zone between its workspaces. */
-    private static void addParts(
+    private static double addParts(
             int priority,
             Map<WorkspaceHash, Double> workspaces,
             double share,
             Inputs inputs,
             Map<Group, Double> parts) {
-        FairShares.maxMin(share, workspaces, inputs.weight())
-                .forEach(
-                        (workspace, each) -> {
-                            double demand = workspaces.get(workspace);
-                            if (each < demand * (1 - ROUNDING)) {
-                                parts.put(new Group(priority, workspace), each / demand);
-                            }
-                        });
+        double highest = 0;
+        Map<WorkspaceHash, Double> shares = FairShares.maxMin(share, workspaces, inputs.weight());
+        for (Map.Entry<WorkspaceHash, Double> each : shares.entrySet()) {
+            double demand = workspaces.get(each.getKey());
+            if (demand <= 0) {
+                continue;
+            }
+            double part = each.getValue() / demand;
+            highest = Math.max(highest, part);
+            if (part < 1 - ROUNDING) {
+                parts.put(new Group(priority, each.getKey()), part);
+            }
+        }
+        return highest;
     }
 
     private static double sum(Map<ZoneId, Double> values) {
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/Standing.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/Standing.java
@@ -12,51 +12,68 @@
      */
     URGENT {
         @Override
-        long limitNanos(long inTimeNanos, long byDeadlineNanos) {
-            return byDeadlineNanos;
+        double part(double relativePart, double advantage) {
+            return Double.POSITIVE_INFINITY;
         }
     },
     /** All requests of its group are within their share. */
     SATISFIED {
         @Override
-        long limitNanos(long inTimeNanos, long byDeadlineNanos) {
-            return Math.min(inTimeNanos, byDeadlineNanos);
+        double part(double relativePart, double advantage) {
+            return 1;
         }
     },
     /** The group demands more than its share, and this request is within it. */
     WITHIN {
         @Override
-        long limitNanos(long inTimeNanos, long byDeadlineNanos) {
-            return Math.min((long) (inTimeNanos * WITHIN_PART), byDeadlineNanos);
+        double part(double relativePart, double advantage) {
+            return Math.max(MINIMUM_WITHIN_PART, relativePart);
         }
     },
     /** The group has used up its share. */
     BEYOND {
         @Override
-        long limitNanos(long inTimeNanos, long byDeadlineNanos) {
-            return Math.min((long) (inTimeNanos * BEYOND_PART), byDeadlineNanos);
+        double part(double relativePart, double advantage) {
+            double restraint = Math.max(0, 1 - advantage / FULL_ADVANTAGE);
+            return Math.max(MINIMUM_BEYOND_PART, relativePart * relativePart) * restraint;
         }
     };
 
     /**
-     * Part of the wait in time for a group that demands more than its share. If the capacity is
-     * estimated too high, the shares together exceed it, and this part keeps room for the groups
-     * that demand less than an equal part.
+     * Minimum part for a request within the share. If the capacity is estimated too high, the
+     * shares together exceed it, and the rest of the queue is left to the groups that are met.
      */
-    private static final double WITHIN_PART = 0.75;
+    private static final double MINIMUM_WITHIN_PART = 0.5;
 
     /**
-     * Part of the wait in time for a request beyond the share. Such requests keep the slots busy if
-     * the capacity is estimated too low, and the other half of the queue stays free for the shares.
+     * Minimum part for a request beyond the share. It is small, since a group with eight times its
+     * usual demand otherwise keeps the queue so long that the others are late.
      */
-    private static final double BEYOND_PART = 0.5;
+    private static final double MINIMUM_BEYOND_PART = 0.1;
+
+    /**
+     * Advantage of the own zone over the worst-served one from which on requests beyond the share
+     * take only free slots. Without this restraint, a zone whose region has a tenth of the servers
+     * was served less in a full service than without shares.
+     */
+    private static final double FULL_ADVANTAGE = 0.2;
 
     /**
      * Returns the longest wait for a slot with which a request is admitted.
      *
      * @param inTimeNanos the longest wait after which answers of the service are still in time
      * @param byDeadlineNanos the longest wait after which the request ends before its deadline
+     * @param relativePart the part of the group's requests within its share, relative to that of
+     *     the best-served group, 0 to 1
+     * @param advantage how much greater the admitted part of the own zone's requests is than that
+     *     of the worst-served zone, 0 to 1
      * @return nanoseconds, negative if the deadline cannot be met
      */
-    abstract long limitNanos(long inTimeNanos, long byDeadlineNanos);
+    long limitNanos(long inTimeNanos, long byDeadlineNanos, double relativePart, double advantage) {
+        double limit = inTimeNanos * part(relativePart, advantage);
+        return (long) Math.min(limit, byDeadlineNanos);
+    }
+
+    /** Returns the part of the wait in time that is permitted. */
+    abstract double part(double relativePart, double advantage);
 }
