--- a/masticpond-core/src/test/java/io/masticpond/core/workspace/WorkspaceTableTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/workspace/WorkspaceTableTest.java
@@ -45,6 +45,25 @@
                 List.of(new WeightedService(new ServiceId("service"), 1)));
     }
 
+    /** A weight of 0 would leave a workspace without a share of a full service. */
+    @Example
+    void weightIsBoundedAndOneByDefault() {
+        Workspace workspace = workspace("a", Set.of(), "key");
+        assertThat(workspace.weight()).isEqualTo(1);
+        for (double weight : new double[] {0, 0.009, 101, Double.NaN}) {
+            assertThatThrownBy(
+                            () ->
+                                    new Workspace(
+                                            workspace.id(),
+                                            workspace.keys(),
+                                            workspace.limit(),
+                                            workspace.priority(),
+                                            workspace.homeRegions(),
+                                            weight))
+                    .isInstanceOf(IllegalArgumentException.class);
+        }
+    }
+
     @Example
     void findsEachWorkspaceByItsOwnKeysOnly() {
         WorkspaceTable table =
--- a/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
@@ -122,6 +122,22 @@
                 .noneMatch(line -> line.contains("cold_backend_servers"));
     }
 
+    @Example
+    void numberOfServicesWithALabelIsBounded() {
+        EntryMetrics metrics =
+                new EntryMetrics(
+                        new LineCounts(),
+                        values -> {
+                            for (int index = 0; index < 100; index++) {
+                                ServiceId service = new ServiceId("service" + index);
+                                values.set(ServiceValue.SHARE_REFUSALS, service, 2);
+                            }
+                        });
+        assertThat(metrics.scrape().lines().filter(line -> line.contains("share_refusals_total{")))
+                .hasSize(25)
+                .contains("masticpond_entry_share_refusals_total{service=\"other\"} 152.0");
+    }
+
     @Example
     void storeCallsAreCountedAndDelegated() {
         StoreFeed feed = mMetrics.counting(new FailingFeed());
@@ -149,6 +165,9 @@
                             for (EntryValue value : EntryValue.values()) {
                                 values.set(value, 1);
                             }
+                            for (ServiceValue value : ServiceValue.values()) {
+                                values.set(value, new ServiceId("shop"), 1);
+                            }
                         });
         RequestRecord refused = routed("shop");
         refused.refused("no-room", 503, 100, millis(1));
