Send load probes without a request id

Cause: an id stands for a request of a client, and a server that runs an id which no client sent could take the probe for one. Change: a probe carries no id; the answer may omit it, as before. Measured: ProbeClientTest checks the head of the probe.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ProbeClient.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ProbeClient.java
@@ -17,7 +17,8 @@
 
 /**
  * Client that requests the health path of backend servers over their pooled connections. A probe is
- * neither a request nor an attempt of one, and is never repeated. For use on the traffic thread
+ * neither a request nor an attempt of one, and is never repeated. It carries no request id, which
+ * stands for a request of a client. For use on the traffic thread
  * only.
  *
  * @since 0.3
@@ -36,7 +37,6 @@
     private final BackendConnections mConnections;
     private final EventLoop mEventLoop;
     private final TimeSource mTimeSource;
-    private final String mRequestIdHeader;
     private final String mIdPrefix;
     private long mCount;
 
@@ -46,19 +46,16 @@
      * @param connections the connections
      * @param eventLoop the traffic thread
      * @param timeSource the clock
-     * @param requestIdHeader the name of the header for the id of a request
      * @param idPrefix a prefix of the ids of probes that differs between instances and their runs
      */
     public ProbeClient(
             BackendConnections connections,
             EventLoop eventLoop,
             TimeSource timeSource,
-            String requestIdHeader,
             String idPrefix) {
         mConnections = Assert.notNull(connections, "Backend connections");
         mEventLoop = Assert.notNull(eventLoop, "An event loop");
         mTimeSource = Assert.notNull(timeSource, "A time source");
-        mRequestIdHeader = Assert.hasText(requestIdHeader, "The header of the request id");
         mIdPrefix = Assert.hasText(idPrefix, "A prefix of ids");
     }
 
@@ -79,7 +76,7 @@
             Consumer<Either<ProbeResult, ProbeAnswer>> listener) {
         String id = mIdPrefix + mCount++;
         HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.HOST, server.address().toString()).set(mRequestIdHeader, id);
+        headers.set(HttpHeaderNames.HOST, server.address().toString());
         BackendRequest request =
                 new BackendRequest(
                         id,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Probing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Probing.java
@@ -12,7 +12,6 @@
 import io.masticpond.entry.peer.PeerInstance;
 import io.masticpond.entry.request.ProbedServers;
 import io.masticpond.entry.request.RequestFlow;
-import io.masticpond.entry.settings.HeaderNames;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.EnumMap;
@@ -59,7 +58,6 @@
             RequestFlow flow,
             NettyBackendConnections connections,
             LoadControlActivation loadControl,
-            HeaderNames names,
             PeerInstance self,
             EntryMetrics metrics) {
         mTraffic = traffic;
@@ -74,7 +72,6 @@
                         connections,
                         traffic,
                         timeSource,
-                        names.requestId(),
                         "probe-" + self.id().value() + "-" + self.incarnation() + "-");
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/ProbeClientTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/ProbeClientTest.java
@@ -19,7 +19,7 @@
             RawServer.Connection connection = fixture.mServer.accept();
             assertThat(connection.readHead())
                     .startsWith("GET /health HTTP/1.1\r\n")
-                    .contains("X-Request-Id: probe-0");
+                    .doesNotContain("X-Request-Id");
             connection.send("HTTP/1.1 200 OK\r\nLoad: 1,0,6,250\r\nContent-Length: 2\r\n\r\nok");
             ProbeAnswer answer = end.get(60, TimeUnit.SECONDS).get();
             assertThat(answer.status()).isEqualTo(200);
@@ -109,7 +109,6 @@
                         fixture.mConnections,
                         fixture.loop(),
                         fixture.mClock,
-                        ConnectionOptions.DEFAULT_REQUEST_ID_HEADER,
                         "probe-");
         CompletableFuture<Either<ProbeResult, ProbeAnswer>> end = new CompletableFuture<>();
         fixture.onLoop(
