Compare zones by their admitted requests relative to their shares

Change: zones are compared by admitted requests relative to their shares, which does not depend on the estimated capacity, and a zone that demands more than the whole capacity is not compared. It now demands 0.2 more in time (formerly 0.1) and 0.15 more served than without load control. Ruled out: a cap on the admitted part only, since the claim of none admitted passes it.

--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/ShareTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/ShareTable.java
@@ -22,8 +22,8 @@
  * @param shareByZone the requests per second that each availability zone may send
  * @param demandByZone the requests per second of each availability zone
  * @param highestPart the highest part of a group or zone with demand, above 0
- * @param advantage how much greater the admitted part of the requests of the own zone is than that
- *     of the worst-served zone, 0 to 1
+ * @param advantage by how much the own zone is served better than the worst-served one, measured by
+ *     the admitted requests relative to the shares, 0 to 1
  */
 record ShareTable(
         Map<Group, Double> parts,
@@ -191,22 +191,34 @@
                 shareByZone,
                 demandByZone,
                 highestPart,
-                advantage(totals, inputs.ownZone()));
+                advantage(totals, shareByZone, capacityPerSecond, inputs.ownZone()));
     }
 
-    private static double advantage(Map<ZoneId, Demand> totals, ZoneId ownZone) {
-        double worst = 1;
-        for (Demand each : totals.values()) {
-            worst = Math.min(worst, admittedPart(each));
+    /**
+     * Compares what is admitted relative to the shares. A zone that demands more than the whole
+     * service can process is refused for its own demand, or its reports are wrong, so it restrains
+     * no other zone.
+     */
+    private static double advantage(
+            Map<ZoneId, Demand> demands,
+            Map<ZoneId, Double> shares,
+            double capacityPerSecond,
+            ZoneId ownZone) {
+        double own = admittedPart(demands.getOrDefault(ownZone, Demand.NONE), shares.get(ownZone));
+        double worst = own;
+        for (Map.Entry<ZoneId, Demand> each : demands.entrySet()) {
+            double perSecond = each.getValue().perSecond();
+            if (perSecond >= MINIMUM_PER_SECOND && perSecond <= capacityPerSecond) {
+                double part = admittedPart(each.getValue(), shares.get(each.getKey()));
+                worst = Math.min(worst, part);
+            }
         }
-        return admittedPart(totals.getOrDefault(ownZone, Demand.NONE)) - worst;
+        return own > 0 ? Math.max(0, 1 - worst / own) : 0;
     }
 
-    /** Returns the admitted part of the requests of a zone. */
-    private static double admittedPart(Demand demand) {
-        return demand.perSecond() >= MINIMUM_PER_SECOND
-                ? Math.max(0, Math.min(1, demand.admittedPerSecond() / demand.perSecond()))
-                : 1;
+    /** Returns the admitted requests of a zone relative to its share. */
+    private static double admittedPart(Demand demand, Double share) {
+        return share != null && share > 0 ? Math.max(0, demand.admittedPerSecond()) / share : 1;
     }
 
     /** Divides the share of the own zone between its workspaces. */
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/Standing.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/Standing.java
@@ -65,8 +65,8 @@
      * @param byDeadlineNanos the longest wait after which the request ends before its deadline
      * @param relativePart the part of the group's requests within its share, relative to that of
      *     the best-served group, 0 to 1
-     * @param advantage how much greater the admitted part of the own zone's requests is than that
-     *     of the worst-served zone, 0 to 1
+     * @param advantage by how much the own zone is served better than the worst-served one,
+     *     relative to their shares, 0 to 1
      * @return nanoseconds, negative if the deadline cannot be met
      */
     long limitNanos(long inTimeNanos, long byDeadlineNanos, double relativePart, double advantage) {
--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityGateTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityGateTest.java
@@ -36,8 +36,8 @@
         Served usual = sum(withoutHot(on));
         Served before = sum(withoutHot(off));
         report("hotWorkspaceTwice", before, usual);
-        assertThat(usual.inTime()).isGreaterThan(before.inTime() + 0.1);
-        assertThat(usual.served()).isGreaterThan(0.95);
+        assertThat(usual.inTime()).isGreaterThan(before.inTime() + 0.2);
+        assertThat(usual.served()).isGreaterThan(before.served() + 0.15);
         assertThat(on.get("hot").served()).as("the hot one keeps its share").isGreaterThan(0.35);
     }
 
@@ -103,28 +103,34 @@
         assertThat(worst(driver).served()).isGreaterThan(worst(fresh).served() - 0.05);
     }
 
-    /** An instance that reports the greatest demand must not take the shares of other zones. */
+    /**
+     * An instance that reports the greatest demand must not take the shares of other zones, whether
+     * it claims that all of its requests are admitted or none.
+     */
     @Example
     void instanceReportsNonsense() {
-        CapacityDriver driver = evenRegions(ON, 6);
-        driver.mInstances.get(0).mNonsense =
-                Map.of(
-                        new DemandKey(CapacityDriver.SERVICE, 1, new WorkspaceHash(77)),
-                        new Demand(6_553.5, 6_553.5));
-        playZones(driver, 1.1, second -> 1, 10);
         CapacityDriver sound = evenRegions(ON, 6);
         playZones(sound, 1.1, second -> 1, 10);
-        String ownZone = driver.mInstances.get(0).mZone.value();
-        report("nonsense, all", sum(sound.mServed), sum(driver.mServed));
-        driver.mServed.forEach(
-                (zone, served) -> {
-                    if (!zone.equals(ownZone)) {
-                        assertThat(served.served())
-                                .as(zone)
-                                .isGreaterThan(sound.mServed.get(zone).served() - 0.03);
-                    }
-                });
-        assertThat(sum(driver.mServed).served()).isGreaterThan(sum(sound.mServed).served() - 0.05);
+        for (double admitted : new double[] {6_553.5, 0}) {
+            CapacityDriver driver = evenRegions(ON, 6);
+            driver.mInstances.get(0).mNonsense =
+                    Map.of(
+                            new DemandKey(CapacityDriver.SERVICE, 1, new WorkspaceHash(77)),
+                            new Demand(6_553.5, admitted));
+            playZones(driver, 1.1, second -> 1, 10);
+            String ownZone = driver.mInstances.get(0).mZone.value();
+            report("nonsense, admitted " + admitted, sum(sound.mServed), sum(driver.mServed));
+            driver.mServed.forEach(
+                    (zone, served) -> {
+                        if (!zone.equals(ownZone)) {
+                            assertThat(served.served())
+                                    .as(zone)
+                                    .isGreaterThan(sound.mServed.get(zone).served() - 0.03);
+                        }
+                    });
+            assertThat(sum(driver.mServed).served())
+                    .isGreaterThan(sum(sound.mServed).served() - 0.05);
+        }
     }
 
     /** A capacity that is far too low must not leave slots unused, below full or above. */
--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/ShareTableTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/ShareTableTest.java
@@ -28,7 +28,15 @@
         ShareTable shares = compute(80, 50);
         assertThat(shares.shareByZone().get(OTHER)).isEqualTo(40, CLOSE);
         assertThat(shares.part(GROUP)).isEqualTo(0.8, CLOSE);
-        assertThat(shares.advantage()).as("50 of 50 against 50 of 100").isEqualTo(0.5, CLOSE);
+        assertThat(shares.advantage()).as("50 for a share of 40 each").isZero();
+    }
+
+    @Example
+    void zoneThatGetsLessOfItsShareRestrainsTheOthers() {
+        mOthers = new Demand(70, 20);
+        assertThat(compute(80, 50).advantage()).as("20 against 50").isEqualTo(0.6, CLOSE);
+        mOthers = new Demand(81, 20);
+        assertThat(compute(80, 50).advantage()).as("more than the service can do").isZero();
     }
 
     @Example
