--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ProbeClient.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ProbeClient.java
@@ -18,8 +18,7 @@
 /**
  * Client that requests the health path of backend servers over their pooled connections. A probe is
  * neither a request nor an attempt of one, and is never repeated. It carries no request id, which
- * stands for a request of a client. For use on the traffic thread
- * only.
+ * stands for a request of a client. For use on the traffic thread only.
  *
  * @since 0.3
  */
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/ProbeClientTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/ProbeClientTest.java
@@ -105,11 +105,7 @@
     private static CompletableFuture<Either<ProbeResult, ProbeAnswer>> probe(BackendFixture fixture)
             throws Exception {
         ProbeClient client =
-                new ProbeClient(
-                        fixture.mConnections,
-                        fixture.loop(),
-                        fixture.mClock,
-                        "probe-");
+                new ProbeClient(fixture.mConnections, fixture.loop(), fixture.mClock, "probe-");
         CompletableFuture<Either<ProbeResult, ProbeAnswer>> end = new CompletableFuture<>();
         fixture.onLoop(
                 () -> {
