Pass the figures of a candidate as one value

Change: CandidateFigures holds the figures of a candidate. Existing calls in RequestLineTest and SampleRequests are adapted to the new signature; what they check is unchanged.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -156,11 +156,12 @@
         for (int index = 0; index < candidates.kept(); index++) {
             line.writeStartObject();
             line.writeStringField("server", candidates.server(index).value());
-            line.writeNumberField("inFlight", candidates.inFlight(index));
-            line.writeNumberField("slots", candidates.slots(index));
-            line.writeNumberField("score", rounded(candidates.score(index)));
-            writeAge(line, "expectedMillis", candidates.expectedNanos(index));
-            writeAge(line, "speedAgeMillis", candidates.speedAgeNanos(index));
+            CandidateFigures figures = candidates.figures(index);
+            line.writeNumberField("inFlight", figures.inFlight());
+            line.writeNumberField("slots", figures.slots());
+            line.writeNumberField("score", rounded(figures.score()));
+            writeAge(line, "expectedMillis", figures.expectedNanos());
+            writeAge(line, "speedAgeMillis", figures.speedAgeNanos());
             line.writeEndObject();
         }
         line.writeEndArray();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -179,22 +179,10 @@
      * Records a candidate of the selection; candidates that are in order are recorded best first.
      *
      * @param server the backend server
-     * @param inFlight the estimated number of requests in flight at the server
-     * @param slots the number of requests that the server runs concurrently
-     * @param score the score of the server; the highest is selected
+     * @param figures the figures on which the selection is based
      */
-    public void candidate(BackendServerId server, int inFlight, int slots, double score) {
-        mCandidates.add(server, inFlight, slots, score);
-    }
-
-    /**
-     * Records the latency on which the score of the last candidate is based.
-     *
-     * @param expectedNanos the expected latency
-     * @param speedAgeNanos the age of the slowdown that the server reported, or {@link #UNKNOWN}
-     */
-    public void candidateLatency(long expectedNanos, long speedAgeNanos) {
-        mCandidates.addLatency(expectedNanos, speedAgeNanos);
+    public void candidate(BackendServerId server, CandidateFigures figures) {
+        mCandidates.add(server, figures);
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -12,6 +12,7 @@
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.support.HashMixer;
+import io.masticpond.entry.log.CandidateFigures;
 import io.masticpond.entry.log.Exclusion;
 import io.masticpond.entry.log.RequestRecord;
 import java.util.HashSet;
@@ -120,16 +121,21 @@
 
     /** Records a server that was considered. */
     void recordCandidate(ServerChoice choice, long now) {
-        mFacts.candidate(
-                choice.load().server().id(),
-                (int) Math.round(choice.load().inFlight(now)),
-                choice.load().server().slots(),
-                choice.score());
-        choice.expected()
-                .ifPresent(
-                        expected ->
-                                mFacts.candidateLatency(
-                                        (long) expected.totalNanos(), expected.speedAgeNanos()));
+        ServerLoad load = choice.load();
+        int inFlight = (int) Math.round(load.inFlight(now));
+        int slots = load.server().slots();
+        CandidateFigures figures =
+                choice.expected()
+                        .map(
+                                expected ->
+                                        new CandidateFigures(
+                                                inFlight,
+                                                slots,
+                                                choice.score(),
+                                                (long) expected.totalNanos(),
+                                                expected.speedAgeNanos()))
+                        .orElseGet(() -> new CandidateFigures(inFlight, slots, choice.score()));
+        mFacts.candidate(load.server().id(), figures);
     }
 
     /** Records that the request was sent to a server, so that the server is not chosen again. */
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -174,11 +174,9 @@
     void choiceByLatencyStatesExpectedLatencyAndAgeOfSpeed() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.beginSelection();
-        request.candidate(FIRST, 3, 4, 0.9);
-        request.candidateLatency(millis(320), millis(45));
-        request.candidate(SECOND, 3, 4, 0.8);
-        request.candidateLatency(millis(330), RequestRecord.UNKNOWN);
-        request.candidate(SECOND, 3, 4, 0.7);
+        request.candidate(FIRST, new CandidateFigures(3, 4, 0.9, millis(320), millis(45)));
+        request.candidate(SECOND, new CandidateFigures(3, 4, 0.8, millis(330), -1));
+        request.candidate(SECOND, new CandidateFigures(3, 4, 0.7));
         request.answered(200, 0);
         write(request);
         JsonNode candidates = mOutput.lines().get(0).path("candidates");
@@ -196,7 +194,7 @@
         request.registry(812, RequestRecord.UNKNOWN);
         request.peers(6, millis(90));
         request.beginSelection();
-        request.candidate(FIRST, 3, 4, 0.9);
+        request.candidate(FIRST, new CandidateFigures(3, 4, 0.9));
         request.sent(FIRST, ZONE, true, millis(1));
         request.attemptEnded(AttemptResult.TURNED_AWAY, 503, millis(10));
         request.retryBudget(1.5);
@@ -204,7 +202,7 @@
         request.excluded(Exclusion.LEAVING);
         request.excluded(Exclusion.LEAVING);
         request.excluded(Exclusion.TRIED);
-        request.candidate(SECOND, 0, 4, 0.5);
+        request.candidate(SECOND, new CandidateFigures(0, 4, 0.5));
         request.sent(SECOND, ZONE, false, millis(10));
         request.attemptEnded(AttemptResult.ANSWERED, 200, millis(130));
         return request;
--- a/masticpond-measure/src/main/java/io/masticpond/measure/logging/SampleRequests.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/logging/SampleRequests.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.entry.log.AttemptResult;
+import io.masticpond.entry.log.CandidateFigures;
 import io.masticpond.entry.log.Exclusion;
 import io.masticpond.entry.log.RequestRecord;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +42,8 @@
         request.peers(3, SERVICE_NANOS);
         request.beginSelection();
         for (int index = 0; index < 3; index++) {
-            request.candidate(server(number + index), index, SLOTS, 0.9 - index);
+            request.candidate(
+                    server(number + index), new CandidateFigures(index, SLOTS, 0.9 - index));
         }
         request.excluded(Exclusion.LEAVING);
         if (number % REFUSAL_INTERVAL == 0) {
