Lower a region before its slots are all in use

Cause: on the customs deployment the small region was predicted at 0.8 of its slots while 75 requests were at its some 54 slots. Keys are uneven; the busiest server has up to twice the mean load. Change: thresholds of 0.7 and 0.55 instead of 0.85 and 0.7.

--- a/masticpond-core/src/main/java/io/masticpond/core/room/RegionBalancer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/room/RegionBalancer.java
@@ -16,7 +16,7 @@
 
 /**
  * Balancer that lowers the weights of full regions. Two numbers of steps follow from the loads
- * alone: those that bring the utilization below 0.85, and those that bring it below 0.7. A region
+ * alone: those that bring the utilization below 0.7, and those that bring it below 0.55. A region
  * whose number is between them keeps it; otherwise it moves to the nearer one, by at most one step
  * of one region in 2 s. So instances with the same loads arrive at the same steps whatever they had
  * before, as soon as the demand has passed both thresholds.
@@ -27,11 +27,15 @@
  */
 public final class RegionBalancer implements RegionWeights {
 
-    /** Utilization above which a region is lowered. */
-    static final double FULL = 0.85;
+    /**
+     * Utilization above which a region is lowered. Keys are uneven: the busiest server of a service
+     * has up to twice the mean load, so servers of a region queue long before all its slots are in
+     * use.
+     */
+    static final double FULL = 0.7;
 
     /** Utilization below which the weight of a region rises again. */
-    static final double FREE = 0.7;
+    static final double FREE = 0.55;
 
     /** Excess over the mean utilization above which a region is lowered if all regions are full. */
     private static final double FULL_TOLERANCE = 0.1;
