--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityDriver.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityDriver.java
@@ -178,33 +178,6 @@
         }
     }
 
-    /** Results of the requests of a group of callers. */
-    static final class Served {
-
-        int mOffered;
-        int mInTime;
-        int mLate;
-
-        void add(Served other) {
-            mOffered += other.mOffered;
-            mInTime += other.mInTime;
-            mLate += other.mLate;
-        }
-
-        double inTime() {
-            return (double) mInTime / mOffered;
-        }
-
-        double served() {
-            return (double) (mInTime + mLate) / mOffered;
-        }
-
-        @Override
-        public String toString() {
-            return String.format("%d: %.3f in time, %.3f served", mOffered, inTime(), served());
-        }
-    }
-
     /** Instance with its own view of the servers. */
     final class Instance {
 
@@ -214,8 +187,8 @@
         Map<DemandKey, Demand> mNonsense;
         private final RequestPlacer mPlacer;
         private final List<ServerLoad> mLoads = new ArrayList<>();
-        private Map<DemandKey, Demand> mReport = Map.of();
-        private long mReportNanos = Long.MIN_VALUE / 2;
+        Map<DemandKey, Demand> mReport = Map.of();
+        long mReportNanos = Long.MIN_VALUE / 2;
 
         Instance(ZoneId zone) {
             mZone = zone;
@@ -228,7 +201,7 @@
                             mRegions,
                             settings,
                             RandomSource.SPLIT_MIX_64.create(mInstances.size()));
-            mGate.setFleetDemand(new Reports(this));
+            mGate.setFleetDemand(new DriverReports(CapacityDriver.this, this));
             mPlacer =
                     new RequestPlacer(
                             new ServerChooser(
@@ -253,72 +226,6 @@
         }
     }
 
-    /** Demand of the other instances by their last reports. */
-    private final class Reports implements FleetDemand {
-
-        private final Instance mOwn;
-
-        Reports(Instance own) {
-            mOwn = own;
-        }
-
-        private List<Instance> others(long now) {
-            return mInstances.stream()
-                    .filter(each -> each != mOwn && now - each.mReportNanos < 1.2 * SECOND)
-                    .toList();
-        }
-
-        @Override
-        public Map<ZoneId, Demand> byZone(ServiceId service, int priority, long now) {
-            Map<ZoneId, Demand> demands = new HashMap<>();
-            for (Instance each : mReportsStopped ? mInstances : others(now)) {
-                each.mReport.forEach(
-                        (key, demand) -> {
-                            if (key.priority() == priority) {
-                                demands.merge(each.mZone, demand, Demand::plus);
-                            }
-                        });
-            }
-            return demands;
-        }
-
-        @Override
-        public Map<WorkspaceHash, Demand> byWorkspaceInOwnZone(
-                ServiceId service, int priority, long now) {
-            Map<WorkspaceHash, Demand> demands = new HashMap<>();
-            for (Instance each : mReportsStopped ? mInstances : others(now)) {
-                if (each.mZone.equals(mOwn.mZone)) {
-                    each.mReport.forEach(
-                            (key, demand) -> {
-                                if (key.priority() == priority) {
-                                    demands.merge(key.workspace(), demand, Demand::plus);
-                                }
-                            });
-                }
-            }
-            return demands;
-        }
-
-        @Override
-        public int reportedInstances(long now) {
-            return mReportsStopped ? mInstances.size() - 1 : others(now).size();
-        }
-
-        @Override
-        public int sendingInstances() {
-            return mSendingInstances > 0 ? mSendingInstances : mInstances.size();
-        }
-
-        @Override
-        public long ageNanos(long now) {
-            return mInstances.stream()
-                    .filter(each -> each != mOwn)
-                    .mapToLong(each -> now - each.mReportNanos)
-                    .min()
-                    .orElse(Long.MAX_VALUE);
-        }
-    }
-
     /** Backend server with slots, a queue in order of arrival and a cache of objects. */
     private final class Server {
 
--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityGateTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityGateTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.masticpond.core.capacity.CapacityDriver.Instance;
-import io.masticpond.core.capacity.CapacityDriver.Served;
 import io.masticpond.core.loadcontrol.LoadControlMode;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -43,7 +42,7 @@
 
     /** Callers of a region with a tenth of the servers and a third of the callers. */
     @Example
-    void oneRegionHasATenth() {
+    void oneRegionHasTenth() {
         List<Served> worst = new ArrayList<>();
         for (LoadControlMode mode : List.of(OFF, ON)) {
             CapacityDriver driver = new CapacityDriver(mode, 2);
@@ -53,7 +52,7 @@
             playZones(driver, 1.1, second -> 1, 16);
             worst.add(worst(driver));
         }
-        report("oneRegionHasATenth, worst zone", worst.get(0), worst.get(1));
+        report("oneRegionHasTenth, worst zone", worst.get(0), worst.get(1));
         assertThat(worst.get(1).served()).isGreaterThanOrEqualTo(worst.get(0).served());
         assertThat(worst.get(1).inTime()).isGreaterThanOrEqualTo(worst.get(0).inTime());
     }
--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/ReturnScheduleTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/ReturnScheduleTest.java
@@ -39,7 +39,7 @@
     }
 
     @Property(seed = "4", tries = 500)
-    void pauseIsNeverBeyondAThirdOfTheTimeLeft(
+    void pauseIsNeverBeyondThirdOfTimeLeft(
             @ForAll @LongRange(min = 0, max = 20_000_000_000L) long left,
             @ForAll @LongRange(min = 0, max = 20_000_000_000L) long earliest,
             @ForAll @DoubleRange(min = 0, max = 1000) double rate) {
