Show the number of slow servers of each service

The metric slow_servers counts the servers whose expected work time exceeds the mean of the service by the configured factor.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/ServiceValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/ServiceValue.java
@@ -10,6 +10,8 @@
     FULLNESS("service_fullness", "Requests at usable servers, relative to their slots.", false),
     /** Requests per second that the usable servers can process. */
     CAPACITY("service_capacity", "Requests a second that usable servers can process.", false),
+    /** Servers whose work takes far longer than the mean of the service. */
+    SLOW_SERVERS("slow_servers", "Servers whose work takes far longer than usual.", false),
     /** Requests that were refused because their group had used up its share. */
     SHARE_REFUSALS("share_refusals", "Requests refused beyond the share of their callers.", true);
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -18,6 +18,7 @@
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionCounts;
 import io.masticpond.entry.backend.NettyBackendConnections;
+import io.masticpond.entry.control.ServiceSpeedView;
 import io.masticpond.entry.log.RequestRecord;
 import io.masticpond.entry.metrics.EntryValue;
 import io.masticpond.entry.metrics.EntryValues;
@@ -56,6 +57,7 @@
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
     private final CapacityGate mGate;
+    private final ServerSpeedViews mSpeeds;
     private final EntryListeners mListeners;
     private final RegionBalancing mRegions;
     private final BodyBudget mBodies;
@@ -140,15 +142,21 @@
     }
 
     /** The metrics of the load of services. */
-    private record ServiceLoads(List<ServiceLoadView> views, Map<ServiceId, Long> refusals) {
+    private record ServiceLoads(
+            List<ServiceLoadView> views,
+            List<ServiceSpeedView> speeds,
+            Map<ServiceId, Long> refusals) {
 
-        static final ServiceLoads NONE = new ServiceLoads(List.of(), Map.of());
+        static final ServiceLoads NONE = new ServiceLoads(List.of(), List.of(), Map.of());
 
         void set(EntryValues values) {
             for (ServiceLoadView view : views) {
                 values.set(ServiceValue.FULLNESS, view.service(), view.fullness());
                 values.set(ServiceValue.CAPACITY, view.service(), view.capacityPerSecond());
             }
+            for (ServiceSpeedView speed : speeds) {
+                values.set(ServiceValue.SLOW_SERVERS, speed.service(), speed.slowServers().size());
+            }
             refusals.forEach(
                     (service, count) -> values.set(ServiceValue.SHARE_REFUSALS, service, count));
         }
@@ -196,6 +204,7 @@
         mLimits = limits;
         mConnections = connections.counts();
         mGate = gate;
+        mSpeeds = new ServerSpeedViews(flow.servers(), flow.placer().chooser().speeds());
         mListeners = listeners;
         mRegions = regions;
         mBodies = bodies;
@@ -223,7 +232,9 @@
                         mRegions.factors(),
                         Bodies.of(mBodies),
                         new ServiceLoads(
-                                mGate.views(mTimeSource.monotonicNanos()), mGate.shareRefusals()));
+                                mGate.views(mTimeSource.monotonicNanos()),
+                                mSpeeds.views(mTimeSource.monotonicNanos()),
+                                mGate.shareRefusals()));
     }
 
     /** Sets all metric values. Must be called on the control thread. */
