Name the test of bounded services by the rule of Checkstyle

Cause: the verification found two capital letters in a row in the name of a test of entry, its only error. Change: the test is named numberOfServicesIsBounded. Ruled out: nothing.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/metrics/EntryMetricsTest.java
@@ -123,7 +123,7 @@
     }
 
     @Example
-    void numberOfServicesWithALabelIsBounded() {
+    void numberOfServicesIsBounded() {
         EntryMetrics metrics =
                 new EntryMetrics(
                         new LineCounts(),
