--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -1,7 +1,9 @@
 package io.masticpond.core.placement;
 
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.limit.AdmissionDecision;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
@@ -11,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
 
 /**
  * Placer that decides to which server a request is sent or whether it is refused, by the choice of
@@ -29,7 +32,9 @@
 
     private final ServerChooser mChooser;
     private final LoadGate mGate;
-    private final SharedLoads mSharedLoads = new SharedLoads();
+    private final SharedLoads mSharedLoads;
+    private TransferListener mTransferListener = TransferListener.NONE;
+    private ObjLongConsumer<PlacementRequest> mPlacementListener = (request, nowNanos) -> {};
 
     /**
      * Creates a placer.
@@ -40,6 +45,7 @@
     public RequestPlacer(ServerChooser chooser, LoadGate gate) {
         mChooser = Assert.notNull(chooser, "A server chooser");
         mGate = Assert.notNull(gate, "A load gate");
+        mSharedLoads = new SharedLoads(chooser.speeds());
     }
 
     /**
@@ -60,6 +66,15 @@
         return mSharedLoads;
     }
 
+    /**
+     * Sets the listener for requests that are placed for their first attempt.
+     *
+     * @param listener the listener, which receives the request and the monotonic time
+     */
+    public void setPlacementListener(ObjLongConsumer<PlacementRequest> listener) {
+        mPlacementListener = Assert.notNull(listener, "A listener");
+    }
+
     /**
      * Records the load that a server reported with an answer, after its request was counted as
      * ended. The load of a terminated run is ignored and not shared, since other instances know the
@@ -74,7 +89,10 @@
             return;
         }
         load.recordReport(reported, nowNanos);
-        mSharedLoads.recordLoad(load, reported);
+        load.recordAnswered(nowNanos);
+        mChooser.speeds().recordAnswer(load, reported, nowNanos);
+        mGate.reported(load, reported, nowNanos);
+        mSharedLoads.recordLoad(load, reported, nowNanos);
     }
 
     /**
@@ -85,7 +103,20 @@
      * @param nowNanos the current monotonic time
      */
     public void arrived(Route route, ServiceId service, long nowNanos) {
-        mGate.arrived(route, service, nowNanos);
+        arrived(route, service, Optional.empty(), nowNanos);
+    }
+
+    /**
+     * Records a request before it is placed; called once for each request.
+     *
+     * @param route its route
+     * @param service the chosen service
+     * @param workspace the workspace of its caller, or empty if the route requires none
+     * @param nowNanos the current monotonic time
+     */
+    public void arrived(
+            Route route, ServiceId service, Optional<WorkspaceId> workspace, long nowNanos) {
+        mGate.arrived(route, service, workspace, nowNanos);
     }
 
     /**
@@ -112,7 +143,9 @@
             List<ServerLoad> servers,
             Candidates candidates,
             long nowNanos) {
+        mPlacementListener.accept(request, nowNanos);
         List<ServerLoad> usable = usable(servers, candidates);
+        mGate.observeServers(request, servers, usable, candidates, nowNanos);
         OptionalDouble limited = candidates.limitedPerSecond();
         if (limited.isPresent() && !mGate.admits(request, limited.getAsDouble(), nowNanos)) {
             return noPlacement(request, candidates, nowNanos);
@@ -189,6 +222,30 @@
         }
     }
 
+    /**
+     * Sets the listener to the bytes exchanged with servers of other regions.
+     *
+     * @param listener the listener
+     */
+    public void setTransferListener(TransferListener listener) {
+        mTransferListener = Assert.notNull(listener, "A listener");
+    }
+
+    /**
+     * Records the sizes of a request and its answer.
+     *
+     * @param load the server
+     * @param route the route of the request
+     * @param requestBytes the size of the body of the request
+     * @param answerBytes the size of the body of the answer
+     */
+    public void transferred(ServerLoad load, RouteId route, long requestBytes, long answerBytes) {
+        mChooser.recordAnswerSize(route, answerBytes);
+        if (load.distance() == Distance.OTHER_REGION) {
+            mTransferListener.onTransfer(load.server(), requestBytes, answerBytes);
+        }
+    }
+
     /**
      * Records that a request is being sent.
      *
@@ -220,6 +277,24 @@
         }
     }
 
+    /**
+     * Records a successful answer to a request of a route; an answer of a terminated run is
+     * ignored.
+     *
+     * @param route the route of the request
+     * @param load the server
+     * @param nanos the time in nanoseconds from the sending to the answer
+     * @param hasWaited whether requests waited for a slot there
+     * @param nowNanos the current monotonic time
+     */
+    public void succeeded(
+            Route route, ServerLoad load, long nanos, boolean hasWaited, long nowNanos) {
+        succeeded(load, nanos, hasWaited, nowNanos);
+        if (!load.isTerminated()) {
+            mGate.answered(route, load.server().service(), nanos, hasWaited, nowNanos);
+        }
+    }
+
     /**
      * Records a failure that is attributed to a server; a failure of a terminated run is ignored.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.fleet.ServerAddress;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -30,6 +31,7 @@
     private int mMaximum = 1;
     private long mUnstatedIdleNanos;
     private long mLastReceivedNanos;
+    private long mRoundTripNanos;
 
     ServerPool(ServerAddress address, PoolContext context) {
         mAddress = address;
@@ -51,6 +53,11 @@
         return mContext.options();
     }
 
+    /** Creates the reading of one answer from a connection. */
+    ResponseReading newReading(Channel channel) {
+        return new ResponseReading(mContext.budget(), mContext.timeSource(), channel);
+    }
+
     long nowNanos() {
         return mContext.timeSource().monotonicNanos();
     }
@@ -63,6 +70,16 @@
         return mUnstatedIdleNanos;
     }
 
+    /** Records the time in which the latest connection was opened. */
+    void recordRoundTrip(long nanos) {
+        mRoundTripNanos = nanos;
+    }
+
+    /** Returns the time in which the latest connection was opened, 0 before the first one. */
+    long roundTripNanos() {
+        return mRoundTripNanos;
+    }
+
     boolean isEmpty() {
         return mConnections.isEmpty();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/CandidateServers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/CandidateServers.java
@@ -9,9 +9,7 @@
 final class CandidateServers {
 
     private BackendServerId[] mServers;
-    private int[] mInFlight;
-    private int[] mSlots;
-    private double[] mScores;
+    private CandidateFigures[] mFigures;
     private int mKept;
     private int mTotal;
 
@@ -20,21 +18,17 @@
         mKept = 0;
     }
 
-    void add(BackendServerId server, int inFlight, int slots, double score) {
+    void add(BackendServerId server, CandidateFigures figures) {
         mTotal++;
         if (mKept == RequestRecord.MAXIMUM_CANDIDATES) {
             return;
         }
         if (mServers == null) {
             mServers = new BackendServerId[RequestRecord.MAXIMUM_CANDIDATES];
-            mInFlight = new int[RequestRecord.MAXIMUM_CANDIDATES];
-            mSlots = new int[RequestRecord.MAXIMUM_CANDIDATES];
-            mScores = new double[RequestRecord.MAXIMUM_CANDIDATES];
+            mFigures = new CandidateFigures[RequestRecord.MAXIMUM_CANDIDATES];
         }
         mServers[mKept] = server;
-        mInFlight[mKept] = inFlight;
-        mSlots[mKept] = slots;
-        mScores[mKept++] = score;
+        mFigures[mKept++] = figures;
     }
 
     /** Returns the number of servers that were scored, kept or not. */
@@ -50,15 +44,7 @@
         return mServers[index];
     }
 
-    int inFlight(int index) {
-        return mInFlight[index];
-    }
-
-    int slots(int index) {
-        return mSlots[index];
-    }
-
-    double score(int index) {
-        return mScores[index];
+    CandidateFigures figures(int index) {
+        return mFigures[index];
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -16,7 +16,22 @@
  *
  * @since 0.2
  */
-public sealed interface ViewChange extends LineContent {
+public sealed interface ViewChange extends LineContent
+        permits BodyChange,
+                LoadChange,
+                ViewChange.Routing,
+                ViewChange.Registry,
+                ViewChange.Server,
+                ViewChange.ServerCheck,
+                ViewChange.CrashingRequest,
+                ViewChange.ServerLimit,
+                ViewChange.MalformedLimit,
+                ViewChange.Withdrawal,
+                ViewChange.MalformedStatement,
+                ViewChange.Zone,
+                ViewChange.Peer,
+                ViewChange.Store,
+                ViewChange.Proof {
 
     /** States into which a backend server changes. */
     enum ServerState {
@@ -254,7 +269,7 @@
 
         @Override
         public String event() {
-            return "server-withdrawal";
+            return part == StatementPart.LOAD ? "server-load" : "server-withdrawal";
         }
 
         @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryMetrics.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.metrics;
 
+import io.masticpond.core.probe.ProbeResult;
 import io.masticpond.core.support.Assert;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LineCounts;
@@ -19,8 +20,17 @@
     /** Media type of a scrape. */
     public static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
+    /** Maximum number of services with a label of their own. */
+    private static final int SERVICES = 24;
+
+    /** Maximum number of regions with a label of their own. */
+    private static final int REGIONS = 8;
+
     private final RequestCounts mRequests = new RequestCounts();
+    private final BoundedNames mServices = new BoundedNames(SERVICES);
+    private final BoundedNames mRegions = new BoundedNames(REGIONS);
     private final StoreCallCounts mStoreCalls = new StoreCallCounts();
+    private final ProbeCounts mProbes = new ProbeCounts();
     private final LineCounts mLines;
     private final Consumer<EntryValues> mSource;
 
@@ -65,6 +75,15 @@
         return CountingConditionalStore.of(Assert.notNull(next, "A store"), mStoreCalls);
     }
 
+    /**
+     * Counts a probe of a backend server that has ended.
+     *
+     * @param result its result
+     */
+    public void countProbe(ProbeResult result) {
+        mProbes.ended(result);
+    }
+
     /**
      * Formats all metrics for a scraper, in the format of {@link #CONTENT_TYPE}. The first call
      * loads the metrics library and takes tens of milliseconds.
@@ -81,8 +100,8 @@
      * @return the text in UTF-8
      */
     public byte[] scrapeBytes() {
-        EntryValues values = new EntryValues();
+        EntryValues values = new EntryValues(mServices, mRegions);
         mSource.accept(values);
-        return new MetricPage(mRequests, mStoreCalls, mLines, values).text();
+        return new MetricPage(mRequests, mStoreCalls, mProbes, mLines, values).text();
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/MetricPage.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.metrics;
 
+import io.masticpond.core.probe.ProbeResult;
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.LineCounts;
 import io.masticpond.entry.log.LinePriority;
@@ -17,6 +18,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.IntToLongFunction;
@@ -29,17 +31,21 @@
 
     private final RequestCounts mRequests;
     private final StoreCallCounts mStoreCalls;
+    private final ProbeCounts mProbes;
     private final LineCounts mLines;
     private final EntryValues mValues;
     private final MetricSnapshots.Builder mPage = MetricSnapshots.builder();
+    private final Map<String, GaugeSnapshot.Builder> mGauges = new LinkedHashMap<>();
 
     MetricPage(
             RequestCounts requests,
             StoreCallCounts storeCalls,
+            ProbeCounts probes,
             LineCounts lines,
             EntryValues values) {
         mRequests = requests;
         mStoreCalls = storeCalls;
+        mProbes = probes;
         mLines = lines;
         mValues = values;
     }
@@ -50,8 +56,12 @@
         addLatencies();
         addAttempts();
         addStoreCalls();
+        addProbes();
         addLines();
         mValues.all().forEach(this::addValue);
+        addRegionWeights();
+        mGauges.values().forEach(gauge -> mPage.metricSnapshot(gauge.build()));
+        mValues.ofServices().forEach(this::addServiceValues);
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create()
@@ -188,6 +198,15 @@
         mPage.metricSnapshot(counter.build());
     }
 
+    private void addProbes() {
+        CounterSnapshot.Builder counter =
+                counter("probes", "Probes of backend servers for their load that ended.");
+        for (ProbeResult result : ProbeResult.values()) {
+            addPoint(counter, Labels.of("result", text(result)), mProbes.probes(result));
+        }
+        mPage.metricSnapshot(counter.build());
+    }
+
     private void addLines() {
         CounterSnapshot.Builder written = counter("log_lines", "Log lines by what became of them.");
         addPoint(written, Labels.of("fate", "written"), mLines.written());
@@ -207,15 +226,62 @@
             mPage.metricSnapshot(counter.build());
             return;
         }
-        mPage.metricSnapshot(
+        String name = PREFIX + value.metricName();
+        Labels labels =
+                value.direction() == null
+                        ? Labels.EMPTY
+                        : Labels.of("direction", value.direction());
+        mGauges.computeIfAbsent(name, key -> GaugeSnapshot.builder().name(key).help(value.help()))
+                .dataPoint(
+                        GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                .labels(labels)
+                                .value(number)
+                                .build());
+    }
+
+    private void addRegionWeights() {
+        if (mValues.regionWeights().isEmpty()) {
+            return;
+        }
+        GaugeSnapshot.Builder gauge =
                 GaugeSnapshot.builder()
-                        .name(PREFIX + value.metricName())
-                        .help(value.help())
-                        .dataPoint(
+                        .name(PREFIX + "region_weight")
+                        .help("Factor of the servers of a region as homes of keys.");
+        mValues.regionWeights()
+                .forEach(
+                        (labels, weight) ->
+                                gauge.dataPoint(
+                                        GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                                .labels(
+                                                        Labels.of(
+                                                                "service",
+                                                                labels.service(),
+                                                                "region",
+                                                                labels.region()))
+                                                .value(weight)
+                                                .build()));
+        mPage.metricSnapshot(gauge.build());
+    }
+
+    private void addServiceValues(ServiceValue value, Map<String, Double> services) {
+        if (value.isTotal()) {
+            CounterSnapshot.Builder counter = counter(value.metricName(), value.help());
+            services.forEach(
+                    (service, number) ->
+                            addPoint(counter, Labels.of("service", service), number.longValue()));
+            mPage.metricSnapshot(counter.build());
+            return;
+        }
+        GaugeSnapshot.Builder gauge =
+                GaugeSnapshot.builder().name(PREFIX + value.metricName()).help(value.help());
+        services.forEach(
+                (service, number) ->
+                        gauge.dataPoint(
                                 GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                        .labels(Labels.of("service", service))
                                         .value(number)
-                                        .build())
-                        .build());
+                                        .build()));
+        mPage.metricSnapshot(gauge.build());
     }
 
     private static CounterSnapshot.Builder counter(String name, String help) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -86,7 +86,7 @@
                         request.headers(), flow.names(), hasDeadline, caller.workspace());
         String key = request.headers().get(flow.names().affinityKey());
         facts.key(key);
-        mSearch = new ServerSearch(flow, facts, caller, service, key);
+        mSearch = new ServerSearch(flow, facts, caller, service, key, request.body());
         mCrashCheck = new CrashCheck(flow.crashGuard(), request, facts);
         mCompletion = new RequestCompletion(flow.answers(), facts, mRequestId);
         mAttemptCharge = AttemptCharge.of(flow.spending(), facts, service);
@@ -95,7 +95,7 @@
     void begin() {
         long now = mFlow.nowNanos();
         mFlow.retries().recordFirstAttempt(mService, now);
-        mFlow.placer().arrived(mRoute, mService, now);
+        mFlow.placer().arrived(mRoute, mService, mCaller.workspace(), now);
         long left = mTimes.leftNanos(now);
         if (left <= 0) {
             refuse("deadline-passed");
@@ -128,7 +128,7 @@
             end("no-backend-server");
             return;
         }
-        mSearch.recordCandidate(placed.choice(), now);
+        mSearch.recordChosen(placed.choice(), now);
         ServerLoad chosen = placed.choice().load();
         if (chargeOrEnd(chosen)) {
             send(chosen, now);
@@ -138,7 +138,7 @@
     private void refuseForLoad(AdmissionDecision decision, List<ServerLoad> servers, long now) {
         mSearch.recordRankedCandidates(servers, mTimes.leftNanos(now), now);
         mFacts.expectedWait(decision.expectedWaitNanos(), decision.maximumWaitNanos());
-        refuse(Rejection.unavailable("overload", Duration.ofNanos(decision.retryAfterNanos())));
+        refuse(Rejection.unavailable(decision.cause().text(), decision.retryAfter()));
     }
 
     /** Charges the next attempt, or ends the request if the charge is refused. */
@@ -200,13 +200,13 @@
             return;
         }
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
-        mFlow.placer().chooser().recordAnswerSize(mRoute.id(), answer.body().readableBytes());
+        int sentBytes = mRequest.body().readableBytes();
+        mFlow.placer().transferred(server, mRoute.id(), sentBytes, answer.body().readableBytes());
         boolean failed = answer.status() >= FIRST_SERVER_ERROR;
         if (failed && !statement.isWithdrawing()) {
             mFlow.placer().failed(server, now);
         } else if (!failed) {
-            boolean waited = statement.load().filter(load -> load.waiting() > 0).isPresent();
-            mFlow.placer().succeeded(server, now - mSentNanos, waited, now);
+            mSearch.succeeded(server, statement.load(), now - mSentNanos, now);
             mCrashCheck.recordAnswer();
         }
         if (failed && mRoute.idempotent() && tryAcquireRetry(now)) {
@@ -247,7 +247,7 @@
         if (failure.kind() == CallFailure.Kind.BROKEN_OFF) {
             mCrashCheck.recordBrokenOff(server.server(), mSentNanos, now);
         }
-        if (failure.kind() == CallFailure.Kind.TIMED_OUT) {
+        if (failure.kind().isTimeout()) {
             onTimeout();
             return;
         }
@@ -318,7 +318,7 @@
     }
 
     private void finishAttempt(ServerLoad server) {
-        server.requestEnded();
+        mSearch.attemptEnded(server);
         mCall = null;
     }
 
@@ -335,7 +335,7 @@
         if (mDone) {
             return;
         }
-        if (mCall != null) {
+        if (mCall != null && !mCall.isReadingPaused()) {
             mFlow.placer().failed(mServer, mFlow.nowNanos());
         }
         cancelCall();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -5,14 +5,17 @@
 import io.masticpond.core.placement.Candidates;
 import io.masticpond.core.placement.Placement;
 import io.masticpond.core.placement.PlacementRequest;
+import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChoice;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.support.HashMixer;
+import io.masticpond.entry.log.CandidateFigures;
 import io.masticpond.entry.log.Exclusion;
 import io.masticpond.entry.log.RequestRecord;
+import io.netty.buffer.ByteBuf;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -32,17 +35,25 @@
     private final Route mRoute;
     private final ServiceId mService;
     private final long mKeyHash;
+    private final int mBodyBytes;
     private final Set<BackendServerId> mTried = new HashSet<>();
     private final Set<BackendServerId> mWithoutPermit = new HashSet<>();
+    private ServerChoice mChosen;
 
     ServerSearch(
-            RequestFlow flow, RequestRecord facts, Caller caller, ServiceId service, String key) {
+            RequestFlow flow,
+            RequestRecord facts,
+            Caller caller,
+            ServiceId service,
+            String key,
+            ByteBuf body) {
         mFlow = flow;
         mFacts = facts;
         mCaller = caller;
         mRoute = caller.route();
         mService = service;
         mKeyHash = keyHash(key, mRoute);
+        mBodyBytes = body.readableBytes();
     }
 
     private static long keyHash(String key, Route route) {
@@ -97,18 +108,54 @@
         }
     }
 
+    /** Records the chosen server. */
+    void recordChosen(ServerChoice choice, long now) {
+        mChosen = choice;
+        recordCandidate(choice, now);
+    }
+
+    /** Records a successful answer of the chosen server, and the load that it reported with it. */
+    void succeeded(ServerLoad load, Optional<ReportedLoad> reported, long nanos, long now) {
+        boolean waited = reported.filter(each -> each.waiting() > 0).isPresent();
+        mFlow.placer().succeeded(mRoute, load, nanos, waited, now);
+        if (mChosen.load() == load) {
+            long roundTripNanos = mFlow.connections().roundTripNanos(load.server());
+            mFlow.placer()
+                    .chooser()
+                    .speeds()
+                    .recordRun(mChosen, mRoute.id(), reported, nanos, roundTripNanos, now);
+        }
+    }
+
     /** Records a server that was considered. */
     void recordCandidate(ServerChoice choice, long now) {
-        mFacts.candidate(
-                choice.load().server().id(),
-                (int) Math.round(choice.load().inFlight(now)),
-                choice.load().server().slots(),
-                choice.score());
+        ServerLoad load = choice.load();
+        int inFlight = (int) Math.round(load.inFlight(now));
+        int slots = load.server().slots();
+        CandidateFigures figures =
+                choice.expected()
+                        .map(
+                                expected ->
+                                        new CandidateFigures(
+                                                inFlight,
+                                                slots,
+                                                choice.score(),
+                                                (long) expected.totalNanos(),
+                                                expected.speedAgeNanos()))
+                        .orElseGet(() -> new CandidateFigures(inFlight, slots, choice.score()));
+        mFacts.candidate(load.server().id(), figures);
     }
 
     /** Records that the request was sent to a server, so that the server is not chosen again. */
     void markTried(ServerLoad load) {
         mTried.add(load.server().id());
+        mFlow.crashGuard().bodies().started(load, mBodyBytes);
+    }
+
+    /** Records that the attempt at a server has ended in any way. */
+    void attemptEnded(ServerLoad load) {
+        load.requestEnded();
+        mFlow.crashGuard().bodies().ended(load, mBodyBytes);
     }
 
     /** Determines whether a server is cold. */
@@ -144,6 +191,9 @@
         if (!mWithoutPermit.isEmpty() && mWithoutPermit.contains(load.server().id())) {
             return Exclusion.COLD;
         }
+        if (!mFlow.crashGuard().bodies().accepts(load, mBodyBytes, now)) {
+            return Exclusion.BODY_LIMIT;
+        }
         return load.isAvoided(now) ? Exclusion.FAILING : null;
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -34,6 +34,8 @@
     private final ProofSharing mProofSharing;
     private final RateSharing mRateSharing;
     private final LimitSharing mLimitSharing;
+    private final LoadControlWiring mLoadControl;
+    private final Probing mProbing;
 
     @Inject
     EntryInstance(
@@ -50,7 +52,9 @@
             CrashSharing crashSharing,
             ProofSharing proofSharing,
             RateSharing rateSharing,
-            LimitSharing limitSharing) {
+            LimitSharing limitSharing,
+            LoadControlWiring loadControl,
+            Probing probing) {
         mProcessChanges = processChanges;
         mTraffic = traffic;
         mControl = control;
@@ -65,6 +69,8 @@
         mProofSharing = proofSharing;
         mRateSharing = rateSharing;
         mLimitSharing = limitSharing;
+        mLoadControl = loadControl;
+        mProbing = probing;
     }
 
     /** Starts all parts. The instance becomes ready once routes and backend servers are known. */
@@ -75,6 +81,8 @@
         mProofSharing.start();
         mRateSharing.start();
         mLimitSharing.start();
+        mLoadControl.start();
+        mProbing.start();
         if (mFlow.spending().isPresent()) {
             SpendingCheck spending = mFlow.spending().get();
             mTraffic.execute(spending::start);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -1,9 +1,15 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyDirection;
+import io.masticpond.core.capacity.CapacityGate;
+import io.masticpond.core.capacity.ServiceLoadView;
 import io.masticpond.core.crash.CrashView;
 import io.masticpond.core.fleet.FleetSnapshot;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.StoreRevision;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUsage;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.serverlimit.LimitView;
@@ -12,9 +18,11 @@
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionCounts;
 import io.masticpond.entry.backend.NettyBackendConnections;
+import io.masticpond.entry.control.ServiceSpeedView;
 import io.masticpond.entry.log.RequestRecord;
 import io.masticpond.entry.metrics.EntryValue;
 import io.masticpond.entry.metrics.EntryValues;
+import io.masticpond.entry.metrics.ServiceValue;
 import io.masticpond.entry.peer.PeerMember;
 import io.masticpond.entry.replica.Category;
 import io.masticpond.entry.replica.CategoryStatus;
@@ -27,6 +35,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -47,7 +56,11 @@
     private final RequestFlow mFlow;
     private final SharedLimits mLimits;
     private final ConnectionCounts mConnections;
+    private final CapacityGate mGate;
+    private final ServerSpeedViews mSpeeds;
     private final EntryListeners mListeners;
+    private final RegionBalancing mRegions;
+    private final BodyBudget mBodies;
     private volatile Traffic mTraffic =
             new Traffic(
                     0,
@@ -63,7 +76,10 @@
                     Optional.empty(),
                     Keys.NONE,
                     Limits.NONE,
-                    Withdrawals.NONE);
+                    Withdrawals.NONE,
+                    Map.of(),
+                    Bodies.NONE,
+                    ServiceLoads.NONE);
 
     /** The metrics of the workspaces' keys. */
     private record Keys(int workspaces, int keys, long proofAgeNanos, boolean isProven) {
@@ -93,10 +109,10 @@
         }
     }
 
-    /** The metrics of the withdrawals that backend servers state. */
-    private record Withdrawals(long leaving, long paused, long malformed) {
+    /** The metrics of the withdrawals and loads that backend servers state. */
+    private record Withdrawals(long leaving, long paused, long malformed, long malformedLoads) {
 
-        static final Withdrawals NONE = new Withdrawals(0, 0, 0);
+        static final Withdrawals NONE = new Withdrawals(0, 0, 0, 0);
 
         static Withdrawals of(ServerStatements statements) {
             List<WithdrawalView> views = statements.withdrawals();
@@ -104,7 +120,45 @@
                     views.stream()
                             .filter(each -> each.state() == WithdrawalView.State.PAUSED)
                             .count();
-            return new Withdrawals(views.size() - paused, paused, statements.malformed());
+            return new Withdrawals(
+                    views.size() - paused,
+                    paused,
+                    statements.malformed(),
+                    statements.malformedLoads());
+        }
+    }
+
+    /** The metrics of the body budget. */
+    private record Bodies(long requestBytes, long responseBytes, long refusals) {
+
+        static final Bodies NONE = new Bodies(0, 0, 0);
+
+        static Bodies of(BodyBudget budget) {
+            return new Bodies(
+                    budget.held(BodyDirection.REQUESTS),
+                    budget.held(BodyDirection.RESPONSES),
+                    budget.refusals());
+        }
+    }
+
+    /** The metrics of the load of services. */
+    private record ServiceLoads(
+            List<ServiceLoadView> views,
+            List<ServiceSpeedView> speeds,
+            Map<ServiceId, Long> refusals) {
+
+        static final ServiceLoads NONE = new ServiceLoads(List.of(), List.of(), Map.of());
+
+        void set(EntryValues values) {
+            for (ServiceLoadView view : views) {
+                values.set(ServiceValue.FULLNESS, view.service(), view.fullness());
+                values.set(ServiceValue.CAPACITY, view.service(), view.capacityPerSecond());
+            }
+            for (ServiceSpeedView speed : speeds) {
+                values.set(ServiceValue.SLOW_SERVERS, speed.service(), speed.slowServers().size());
+            }
+            refusals.forEach(
+                    (service, count) -> values.set(ServiceValue.SHARE_REFUSALS, service, count));
         }
     }
 
@@ -123,7 +177,10 @@
             Optional<List<SpendingView>> spendings,
             Keys keys,
             Limits limits,
-            Withdrawals withdrawals) {
+            Withdrawals withdrawals,
+            Map<ServiceId, Map<RegionId, Double>> regionWeights,
+            Bodies bodies,
+            ServiceLoads loads) {
 
         double sum(ToDoubleFunction<RetryBudgetUsage> value) {
             return retries.stream().mapToDouble(value).sum();
@@ -137,13 +194,20 @@
             RequestFlow flow,
             SharedLimits limits,
             NettyBackendConnections connections,
-            EntryListeners listeners) {
+            CapacityGate gate,
+            EntryListeners listeners,
+            RegionBalancing regions,
+            BodyBudget bodies) {
         mTimeSource = timeSource;
         mControl = control;
         mFlow = flow;
         mLimits = limits;
         mConnections = connections.counts();
+        mGate = gate;
+        mSpeeds = new ServerSpeedViews(flow.servers(), flow.placer().chooser().speeds());
         mListeners = listeners;
+        mRegions = regions;
+        mBodies = bodies;
     }
 
     /** Reads what the traffic thread owns, on that thread. */
@@ -164,7 +228,13 @@
                         mFlow.spending().map(SpendingCheck::views),
                         Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.statements().limits()),
-                        Withdrawals.of(mFlow.statements()));
+                        Withdrawals.of(mFlow.statements()),
+                        mRegions.factors(),
+                        Bodies.of(mBodies),
+                        new ServiceLoads(
+                                mGate.views(mTimeSource.monotonicNanos()),
+                                mSpeeds.views(mTimeSource.monotonicNanos()),
+                                mGate.shareRefusals()));
     }
 
     /** Sets all metric values. Must be called on the control thread. */
@@ -193,6 +263,12 @@
 
     private void setTraffic(EntryValues values) {
         Traffic traffic = mTraffic;
+        traffic.regionWeights()
+                .forEach(
+                        (service, regions) ->
+                                regions.forEach(
+                                        (region, weight) ->
+                                                values.setRegionWeight(service, region, weight)));
         values.set(EntryValue.OPEN_REQUESTS, traffic.open());
         values.set(EntryValue.CLIENT_CONNECTIONS, mListeners.entry().openConnections());
         values.set(EntryValue.BACKEND_CONNECTIONS, traffic.connections());
@@ -208,11 +284,16 @@
         values.set(EntryValue.SERVERS_STATED_LEAVING, traffic.withdrawals().leaving());
         values.set(EntryValue.PAUSED_SERVERS, traffic.withdrawals().paused());
         values.set(EntryValue.MALFORMED_WITHDRAWALS, traffic.withdrawals().malformed());
+        values.set(EntryValue.MALFORMED_LOAD_HEADERS, traffic.withdrawals().malformedLoads());
+        values.set(EntryValue.HELD_REQUEST_BYTES, traffic.bodies().requestBytes());
+        values.set(EntryValue.HELD_RESPONSE_BYTES, traffic.bodies().responseBytes());
+        values.set(EntryValue.BODY_REFUSALS, traffic.bodies().refusals());
         values.set(EntryValue.REJECTED_REQUESTS, traffic.rejected());
         values.set(EntryValue.RETRY_BUDGET, traffic.sum(RetryBudgetUsage::left));
         values.set(EntryValue.RETRY_BUDGET_BOUND, traffic.sum(RetryBudgetUsage::bound));
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUsage::used));
         setKeys(values, traffic.keys());
+        traffic.loads().set(values);
         traffic.spendings().ifPresent(spendings -> setSpending(values, spendings));
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.entry.log.ProcessChange;
@@ -26,7 +28,9 @@
     private final SharedLimits mLimits;
     private final ServerChooser mChooser;
     private final LoadControlActivation mLoadControl;
+    private final RegionBalancing mRegions;
     private final RequestFlow mFlow;
+    private final BodyBudget mBodies;
     private final StopSwitch mStop;
     private final ProcessChangeLog mProcessChanges;
     private EntrySettings mSettings;
@@ -41,7 +45,9 @@
             SharedLimits limits,
             ServerChooser chooser,
             LoadControlActivation loadControl,
+            RegionBalancing regions,
             RequestFlow flow,
+            BodyBudget bodies,
             StopSwitch stop,
             ProcessChangeLog processChanges) {
         mSettings = settings;
@@ -52,7 +58,9 @@
         mLimits = limits;
         mChooser = chooser;
         mLoadControl = loadControl;
+        mRegions = regions;
         mFlow = flow;
+        mBodies = bodies;
         mStop = stop;
         mProcessChanges = processChanges;
     }
@@ -62,11 +70,14 @@
         mDirectory.apply(settings.bounds());
         mStop.apply(settings.bounds());
         mHeartbeats.setSeeds(Seeds.internal(settings, mSelf));
+        int memoryMegabytes = settings.resources().memoryMegabytes();
         mTraffic.execute(
                 () -> {
                     mLimits.apply(settings.bounds());
+                    mBodies.applySettings(BodyBudgetSettings.ofMemory(memoryMegabytes));
                     mChooser.applySettings(settings.placement());
                     mLoadControl.applySettings(settings.loadControl());
+                    mRegions.apply(settings.bounds());
                     mFlow.crashGuard().applySettings(settings.crashes());
                     mFlow.authenticator().applySettings(settings.workspaces());
                     mFlow.statements().limits().applySettings(settings.serverLimits());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -2,6 +2,10 @@
 
 import dagger.Module;
 import dagger.Provides;
+import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.body.BodyBudgetSettings;
+import io.masticpond.core.capacity.CapacityGate;
+import io.masticpond.core.capacity.DemandTotals;
 import io.masticpond.core.limit.AdmissionLimitSettings;
 import io.masticpond.core.limit.CallOutlierDetector;
 import io.masticpond.core.limit.CallOutlierDetectorSettings;
@@ -18,6 +22,7 @@
 import io.masticpond.entry.backend.ConnectionOptions;
 import io.masticpond.entry.backend.NettyBackendConnections;
 import io.masticpond.entry.log.DecisionLog;
+import io.masticpond.entry.log.LoadChange;
 import io.masticpond.entry.metrics.EntryMetrics;
 import io.masticpond.entry.peer.PeerInstance;
 import io.masticpond.entry.peer.PeerView;
@@ -69,16 +74,43 @@
 
     @Provides
     @Singleton
-    static PriorityLoadGate loadGate(PeerInstance self) {
-        return new PriorityLoadGate(
-                AdmissionLimitSettings.DEFAULT,
-                RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 1));
+    static CapacityGate loadGate(
+            PeerInstance self,
+            EntrySettings settings,
+            LoadControlActivation loadControl,
+            DecisionLog log) {
+        PriorityLoadGate wrapped =
+                new PriorityLoadGate(
+                        AdmissionLimitSettings.DEFAULT,
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 1));
+        CapacityGate gate =
+                new CapacityGate(
+                        wrapped,
+                        loadControl,
+                        settings.zone(),
+                        settings.zones(),
+                        AdmissionLimitSettings.DEFAULT,
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 3));
+        gate.setListener(view -> log.viewChanged(new LoadChange.Fullness(view)));
+        return gate;
+    }
+
+    @Provides
+    @Singleton
+    static BodyBudget bodyBudget(EntrySettings settings, DecisionLog log) {
+        int memoryMegabytes = settings.resources().memoryMegabytes();
+        BodyBudget budget = new BodyBudget(BodyBudgetSettings.ofMemory(memoryMegabytes));
+        budget.addListener(new BodyBudgetLog(log));
+        return budget;
     }
 
     @Provides
     @Singleton
     static NettyBackendConnections connections(
-            @TrafficThread EventLoop traffic, TimeSource timeSource, HeaderNames names) {
+            @TrafficThread EventLoop traffic,
+            TimeSource timeSource,
+            HeaderNames names,
+            BodyBudget budget) {
         return new NettyBackendConnections(
                 traffic,
                 timeSource,
@@ -87,7 +119,8 @@
                         names.notExecuted(),
                         CONNECT_TIMEOUT_NANOS,
                         IDLE_NANOS,
-                        MAXIMUM_ANSWER_BYTES));
+                        MAXIMUM_ANSWER_BYTES),
+                budget);
     }
 
     @Provides
@@ -98,9 +131,17 @@
 
     @Provides
     @Singleton
-    static ServerChooser chooser(EntrySettings settings) {
+    static DemandTotals demandTotals(EntrySettings settings) {
+        return new DemandTotals(settings.zone());
+    }
+
+    @Provides
+    @Singleton
+    static ServerChooser chooser(EntrySettings settings, LoadControlActivation loadControl) {
         return new ServerChooser(
-                settings.placement(), new CallOutlierDetector(CallOutlierDetectorSettings.DEFAULT));
+                settings.placement(),
+                new CallOutlierDetector(CallOutlierDetectorSettings.DEFAULT),
+                loadControl);
     }
 
     @Provides
@@ -155,7 +196,7 @@
             EntrySettings settings,
             ServerChooser chooser,
             SharedLimits limits,
-            PriorityLoadGate loadGate,
+            CapacityGate loadGate,
             ServiceSplit split,
             PeerView peers,
             PlatformAdapter platform,
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.ZoneId;
@@ -160,6 +161,19 @@
         assertThat(disconnected.isPlain()).isFalse();
     }
 
+    @Example
+    void stepOfRegionWeightIsOneLine() {
+        mBatch.add(
+                0,
+                new LoadChange.RegionWeight(
+                        new ServiceId("cart"), new RegionId("north"), 3, 0.91234));
+        mBatch.write();
+        assertThat(mOutput.text())
+                .contains("\"event\":\"region-weight\"")
+                .contains("\"service\":\"cart\",\"region\":\"north\",\"steps\":3")
+                .containsPattern("\"utilization\":0\\.91");
+    }
+
     @Example
     void omitsOnlyLineThatCannotBeEncoded() {
         write(answered("r1"));
@@ -169,6 +183,24 @@
                 .containsExactly("r1", "r2");
     }
 
+    /** Guards against a choice that cannot be explained, as its figure or its age is missing. */
+    @Example
+    void choiceByLatencyStatesExpectedLatencyAndAgeOfSpeed() {
+        RequestRecord request = new RequestRecord("r1", 0);
+        request.beginSelection();
+        request.candidate(FIRST, new CandidateFigures(3, 4, 0.9, millis(320), millis(45)));
+        request.candidate(SECOND, new CandidateFigures(3, 4, 0.8, millis(330), -1));
+        request.candidate(SECOND, new CandidateFigures(3, 4, 0.7));
+        request.answered(200, 0);
+        write(request);
+        JsonNode candidates = mOutput.lines().get(0).path("candidates");
+        assertThat(candidates.get(0).path("expectedLatencyMillis").asInt()).isEqualTo(320);
+        assertThat(candidates.get(0).path("speedAgeMillis").asInt()).isEqualTo(45);
+        assertThat(candidates.get(1).path("expectedLatencyMillis").asInt()).isEqualTo(330);
+        assertThat(candidates.get(1).has("speedAgeMillis")).isFalse();
+        assertThat(candidates.get(2).has("expectedLatencyMillis")).isFalse();
+    }
+
     private RequestRecord retried() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.routed(new RouteId("shop"), new ServiceId("cart"), 400, millis(1_000));
@@ -176,7 +208,7 @@
         request.registry(812, RequestRecord.UNKNOWN);
         request.peers(6, millis(90));
         request.beginSelection();
-        request.candidate(FIRST, 3, 4, 0.9);
+        request.candidate(FIRST, new CandidateFigures(3, 4, 0.9));
         request.sent(FIRST, ZONE, true, millis(1));
         request.attemptEnded(AttemptResult.TURNED_AWAY, 503, millis(10));
         request.retryBudget(1.5);
@@ -184,7 +216,7 @@
         request.excluded(Exclusion.LEAVING);
         request.excluded(Exclusion.LEAVING);
         request.excluded(Exclusion.TRIED);
-        request.candidate(SECOND, 0, 4, 0.5);
+        request.candidate(SECOND, new CandidateFigures(0, 4, 0.5));
         request.sent(SECOND, ZONE, false, millis(10));
         request.attemptEnded(AttemptResult.ANSWERED, 200, millis(130));
         return request;
