Keep load control out of the time of a start

The warm-up run, whose classes go into the archive, never saw a load header with four fields, so each start loaded and verified the classes of load control from the jar.

--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/DemandKey.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/DemandKey.java
@@ -19,4 +19,21 @@
         Assert.notNegative(priority, "A priority");
         Assert.notNull(workspace, "The hash of a workspace");
     }
+
+    /**
+     * Explicit, since the generated implementation of a record is linked at its first use, which
+     * would be during startup.
+     */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DemandKey that
+                && priority == that.priority
+                && workspace.equals(that.workspace)
+                && service.equals(that.service);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * service.hashCode() + priority) + workspace.hashCode();
+    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/ShareTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/ShareTable.java
@@ -49,7 +49,24 @@
     private static final double MINIMUM_PER_SECOND = 5;
 
     /** Callers with one priority of one workspace. */
-    record Group(int priority, WorkspaceHash workspace) {}
+    record Group(int priority, WorkspaceHash workspace) {
+
+        /**
+         * Explicit, since the generated implementation of a record is linked at its first use,
+         * which would be during startup.
+         */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Group that
+                    && priority == that.priority
+                    && workspace.equals(that.workspace);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * priority + workspace.hashCode();
+        }
+    }
 
     /** Returns the part of the requests of a group that is within its share. */
     double part(Group group) {
--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/WorkspaceHash.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/WorkspaceHash.java
@@ -27,4 +27,18 @@
         int hash = workspace.get().value().hashCode();
         return new WorkspaceHash(hash == 0 ? 1 : hash);
     }
+
+    /**
+     * Explicit, since the generated implementation of a record is linked at its first use, which
+     * would be during startup.
+     */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof WorkspaceHash that && value == that.value;
+    }
+
+    @Override
+    public int hashCode() {
+        return value;
+    }
 }
