Lower a full region faster while a service starts

Change: in the first 6 s after the first demand several steps may be taken at once, up to half of the bound on moved requests. Ruled out: two thirds of the bound; RegionBalancerTest.neverMoreThanBoundOfMovedKeysInTwoSeconds saw 0.164.

--- a/masticpond-core/src/main/java/io/masticpond/core/room/RegionBalancer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/room/RegionBalancer.java
@@ -48,6 +48,15 @@
     /** The part of the requests that may move in 2 s which is left to steps. */
     private static final double STEP_SHARE = 1.0 / 3;
 
+    /**
+     * The same part while a service starts. Its servers have hardly any objects in their caches
+     * then, so a key that moves costs nothing, and the demand may be at the crest of a wave.
+     */
+    private static final double STARTING_STEP_SHARE = 1.0 / 2;
+
+    /** Time after the first demand for which a service counts as starting. */
+    private static final long STARTING_NANOS = TimeUnit.SECONDS.toNanos(6);
+
     private final Map<ZoneId, RegionId> mRegions;
     private final LoadControlActivation mActivation;
     private final Map<ServiceId, State> mStates = new HashMap<>();
@@ -64,6 +73,11 @@
         private final Map<RegionId, Integer> mSteps = new TreeMap<>();
         private boolean mIsInitialized;
         private long mStepNanos;
+        private long mInitializedNanos;
+
+        private boolean isStarting(long nowNanos) {
+            return nowNanos - mInitializedNanos < STARTING_NANOS;
+        }
     }
 
     /**
@@ -167,11 +181,15 @@
         if (isInformed) {
             state.mSteps.putAll(least);
             state.mStepNanos = nowNanos;
+            state.mInitializedNanos = nowNanos;
             state.mIsInitialized = true;
         }
     }
 
-    /** Takes one step with the region that is farthest from its range. */
+    /**
+     * Takes a step with the region that is farthest from its range, or several while the service
+     * starts.
+     */
     private void step(
             ServiceId service,
             State state,
@@ -192,9 +210,19 @@
         if (farthest == null) {
             return;
         }
-        Map<RegionId, Integer> steps = new TreeMap<>(state.mSteps);
-        steps.merge(farthest, greatest > 0 ? -1 : 1, Integer::sum);
-        if (room.movedShare(state.mSteps, steps) > regionShift * STEP_SHARE) {
+        double maximumShare =
+                regionShift * (state.isStarting(nowNanos) ? STARTING_STEP_SHARE : STEP_SHARE);
+        int maximumSteps = state.isStarting(nowNanos) ? Math.abs(greatest) : 1;
+        Map<RegionId, Integer> steps = state.mSteps;
+        for (int count = 1; count <= maximumSteps; count++) {
+            Map<RegionId, Integer> next = new TreeMap<>(state.mSteps);
+            next.merge(farthest, greatest > 0 ? -count : count, Integer::sum);
+            if (room.movedShare(state.mSteps, next) > maximumShare) {
+                break;
+            }
+            steps = next;
+        }
+        if (steps == state.mSteps) {
             return;
         }
         state.mSteps.putAll(steps);
