--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityGateTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/CapacityGateTest.java
@@ -40,6 +40,17 @@
         assertThat(on.get("hot").served()).as("the hot one keeps its share").isGreaterThan(0.35);
     }
 
+    /** The callers of other workspaces must be served as if the busy one sent its usual load. */
+    @Example
+    void hotWorkspaceTakesNothingFromOthers() {
+        DoubleUnaryOperator hot =
+                second -> second > 3 && second < 7 || second > 9 && second < 13 ? 8 : 1;
+        Served calm = sum(withoutHot(playWorkspaces(ON, second -> 1)));
+        Served beside = sum(withoutHot(playWorkspaces(ON, hot)));
+        report("hotWorkspaceTakesNothingFromOthers", calm, beside);
+        assertThat(beside.served()).isGreaterThanOrEqualTo(calm.served());
+    }
+
     /** Callers of a region with a tenth of the servers and a third of the callers. */
     @Example
     void oneRegionHasTenth() {
