Freeze the time of the channel in tests of the request path

Cause: RequestFlowTest.answersNotFoundForUnknownRouteAndUnavailableWithoutRoutes failed once on a machine with a load of about 20. It checks that a request is held one millisecond before its timeout, while the time of an embedded channel also passes by itself. Read from the code, not reproduced. Change: the time of the channel is frozen in the tests that advance it, as EntryFixture does. Measured: HeldRequestsTest and all *FlowTest classes pass.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -90,6 +90,11 @@
                     mTime,
                     mDecisions);
 
+    /** Freezes the channel's time, which otherwise also passes between two steps. */
+    AbstractRequestFlowTest() {
+        mChannel.freezeTime();
+    }
+
     void passTime(Duration time) {
         mTime.advance(time);
         mChannel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/HeldRequestsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/HeldRequestsTest.java
@@ -29,6 +29,11 @@
                     (request, responder, facts) -> mTimedOut.add(request.target()),
                     (request, responder, facts) -> mDisconnected.add(request.target()));
 
+    /** Freezes the channel's time, which otherwise also passes between two steps. */
+    HeldRequestsTest() {
+        mChannel.freezeTime();
+    }
+
     @Example
     void releasesRequestsInOrderOfArrival() {
         hold("first");
