--- a/masticpond-core/src/main/java/io/masticpond/core/body/BodyBudgetSettings.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/body/BodyBudgetSettings.java
@@ -16,7 +16,7 @@
 
     private static final long MEGABYTE = 1024 * 1024;
 
-    /** Memory of a process without bodies: 49 MB at the peak of a quiet day on the bench. */
+    /** Memory of a process without bodies, some 49 MB at light load, with a margin. */
     private static final long BASE_MEGABYTES = 64;
 
     private static final long MINIMUM_TOTAL_BYTES = 8 * MEGABYTE;
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/LatencyScorer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/LatencyScorer.java
@@ -17,7 +17,10 @@
  */
 final class LatencyScorer implements ServerScorer {
 
-    /** Value of a late answer relative to one in time. */
+    /**
+     * Value of a late answer relative to one in time. A client still uses a late answer, so a
+     * server that answers late is better than one that does not answer before the deadline.
+     */
     private static final double LATE_VALUE = 0.2;
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/PlacementSettings.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/PlacementSettings.java
@@ -31,7 +31,10 @@
     /** Reciprocal of the penalty that reduces the keys for which a server ranks first to 1/e. */
     private static final double DISTANCE_SCALE = 5;
 
-    /** Default penalties; docs/bench/ROUNDS.md compares them with others. */
+    /**
+     * Default penalties, for a cache hit that takes a third of a miss and regions some tens of
+     * milliseconds apart.
+     */
     public static final PlacementSettings DEFAULT =
             new PlacementSettings(0.2, 0.35, 2, 0.1, 1.5, 1.0, 0.1, 2.0);
 
--- a/masticpond-core/src/main/java/io/masticpond/core/speed/ServerSpeed.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/speed/ServerSpeed.java
@@ -10,7 +10,7 @@
  */
 public final class ServerSpeed {
 
-    /** Least slowdown that is believed, so that a false report attracts a bounded preference. */
+    /** Minimum slowdown, so that a false report attracts a bounded preference. */
     private static final double MINIMUM_SLOWDOWN = 0.5;
 
     private static final double PERCENT = 100;
