--- a/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/RequestPlacer.java
@@ -328,6 +328,18 @@
         load.avoidUntil(nowNanos + UNREACHABLE_AVOID_NANOS, AvoidReason.UNREACHABLE);
     }
 
+    /**
+     * Discards the failures of servers that were those of this instance's own connection.
+     *
+     * @param loads the servers
+     */
+    public void discardFailures(List<ServerLoad> loads) {
+        for (ServerLoad load : loads) {
+            load.endAvoidance(AvoidReason.UNREACHABLE);
+            mChooser.outlierDetector().remove(load.server().service(), load.server().id());
+        }
+    }
+
     /**
      * Records that a server rejected a request. A full server is avoided for a moment. A server
      * with a free slot is evaluated in comparison with its peers: it is avoided if it alone rejects
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -155,6 +155,16 @@
         mIsAnswered = true;
     }
 
+    /**
+     * Returns the time since the last answer to this instance.
+     *
+     * @param nowNanos the current monotonic time
+     * @return nanoseconds, or {@link Long#MAX_VALUE} without an answer
+     */
+    public long answeredAgoNanos(long nowNanos) {
+        return mIsAnswered ? nowNanos - mAnsweredNanos : Long.MAX_VALUE;
+    }
+
     /**
      * Determines whether a connection is likely to be idle. Exact knowledge would require a query
      * of the connections for each candidate; an error costs one round trip in the estimate.
@@ -271,6 +281,17 @@
         mAvoidReason = Assert.notNull(reason, "A reason");
     }
 
+    /**
+     * Ends an avoidance of the server for a reason that turned out to be none.
+     *
+     * @param reason the reason
+     */
+    void endAvoidance(AvoidReason reason) {
+        if (mAvoidReason == reason) {
+            mAvoidReason = null;
+        }
+    }
+
     /**
      * Returns the reason why the server is avoided.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/probe/ProbeObstacle.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/probe/ProbeObstacle.java
@@ -27,6 +27,16 @@
         mTakesRequests = takesRequests;
     }
 
+    /**
+     * Returns whether the server must not be probed for its reachability either. A server that is
+     * avoided is the one that such a probe is about.
+     *
+     * @return whether the server has to be spared
+     */
+    public boolean isBinding() {
+        return this != AVOIDED && this != CONNECTIONS_IN_USE;
+    }
+
     /**
      * Returns whether requests may be sent to the server, so that it is a home of keys.
      *
--- /dev/null
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
@@ -0,0 +1,228 @@
+package io.masticpond.core.reachability;
+
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.ServiceId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** State machine of the reachability of one service. */
+final class ServiceReachability {
+
+    private static final int FAILED_SERVERS = 2;
+    private static final int ANSWER_TIMES = 3;
+    private static final double SMOOTHING_FACTOR = 0.1;
+
+    /** Number of answered probes after which an unreachable service is reachable again. */
+    private static final int ANSWERED_PROBES = 2;
+
+    /** Maximum of that number for a service that was lost repeatedly. */
+    private static final int MAXIMUM_ANSWERED_PROBES = 8;
+
+    /** Time after a return within which another loss counts as repeated. */
+    private static final long REPEATED_LOSS_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final ServiceId mService;
+    private final Map<BackendServerId, Long> mFailedNanos = new HashMap<>();
+    private ReachabilityState mState = ReachabilityState.REACHABLE;
+    private ReachabilityEvidence mEvidence = ReachabilityEvidence.ANSWERED;
+    private long mSinceNanos;
+    private int mPending;
+    private long mSilentSinceNanos;
+    private double mAnswerNanos;
+    private boolean mHasReturned;
+    private long mReturnedNanos;
+    private long mLastAnswerNanos;
+    private boolean mHasRefuted;
+    private long mRefutedNanos;
+    private int mProbesToStart;
+    private int mProbesInFlight;
+    private int mAnsweredProbes;
+    private int mRequiredProbes = ANSWERED_PROBES;
+    private long mNextProbeNanos;
+    private boolean mIsInconclusive;
+
+    ServiceReachability(ServiceId service, long nowNanos) {
+        mService = service;
+        mSinceNanos = nowNanos;
+        mLastAnswerNanos = nowNanos;
+    }
+
+    ReachabilityState state() {
+        return mState;
+    }
+
+    ReachabilityView view() {
+        return new ReachabilityView(mService, mState, mEvidence, mSinceNanos);
+    }
+
+    int pending() {
+        return mPending;
+    }
+
+    /** Determines whether all probes failed although answers still arrive on older connections. */
+    boolean isInconclusive() {
+        return mIsInconclusive;
+    }
+
+    void sent(long nowNanos) {
+        if (mPending == 0) {
+            mSilentSinceNanos = nowNanos;
+        }
+        mPending++;
+    }
+
+    void ended() {
+        mPending--;
+    }
+
+    void answered(long answerNanos, long nowNanos) {
+        mSilentSinceNanos = nowNanos;
+        mLastAnswerNanos = nowNanos;
+        mAnswerNanos =
+                mAnswerNanos == 0
+                        ? answerNanos
+                        : mAnswerNanos + SMOOTHING_FACTOR * (answerNanos - mAnswerNanos);
+        boolean isSilenceOver =
+                mState == ReachabilityState.SUSPECTED
+                        && mEvidence == ReachabilityEvidence.NO_ANSWERS;
+        if (isSilenceOver) {
+            refute(ReachabilityEvidence.ANSWERED, nowNanos);
+        }
+    }
+
+    void restartSilence(long nowNanos) {
+        mSilentSinceNanos = nowNanos;
+    }
+
+    boolean isSilent(ReachabilitySettings settings, long nowNanos) {
+        long limitNanos =
+                Math.max(settings.silence().toNanos(), (long) (ANSWER_TIMES * mAnswerNanos));
+        return mPending > 0 && nowNanos - mSilentSinceNanos >= limitNanos;
+    }
+
+    /** Records a failed connection; returns whether connections to several servers failed. */
+    boolean failed(BackendServerId server, ReachabilitySettings settings, long nowNanos) {
+        long windowNanos = settings.failureWindow().toNanos();
+        mFailedNanos.values().removeIf(failedNanos -> nowNanos - failedNanos > windowNanos);
+        mFailedNanos.put(server, nowNanos);
+        return mFailedNanos.size() >= FAILED_SERVERS;
+    }
+
+    /** Raises a suspicion unless there is one or the last one was refuted only just now. */
+    boolean suspect(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
+        boolean isTrusted =
+                mHasRefuted && nowNanos - mRefutedNanos < settings.failureWindow().toNanos();
+        if (mState != ReachabilityState.REACHABLE || isTrusted) {
+            return false;
+        }
+        change(ReachabilityState.SUSPECTED, evidence, nowNanos);
+        mProbesToStart = settings.probes();
+        mProbesInFlight = 0;
+        return true;
+    }
+
+    /** Returns the number of probes that are due. */
+    int dueProbes(long nowNanos) {
+        return switch (mState) {
+            case REACHABLE -> 0;
+            case SUSPECTED -> mProbesToStart;
+            case UNREACHABLE -> nowNanos - mNextProbeNanos >= 0 ? 1 : 0;
+        };
+    }
+
+    void probeStarted(ReachabilitySettings settings, long nowNanos) {
+        mProbesToStart = Math.max(0, mProbesToStart - 1);
+        mProbesInFlight++;
+        mNextProbeNanos = nowNanos + settings.probeInterval().toNanos();
+    }
+
+    /** Ends a suspicion that cannot be examined, as no server may be probed. */
+    void endProbing(long nowNanos) {
+        mProbesToStart = 0;
+        if (mState == ReachabilityState.SUSPECTED && mProbesInFlight == 0) {
+            refute(mEvidence, nowNanos);
+        }
+    }
+
+    /** Records the end of a probe; returns whether the service changed to or from unreachable. */
+    boolean probeEnded(boolean isAnswered, long nowNanos) {
+        mProbesInFlight = Math.max(0, mProbesInFlight - 1);
+        return switch (mState) {
+            case REACHABLE -> false;
+            case SUSPECTED -> suspicionProbed(isAnswered, nowNanos);
+            case UNREACHABLE -> lossProbed(isAnswered, nowNanos);
+        };
+    }
+
+    private boolean suspicionProbed(boolean isAnswered, long nowNanos) {
+        if (isAnswered) {
+            refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
+            return false;
+        }
+        if (mProbesInFlight > 0 || mProbesToStart > 0) {
+            return false;
+        }
+        if (mLastAnswerNanos - mSinceNanos > 0) {
+            mIsInconclusive = true;
+            return false;
+        }
+        lose(ReachabilityEvidence.PROBES_UNANSWERED, nowNanos);
+        return true;
+    }
+
+    /** Concludes that the service is unreachable. */
+    void lose(ReachabilityEvidence evidence, long nowNanos) {
+        boolean isRepeated = mHasReturned && nowNanos - mReturnedNanos < REPEATED_LOSS_NANOS;
+        mRequiredProbes =
+                isRepeated
+                        ? Math.min(2 * mRequiredProbes, MAXIMUM_ANSWERED_PROBES)
+                        : ANSWERED_PROBES;
+        mAnsweredProbes = 0;
+        mNextProbeNanos = nowNanos;
+        change(ReachabilityState.UNREACHABLE, evidence, nowNanos);
+    }
+
+    private boolean lossProbed(boolean isAnswered, long nowNanos) {
+        if (!isAnswered) {
+            mAnsweredProbes = Math.max(0, mAnsweredProbes - 1);
+            return false;
+        }
+        mAnsweredProbes++;
+        mNextProbeNanos = nowNanos;
+        if (mAnsweredProbes < mRequiredProbes) {
+            return false;
+        }
+        mHasReturned = true;
+        mReturnedNanos = nowNanos;
+        refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
+        return true;
+    }
+
+    /** Concludes that the service is reachable. */
+    void refute(ReachabilityEvidence evidence, long nowNanos) {
+        mFailedNanos.clear();
+        mHasRefuted = true;
+        mRefutedNanos = nowNanos;
+        mProbesToStart = 0;
+        mSilentSinceNanos = nowNanos;
+        change(ReachabilityState.REACHABLE, evidence, nowNanos);
+    }
+
+    /** Returns the share of the requests that is sent to servers directly. */
+    double directShare(ReachabilitySettings settings, long nowNanos) {
+        if (mState == ReachabilityState.UNREACHABLE) {
+            return 0;
+        }
+        return mHasReturned
+                ? Math.min(1, (nowNanos - mReturnedNanos) / (double) settings.ramp().toNanos())
+                : 1;
+    }
+
+    private void change(ReachabilityState state, ReachabilityEvidence evidence, long nowNanos) {
+        mState = state;
+        mEvidence = evidence;
+        mSinceNanos = nowNanos;
+        mIsInconclusive = false;
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
@@ -28,6 +28,17 @@
             BackendRequest request,
             BackendCallListener listener);
 
+    /**
+     * Sends a request to a server on a connection of its own, which is closed afterwards.
+     *
+     * @param server the server
+     * @param request the request
+     * @param listener the listener for the end of the call, never called before this method returns
+     * @return the call in progress
+     */
+    BackendCall sendOnNewConnection(
+            RegisteredServer server, BackendRequest request, BackendCallListener listener);
+
     /**
      * Opens a connection to check whether a server still accepts any. If it opens, the next request
      * uses it.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOpener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOpener.java
@@ -9,17 +9,22 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Factory that opens connections to backend servers by their IP addresses. */
 final class ConnectionOpener {
 
+    private static final int ANY_PORT = 0;
+
     private final EventLoop mEventLoop;
     private final ConnectionOptions mOptions;
+    private final Optional<InetSocketAddress> mLocalAddress;
 
     ConnectionOpener(EventLoop eventLoop, ConnectionOptions options) {
         mEventLoop = eventLoop;
         mOptions = options;
+        mLocalAddress = options.localAddress().map(ip -> socketAddress(ip, ANY_PORT));
     }
 
     /**
@@ -39,7 +44,9 @@
     }
 
     private void connect(Channel channel, BackendConnection connection, InetSocketAddress address) {
-        channel.connect(address)
+        mLocalAddress
+                .map(local -> channel.connect(address, local))
+                .orElseGet(() -> channel.connect(address))
                 .addListener(
                         future -> {
                             if (future.isSuccess()) {
@@ -63,14 +70,18 @@
                 (int) TimeUnit.NANOSECONDS.toMillis(mOptions.connectTimeoutNanos()));
     }
 
-    /** Converts the address without a DNS lookup. */
     static InetSocketAddress socketAddress(ServerAddress address) {
-        byte[] bytes = NetUtil.createByteArrayFromIpAddressString(address.ip());
+        return socketAddress(address.ip(), address.port());
+    }
+
+    /** Converts the address without a DNS lookup. */
+    private static InetSocketAddress socketAddress(String ip, int port) {
+        byte[] bytes = NetUtil.createByteArrayFromIpAddressString(ip);
         try {
-            return new InetSocketAddress(InetAddress.getByAddress(bytes), address.port());
+            return new InetSocketAddress(InetAddress.getByAddress(bytes), port);
         } catch (UnknownHostException exception) {
             throw new IllegalArgumentException(
-                    "An address must be an IP address, but was " + address + ".", exception);
+                    "An address must be an IP address, but was " + ip + ".", exception);
         }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOptions.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionOptions.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.support.Assert;
+import java.util.Optional;
 
 /**
  * Header names, timeouts and size limits of the connections to backend servers.
@@ -11,6 +12,7 @@
  * @param unstatedIdleNanos how long a connection may be idle and still be reused, if the server
  *     does not state after how long it closes idle connections
  * @param maximumAnswerBytes the maximum size of the body of an answer
+ * @param localAddress the address from which connections are opened; empty to let the system choose
  * @since 0.2
  */
 public record ConnectionOptions(
@@ -18,7 +20,8 @@
         String notExecutedHeader,
         long connectTimeoutNanos,
         long unstatedIdleNanos,
-        long maximumAnswerBytes) {
+        long maximumAnswerBytes,
+        Optional<String> localAddress) {
 
     /** Default name of the header that carries the request id. */
     public static final String DEFAULT_REQUEST_ID_HEADER = "X-Request-Id";
@@ -27,6 +30,30 @@
     private static final long DEFAULT_UNSTATED_IDLE_NANOS = 4_000_000_000L;
     private static final long DEFAULT_MAXIMUM_ANSWER_BYTES = 64L << 20;
 
+    /**
+     * Creates options with which the system chooses the local address.
+     *
+     * @param requestIdHeader the header in which a server echoes the id of the request
+     * @param notExecutedHeader the header by which a server states that it did not run the request
+     * @param connectTimeoutNanos the timeout for opening a connection
+     * @param unstatedIdleNanos how long a connection may be idle and still be reused
+     * @param maximumAnswerBytes the maximum size of the body of an answer
+     */
+    public ConnectionOptions(
+            String requestIdHeader,
+            String notExecutedHeader,
+            long connectTimeoutNanos,
+            long unstatedIdleNanos,
+            long maximumAnswerBytes) {
+        this(
+                requestIdHeader,
+                notExecutedHeader,
+                connectTimeoutNanos,
+                unstatedIdleNanos,
+                maximumAnswerBytes,
+                Optional.empty());
+    }
+
     /** Validates the components. */
     public ConnectionOptions {
         Assert.hasText(requestIdHeader, "The name of the header with the request id");
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
@@ -69,8 +69,24 @@
             int maximumConnections,
             BackendRequest request,
             BackendCallListener listener) {
+        return send(poolOf(server), maximumConnections, request, listener);
+    }
+
+    @Override
+    public BackendCall sendOnNewConnection(
+            RegisteredServer server, BackendRequest request, BackendCallListener listener) {
+        ServerPool pool = new ServerPool(server.address(), mContext);
+        BackendCall call = send(pool, 1, request, listener);
+        pool.retire();
+        return call;
+    }
+
+    private BackendCall send(
+            ServerPool pool,
+            int maximumConnections,
+            BackendRequest request,
+            BackendCallListener listener) {
         RequestHeadWriter.check(request);
-        ServerPool pool = poolOf(server);
         PendingCall call = new PendingCall(pool, request, listener, mTimeSource.monotonicNanos());
         if (mClosed) {
             mEventLoop.execute(() -> call.fail(CallFailure.Kind.NOT_CONNECTED));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ProbeClient.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ProbeClient.java
@@ -58,6 +58,22 @@
         mIdPrefix = Assert.hasText(idPrefix, "A prefix of ids");
     }
 
+    /**
+     * Sends a probe on a connection of its own.
+     *
+     * @param server the server
+     * @param healthPath the path to request
+     * @param listener the listener for the answer, or for the result of a probe without one; called
+     *     once, and never before this method returns
+     */
+    public void sendOnNewConnection(
+            RegisteredServer server,
+            String healthPath,
+            Consumer<Either<ProbeResult, ProbeAnswer>> listener) {
+        Probe probe = new Probe(mTimeSource.monotonicNanos(), listener);
+        start(mConnections.sendOnNewConnection(server, request(server, healthPath), probe), probe);
+    }
+
     /**
      * Sends a probe.
      *
@@ -73,26 +89,32 @@
             int maximumConnections,
             String healthPath,
             Consumer<Either<ProbeResult, ProbeAnswer>> listener) {
+        Probe probe = new Probe(mTimeSource.monotonicNanos(), listener);
+        BackendRequest request = request(server, healthPath);
+        start(mConnections.send(server, maximumConnections, request, probe), probe);
+    }
+
+    private BackendRequest request(RegisteredServer server, String healthPath) {
         String id = mIdPrefix + mCount++;
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.HOST, server.address().toString());
-        BackendRequest request =
-                new BackendRequest(
-                        id,
-                        HttpMethod.GET,
-                        healthPath,
-                        headers,
-                        Unpooled.EMPTY_BUFFER,
-                        CALL_TIMEOUT_NANOS,
-                        true,
-                        true);
-        Probe probe = new Probe(mTimeSource.monotonicNanos(), listener);
-        BackendCall call = mConnections.send(server, maximumConnections, request, probe);
+        return new BackendRequest(
+                id,
+                HttpMethod.GET,
+                healthPath,
+                headers,
+                Unpooled.EMPTY_BUFFER,
+                CALL_TIMEOUT_NANOS,
+                true,
+                true);
+    }
+
+    private void start(BackendCall call, Probe probe) {
         probe.mTimer =
                 mEventLoop.schedule(
                         () -> {
                             call.cancel();
-                            listener.accept(Either.left(ProbeResult.NO_ANSWER));
+                            probe.mListener.accept(Either.left(ProbeResult.NO_ANSWER));
                         },
                         TIMEOUT_NANOS,
                         TimeUnit.NANOSECONDS);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/LoadDocument.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/LoadDocument.java
@@ -29,7 +29,8 @@
         node.put("service", snapshot.service().value())
                 .put("mode", JsonFormat.toName(snapshot.mode()))
                 .put("active", snapshot.active())
-                .put("reason", snapshot.reason());
+                .put("reason", snapshot.reason())
+                .put("reachability", JsonFormat.toName(snapshot.reachability()));
         snapshot.reportAgeNanos()
                 .ifPresent(nanos -> node.put("reportAgeMillis", JsonFormat.millis(nanos)));
         snapshot.load().ifPresent(load -> writeLoad(load, ownZone, node));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/LoadSources.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/LoadSources.java
@@ -8,6 +8,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.placement.RegionWeights;
+import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.support.Assert;
 import java.util.ArrayList;
@@ -74,6 +75,7 @@
     List<ServiceLoadSnapshot> take(
             FleetSnapshot fleet,
             Function<RegisteredServer, Optional<RegionId>> regions,
+            Function<ServiceId, ReachabilityState> reachability,
             long nowNanos) {
         Map<ServiceId, ServiceLoadView> loads =
                 mLoads.views(nowNanos).stream()
@@ -96,7 +98,8 @@
                                                 mActivation.reportAgeNanos(service, nowNanos),
                                                 Optional.ofNullable(loads.get(service)),
                                                 weights(fleet, service, regions, nowNanos),
-                                                Optional.ofNullable(speeds.get(service)))));
+                                                Optional.ofNullable(speeds.get(service)),
+                                                reachability.apply(service))));
         return snapshots;
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ServiceLoadSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ServiceLoadSnapshot.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.loadcontrol.LoadControlMode;
+import io.masticpond.core.reachability.ReachabilityState;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -19,6 +20,7 @@
  * @param load the load, or empty if it is not known
  * @param weights the weight of each region with servers of the service
  * @param speed the speed of the servers, or empty if none is reported
+ * @param reachability whether this instance reaches the servers
  */
 record ServiceLoadSnapshot(
         ServiceId service,
@@ -27,7 +29,8 @@
         OptionalLong reportAgeNanos,
         Optional<ServiceLoadView> load,
         Map<RegionId, Double> weights,
-        Optional<ServiceSpeedView> speed) {
+        Optional<ServiceSpeedView> speed,
+        ReachabilityState reachability) {
 
     ServiceLoadSnapshot {
         weights = Map.copyOf(weights);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/TrafficSnapshot.java
@@ -87,7 +87,11 @@
                 flow.spending().map(SpendingCheck::views).orElse(List.of()),
                 flow.crashGuard().views(),
                 WorkspaceSnapshot.take(flow.authenticator(), nowNanos),
-                loads.take(fleet, flow.servers()::region, nowNanos));
+                loads.take(
+                        fleet,
+                        flow.servers()::region,
+                        flow.forwarding().monitor()::state,
+                        nowNanos));
     }
 
     private static ServerSnapshot snapshot(
--- /dev/null
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
@@ -0,0 +1,131 @@
+package io.masticpond.entry.forward;
+
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.id.WorkspaceId;
+import io.masticpond.core.support.Assert;
+import io.masticpond.entry.log.RequestOutcome;
+import io.masticpond.entry.settings.HeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Codec for the headers that instances add to forwarded requests and their answers. They are
+ * removed before a request is sent to a backend server and before an answer is sent to a client.
+ *
+ * @since 0.3
+ */
+public final class ForwardHeaders {
+
+    private static final String SERVICE = "Masticpond-Forward-Service";
+    private static final String ATTEMPTS = "Masticpond-Forward-Attempts";
+    private static final String PROOF_AGE = "Masticpond-Forward-Proof-Age";
+    private static final String OUTCOME = "Masticpond-Forward-Outcome";
+    private static final String CAUSE = "Masticpond-Forward-Cause";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final HeaderNames mNames;
+
+    /**
+     * Creates a codec.
+     *
+     * @param names the names of the platform's headers
+     */
+    public ForwardHeaders(HeaderNames names) {
+        mNames = Assert.notNull(names, "Header names");
+    }
+
+    /**
+     * Writes the terms of a request.
+     *
+     * @param terms the terms
+     * @param headers the headers of the request
+     */
+    public void writeTerms(ForwardTerms terms, HttpHeaders headers) {
+        headers.set(SERVICE, terms.service().value());
+        headers.set(ATTEMPTS, Integer.toString(terms.attempts()));
+        headers.set(PROOF_AGE, Long.toString(terms.proofAgeMillis()));
+        headers.remove(mNames.workspace());
+        terms.workspace().ifPresent(id -> headers.set(mNames.workspace(), id.value()));
+    }
+
+    /**
+     * Reads the terms of a request and removes their headers, except the workspace.
+     *
+     * @param headers the headers of the request
+     * @return the terms, or empty if they are missing or malformed
+     */
+    public Optional<ForwardTerms> takeTerms(HttpHeaders headers) {
+        String service = take(SERVICE, headers);
+        String attempts = take(ATTEMPTS, headers);
+        String proofAge = take(PROOF_AGE, headers);
+        if (service == null || attempts == null || proofAge == null) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    new ForwardTerms(
+                            new ServiceId(service),
+                            Optional.ofNullable(headers.get(mNames.workspace()))
+                                    .map(WorkspaceId::new),
+                            Integer.parseInt(attempts),
+                            Long.parseLong(proofAge)));
+        } catch (IllegalArgumentException malformed) {
+            return Optional.empty();
+        }
+    }
+
+    private static String take(String name, HttpHeaders headers) {
+        String value = headers.get(name);
+        headers.remove(name);
+        return value;
+    }
+
+    /**
+     * Writes how a request ended.
+     *
+     * @param outcome the outcome
+     * @param cause the cause, or null if a backend server answered
+     * @param headers the headers of the answer
+     */
+    void writeOutcome(RequestOutcome outcome, String cause, HttpHeaders headers) {
+        headers.set(OUTCOME, outcome.name());
+        headers.remove(CAUSE);
+        if (cause != null) {
+            headers.set(CAUSE, cause);
+        }
+    }
+
+    /**
+     * Reads how a request ended and removes these headers.
+     *
+     * @param headers the headers of the answer
+     * @return the outcome, or empty if it is missing or unknown
+     */
+    Optional<RequestOutcome> takeOutcome(HttpHeaders headers) {
+        String name = take(OUTCOME, headers);
+        for (RequestOutcome each : RequestOutcome.values()) {
+            if (each.name().equals(name)) {
+                return Optional.of(each);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Reads the cause and removes its header. */
+    String takeCause(HttpHeaders headers) {
+        String cause = take(CAUSE, headers);
+        return cause == null || cause.isBlank() ? "unknown" : cause;
+    }
+
+    /** Reads the time after which the client may retry. */
+    Optional<Duration> retryAfter(HttpHeaders headers) {
+        try {
+            return Optional.ofNullable(headers.get(mNames.retryAfter()))
+                    .map(Double::parseDouble)
+                    .map(seconds -> Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND)));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
+    }
+}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -19,6 +19,7 @@
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +43,7 @@
     private final InetSocketAddress mAddress;
     private final EntryConnections mConnections;
     private volatile Channel mChannel;
+    private volatile Predicate<String> mAcceptedClients = ip -> true;
 
     /**
      * Creates a server that does not listen yet, with a body budget of its own.
@@ -127,8 +129,12 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
-                                        channel.pipeline()
-                                                .addLast(new ClientConnection(mConnections));
+                                        if (isAccepted(channel)) {
+                                            channel.pipeline()
+                                                    .addLast(new ClientConnection(mConnections));
+                                        } else {
+                                            channel.close();
+                                        }
                                     }
                                 })
                         .bind(mAddress);
@@ -142,6 +148,19 @@
         return bound;
     }
 
+    /**
+     * Restricts the clients; connections of others are closed at once.
+     *
+     * @param acceptedClients determines whether the client with an IP address is accepted
+     */
+    public void setAcceptedClients(Predicate<String> acceptedClients) {
+        mAcceptedClients = Assert.notNull(acceptedClients, "A predicate of clients");
+    }
+
+    private boolean isAccepted(SocketChannel channel) {
+        return mAcceptedClients.test(channel.remoteAddress().getAddress().getHostAddress());
+    }
+
     private NioServerSocketChannel openChannel() {
         return mAddress.getAddress() instanceof Inet4Address
                 ? new NioServerSocketChannel(SelectorProvider.provider(), SocketProtocolFamily.INET)
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptList.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptList.java
@@ -1,7 +1,5 @@
 package io.masticpond.entry.log;
 
-import io.masticpond.core.id.BackendServerId;
-import io.masticpond.core.id.ZoneId;
 import java.util.Arrays;
 
 /** Ordered list of the attempts of one request; allocates no array before the first attempt. */
@@ -12,13 +10,13 @@
     private Attempt[] mAttempts;
     private int mCount;
 
-    void add(BackendServerId server, ZoneId zone, boolean cold, long sentNanos) {
+    void add(Attempt attempt) {
         if (mAttempts == null) {
             mAttempts = new Attempt[INITIAL_CAPACITY];
         } else if (mCount == mAttempts.length) {
             mAttempts = Arrays.copyOf(mAttempts, 2 * mCount);
         }
-        mAttempts[mCount++] = new Attempt(server, zone, cold, sentNanos);
+        mAttempts[mCount++] = attempt;
     }
 
     int size() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -105,7 +105,11 @@
         for (int index = 0; index < request.mAttempts.size(); index++) {
             Attempt attempt = request.mAttempts.get(index);
             line.writeStartObject();
-            line.writeStringField("server", attempt.mServer.value());
+            if (attempt.mPeer != null) {
+                line.writeStringField("peer", attempt.mPeer.value());
+            } else {
+                line.writeStringField("server", attempt.mServer.value());
+            }
             line.writeStringField("zone", attempt.mZone.value());
             if (attempt.mCold) {
                 line.writeBooleanField("cold", true);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RouteId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.id.WorkspaceId;
@@ -235,7 +236,12 @@
      * @param nowNanos the monotonic time
      */
     public void sent(BackendServerId server, ZoneId zone, boolean cold, long nowNanos) {
-        mAttempts.add(server, zone, cold, nowNanos);
+        mAttempts.add(new Attempt(server, null, zone, cold, nowNanos));
+    }
+
+    /** Records that the request is forwarded to another instance in an availability zone. */
+    public void forwarded(InstanceId peer, ZoneId zone, long nowNanos) {
+        mAttempts.add(new Attempt(null, peer, zone, false, nowNanos));
     }
 
     /**
@@ -260,12 +266,9 @@
      */
     public void attemptEnded(AttemptResult result, int status, long nowNanos) {
         Attempt attempt = mAttempts.last();
-        if (attempt == null) {
-            return;
+        if (attempt != null) {
+            attempt.end(result, status, nowNanos);
         }
-        attempt.mResult = result;
-        attempt.mStatus = status;
-        attempt.mEndNanos = nowNanos;
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -19,6 +19,7 @@
 public sealed interface ViewChange extends LineContent
         permits BodyChange,
                 LoadChange,
+                ReachabilityChange,
                 ViewChange.Routing,
                 ViewChange.Registry,
                 ViewChange.Server,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -93,6 +93,16 @@
     /** Answers whose load header is not valid, or not in all parts. */
     MALFORMED_LOAD_HEADERS(
             "malformed_load_headers", "Answers with an invalid load or time of work.", true),
+    /** Services of which this instance reaches no server. */
+    UNREACHABLE_SERVICES(
+            "unreachable_services", "Services of which no server answers this instance.", false),
+    /** Number of times that a service became unreachable. */
+    REACHABILITY_LOSSES(
+            "reachability_losses", "Times that a service became unreachable here.", true),
+    /** Requests forwarded to other instances. */
+    FORWARDED_REQUESTS("forwarded_requests", "Requests forwarded to other instances.", true),
+    /** Requests processed for other instances. */
+    ACCEPTED_REQUESTS("accepted_requests", "Requests processed for other instances.", true),
     /** Bytes of request bodies held. */
     HELD_REQUEST_BYTES("held_body_bytes", "Bytes of bodies held.", false, "requests"),
     /** Bytes of response bodies held. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptCharge.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptCharge.java
@@ -13,18 +13,15 @@
  */
 final class AttemptCharge {
 
-    private final SpendingCheck mSpending;
+    /** Empty if spending has no cap. */
+    private final Optional<SpendingCheck> mSpending;
+
     private final RequestRecord mFacts;
     private final ServiceId mService;
     private Charge mCharge;
 
-    /** Creates the object that charges the attempts of a request; null if spending has no cap. */
-    static AttemptCharge of(
-            Optional<SpendingCheck> spending, RequestRecord facts, ServiceId service) {
-        return spending.map(check -> new AttemptCharge(check, facts, service)).orElse(null);
-    }
-
-    private AttemptCharge(SpendingCheck spending, RequestRecord facts, ServiceId service) {
+    /** Creates the charges of a request. */
+    AttemptCharge(Optional<SpendingCheck> spending, RequestRecord facts, ServiceId service) {
         mSpending = spending;
         mFacts = facts;
         mService = service;
@@ -32,7 +29,10 @@
 
     /** Charges an attempt. Returns the refusal if the attempt must not be made, empty otherwise. */
     Optional<SpendingRefusal> charge(ZoneId zone) {
-        Either<SpendingRefusal, Charge> charge = mSpending.charge(mService, zone);
+        if (mSpending.isEmpty()) {
+            return Optional.empty();
+        }
+        Either<SpendingRefusal, Charge> charge = mSpending.get().charge(mService, zone);
         if (charge.isRight()) {
             mCharge = charge.get();
             return Optional.empty();
@@ -43,6 +43,6 @@
 
     /** Refunds the last attempt, which did not run. */
     void refund() {
-        mSpending.refund(mCharge);
+        mSpending.ifPresent(check -> check.refund(mCharge));
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -1,5 +1,7 @@
 package io.masticpond.entry.request;
 
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.statement.ServerStatement;
 import io.masticpond.entry.backend.BackendAnswer;
@@ -21,6 +23,7 @@
     private final long mSentNanos;
     private final boolean mHadPermit;
     private ServerStatement mStatement = ServerStatement.NONE;
+    private boolean mHasBegun;
 
     AttemptListener(
             RequestFlow flow,
@@ -43,6 +46,10 @@
 
     @Override
     public void answerBegan(int status, HttpHeaders headers) {
+        mHasBegun = true;
+        long now = mFlow.nowNanos();
+        ServiceId service = mAttempted.server().service();
+        mFlow.forwarding().monitor().recordAnswered(service, now - mSentNanos, now);
         mStatement = mFlow.statements().read(mAttempted, status, headers);
         mFacts.stated(mStatement);
         mFlow.statements().applyAnswer(mAttempted, mStatement, mSentNanos);
@@ -57,8 +64,25 @@
         mRun.onAnswer(mAttempted, mStatement, answer);
     }
 
+    /**
+     * Determines whether a failure may be one of this instance's link. A request whose connections
+     * broke off one after the other may have ended its servers, so only the first counts.
+     */
+    private boolean isLinkSuspect(CallFailure failure) {
+        return failure.kind() == CallFailure.Kind.NOT_CONNECTED
+                || (failure.kind() == CallFailure.Kind.BROKEN_OFF
+                        && !mHasBegun
+                        && mFacts.attempts() == 1);
+    }
+
     @Override
     public void failed(CallFailure failure) {
+        if (isLinkSuspect(failure)) {
+            RegisteredServer server = mAttempted.server();
+            mFlow.forwarding()
+                    .monitor()
+                    .recordFailed(server.service(), server.id(), mFlow.nowNanos());
+        }
         if (!mRun.isDone()) {
             mRun.onFailure(mAttempted, failure);
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/BrokenOffRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/BrokenOffRequests.java
@@ -3,6 +3,8 @@
 import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.BackendConnections;
 import io.masticpond.entry.backend.ServerReachability;
@@ -15,12 +17,14 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Requests that broke off at backend servers. For each server it is checked whether the server
  * ended or only the connections were cut: in the first case a new connection is refused, in the
  * second it opens. One connection is tried for all requests that broke off at about the same time.
- * For use on the traffic thread only.
+ * An instance that reaches no server of the service cannot tell whether one ended. For use on the
+ * traffic thread only.
  */
 final class BrokenOffRequests {
 
@@ -56,13 +60,16 @@
     private final TimeSource mTimeSource;
     private final BackendConnections mConnections;
     private final DecisionLog mLog;
+    private final Function<ServiceId, ReachabilityState> mReachability;
     private final Map<BackendServerId, List<Request>> mRequestsUnderCheck = new HashMap<>();
 
     BrokenOffRequests(
             EventLoop eventLoop,
             TimeSource timeSource,
             BackendConnections connections,
+            Function<ServiceId, ReachabilityState> reachability,
             DecisionLog log) {
+        mReachability = reachability;
         mEventLoop = eventLoop;
         mTimeSource = timeSource;
         mConnections = connections;
@@ -106,8 +113,17 @@
 
     private void onLastCheck(
             RegisteredServer server, ServerReachability reachability, Listener listener) {
+        ReachabilityState state = mReachability.apply(server.service());
+        if (state == ReachabilityState.SUSPECTED) {
+            check(
+                    server,
+                    CHECK_AGAIN_MILLIS,
+                    laterReachability -> onLastCheck(server, laterReachability, listener));
+            return;
+        }
         List<Request> requests = mRequestsUnderCheck.remove(server.id());
-        boolean ended = reachability == ServerReachability.REFUSED;
+        boolean ended =
+                reachability == ServerReachability.REFUSED && state == ReachabilityState.REACHABLE;
         long sinceNanos = mTimeSource.monotonicNanos() - requests.get(0).endedNanos();
         mLog.viewChanged(
                 new ViewChange.ServerCheck(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
@@ -7,6 +7,8 @@
 import io.masticpond.core.crash.CrashingRequests;
 import io.masticpond.core.crash.RequestFingerprint;
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.support.HashMixer;
 import io.masticpond.core.time.TimeSource;
@@ -17,6 +19,7 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Guard that keeps requests which crash the servers that run them away from further servers. It
@@ -41,11 +44,12 @@
             EventLoop eventLoop,
             TimeSource timeSource,
             BackendConnections connections,
+            Function<ServiceId, ReachabilityState> reachability,
             DecisionLog log,
             Consumer<RequestFingerprint> rejectionListener) {
         mTimeSource = timeSource;
         mLog = log;
-        mBrokenOff = new BrokenOffRequests(eventLoop, timeSource, connections, log);
+        mBrokenOff = new BrokenOffRequests(eventLoop, timeSource, connections, reachability, log);
         mBodies = new ServerBodies(timeSource, log);
         mRequests = new CrashingRequests(CrashSettings.DEFAULT, new Output());
         mRejectionListener = rejectionListener;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardedHeaders.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardedHeaders.java
@@ -29,21 +29,37 @@
         mHasDeadline = hasDeadline;
     }
 
-    /** Returns the headers for one attempt. */
+    /** Returns the headers for one attempt at a backend server. */
     HttpHeaders to(BackendServerId server, long leftNanos) {
+        HttpHeaders headers = forwardable();
+        mWorkspace.ifPresent(workspace -> headers.set(mNames.workspace(), workspace.value()));
+        if (mHasDeadline) {
+            setDeadline(headers, leftNanos);
+        }
+        headers.set(mNames.expectedServer(), server.value());
+        return headers;
+    }
+
+    /** Returns the headers for another instance, which sets those for a backend server itself. */
+    HttpHeaders toInstance(long leftNanos) {
+        HttpHeaders headers = forwardable();
+        setDeadline(headers, leftNanos);
+        return headers;
+    }
+
+    private HttpHeaders forwardable() {
         HttpHeaders headers = new DefaultHttpHeaders(false).set(mReceived);
         ConnectionHeaders.remove(headers);
         headers.remove(HttpHeaderNames.PROXY_AUTHORIZATION);
         headers.remove(mNames.credential());
         headers.remove(mNames.workspace());
-        mWorkspace.ifPresent(workspace -> headers.set(mNames.workspace(), workspace.value()));
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.remove(HttpHeaderNames.EXPECT);
-        if (mHasDeadline) {
-            long leftMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(leftNanos));
-            headers.set(mNames.deadlineMillis(), Long.toString(leftMillis));
-        }
-        headers.set(mNames.expectedServer(), server.value());
         return headers;
     }
+
+    private void setDeadline(HttpHeaders headers, long leftNanos) {
+        long leftMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(leftNanos));
+        headers.set(mNames.deadlineMillis(), Long.toString(leftMillis));
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestCompletion.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestCompletion.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.request;
 
 import io.masticpond.entry.backend.BackendAnswer;
+import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.http.OutgoingAnswer;
 import io.masticpond.entry.log.RequestRecord;
 import java.time.Duration;
@@ -18,6 +19,10 @@
     private final RequestRecord mFacts;
     private final String mRequestId;
 
+    RequestCompletion(RequestFlow flow, RequestRecord facts, IncomingRequest request) {
+        this(flow.answers(), facts, request.headers().get(flow.names().requestId()));
+    }
+
     RequestCompletion(EntryAnswers answers, RequestRecord facts, String requestId) {
         mAnswers = answers;
         mFacts = facts;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -5,22 +5,22 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerTable;
+import io.masticpond.core.reachability.ReachabilityEvidence;
+import io.masticpond.core.reachability.ReachabilityView;
 import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.ServiceRules;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.BackendConnections;
+import io.masticpond.entry.forward.ForwardTerms;
+import io.masticpond.entry.forward.ForwardedRequestHandler;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.http.RequestHandler;
 import io.masticpond.entry.http.Responder;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.RequestRecord;
-import io.masticpond.entry.log.RouteKind;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -37,10 +37,6 @@
  */
 public final class RequestFlow implements RequestHandler {
 
-    private static final int BAD_REQUEST = 400;
-    private static final int NOT_FOUND = 404;
-    private static final Duration UNCONFIGURED_RETRY_DELAY = Duration.ofMillis(300);
-
     private final EventLoop mEventLoop;
     private final TimeSource mTimeSource;
     private final HeaderNames mNames;
@@ -49,7 +45,7 @@
     private final RequestPlacer mPlacer;
     private final ColdGate mColdGate;
     private final RetryAllowance mRetries;
-    private final Function<Route, ServiceId> mSplit;
+    private final RequestAdmission mAdmission;
     private final IntSupplier mShareholders;
     private final Optional<SpendingCheck> mSpending;
     private final WorkspaceAuthenticator mAuthenticator;
@@ -61,6 +57,7 @@
     private volatile UpdateTimes mUpdateTimes;
     private final Set<RequestRun> mRuns = new HashSet<>();
     private final HeldRequests mHeld;
+    private final RequestForwarding mForwarding = new RequestForwarding();
     private boolean mHasKnownServers;
     private boolean mEnded;
 
@@ -105,14 +102,21 @@
         mPlacer = Assert.notNull(placer, "A request placer");
         mColdGate = Assert.notNull(coldGate, "A cold gate");
         mRetries = Assert.notNull(retries, "A retry allowance");
-        mSplit = Assert.notNull(split, "A split among services");
+        mAdmission = new RequestAdmission(this, Assert.notNull(split, "A split among services"));
         mShareholders = Assert.notNull(shareholders, "A count of shareholders");
         mSpending = Assert.notNull(spending, "A check of spending");
         mAuthenticator = Assert.notNull(authenticator, "An authenticator");
         mStatements = Assert.notNull(statements, "The statements of servers");
         mLog = Assert.notNull(log, "A decision log");
         mAnswers = new EntryAnswers(names);
-        mCrashes = new CrashGuard(eventLoop, timeSource, connections, log, this::onRejected);
+        mCrashes =
+                new CrashGuard(
+                        eventLoop,
+                        timeSource,
+                        connections,
+                        mForwarding.monitor()::state,
+                        log,
+                        this::onRejected);
         mHeld = new HeldRequests(eventLoop, this::onHoldTimeout, this::onHeldClientDisconnected);
     }
 
@@ -130,6 +134,7 @@
         mStatements.update(state.snapshot());
         mPlacer.chooser().outlierDetector().retain(state.snapshot().servers().keySet());
         state.snapshot().routing().ifPresent(mAuthenticator::update);
+        mForwarding.monitor().update(mServers.services(), nowNanos());
         mHasKnownServers |= !state.snapshot().servers().isEmpty();
         if (isReady()) {
             mHeld.release(this::process);
@@ -168,7 +173,7 @@
         mEnded = true;
         mHeld.release(this::refuseStopping);
         for (RequestRun run : List.copyOf(mRuns)) {
-            run.stop();
+            run.abort("stopping");
         }
     }
 
@@ -192,7 +197,7 @@
     }
 
     private void refuseStopping(IncomingRequest request, Responder responder, RequestRecord facts) {
-        refuse(request, responder, facts, temporarilyUnavailable("stopping"));
+        refuse(request, responder, facts, RequestAdmission.unconfigured("stopping"));
     }
 
     /** Refuses the request if no routes are known. Processes it even if no servers are known. */
@@ -200,7 +205,7 @@
         if (mState.routes().isPresent()) {
             process(request, responder, facts);
         } else {
-            refuse(request, responder, facts, temporarilyUnavailable("not-ready"));
+            refuse(request, responder, facts, RequestAdmission.unconfigured("not-ready"));
         }
     }
 
@@ -212,87 +217,34 @@
     }
 
     private void process(IncomingRequest request, Responder responder, RequestRecord facts) {
-        recordUpdateAges(facts);
-        String id = request.headers().get(mNames.requestId());
-        if (id == null || id.isEmpty()) {
-            refuse(request, responder, facts, Rejection.invalid("no-request-id", BAD_REQUEST));
-            return;
-        }
-        String host = request.headers().get(HttpHeaderNames.HOST);
-        Optional<Route> route = mState.match(host, request.target());
-        if (route.isEmpty()) {
-            refuse(request, responder, facts, Rejection.invalid("no-route", NOT_FOUND));
-            return;
-        }
-        Either<Rejection, Caller> caller = mAuthenticator.authenticate(request, route.get(), facts);
-        if (caller.isLeft()) {
-            long target = route.get().targetLatency().toMillis();
-            facts.routed(route.get().id(), null, target, request.beginNanos());
-            refuse(request, responder, facts, caller.getLeft());
-            return;
-        }
-        start(request, responder, facts, caller.get());
-    }
-
-    private static Rejection temporarilyUnavailable(String cause) {
-        return Rejection.unavailable(cause, UNCONFIGURED_RETRY_DELAY);
-    }
-
-    private void recordUpdateAges(RequestRecord facts) {
-        UpdateTimes times = mUpdateTimes;
-        long now = nowNanos();
-        boolean known = times != null;
-        facts.routing(version(), known ? now - times.routingNanos() : RequestRecord.UNKNOWN);
-        facts.registry(
-                mState.snapshot().revision(),
-                known ? now - times.registryNanos() : RequestRecord.UNKNOWN);
-    }
-
-    private void start(
-            IncomingRequest request, Responder responder, RequestRecord facts, Caller caller) {
-        Route route = caller.route();
-        ServiceId service = mSplit.apply(route);
-        Long deadline = deadlineMillis(request);
-        RequestTimes times = RequestTimes.of(request.beginNanos(), deadline, route);
-        facts.routed(route.id(), service, route.targetLatency().toMillis(), times.deadlineNanos());
-        facts.kind(route.idempotent() ? RouteKind.IDEMPOTENT : RouteKind.ONCE_ONLY);
-        RequestRun run =
-                new RequestRun(
-                        this, request, responder, facts, caller, service, times, deadline != null);
+        mAdmission.admit(request, responder, facts, mUpdateTimes);
+    }
+
+    void startForwarded(
+            IncomingRequest request,
+            Responder responder,
+            RequestRecord facts,
+            Caller caller,
+            ForwardTerms terms) {
+        mAdmission.startForwarded(request, responder, facts, caller, terms, mUpdateTimes);
+    }
+
+    void begin(AdmittedRequest admitted) {
+        RequestRun run = new RequestRun(this, admitted);
         mRuns.add(run);
         run.begin();
     }
 
-    private void refuse(
+    void refuse(
             IncomingRequest request,
             Responder responder,
             RequestRecord facts,
             Rejection rejection) {
         request.body().release();
-        String id = request.headers().get(mNames.requestId());
-        responder.answer(new RequestCompletion(mAnswers, facts, id).notRun(rejection, nowNanos()));
+        responder.answer(new RequestCompletion(this, facts, request).notRun(rejection, nowNanos()));
         mLog.requestEnded(facts);
     }
 
-    private Long deadlineMillis(IncomingRequest request) {
-        String text = request.headers().get(mNames.deadlineMillis());
-        if (text == null) {
-            return null;
-        }
-        try {
-            return Math.max(0, Long.parseLong(text.trim()));
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
-
-    private long version() {
-        return mState.snapshot()
-                .routing()
-                .map(routing -> routing.version())
-                .orElse(RequestRecord.UNKNOWN);
-    }
-
     long nowNanos() {
         return mTimeSource.monotonicNanos();
     }
@@ -366,6 +318,49 @@
         }
     }
 
+    /**
+     * Returns the forwarding of requests between instances.
+     *
+     * @return the forwarding
+     */
+    public RequestForwarding forwarding() {
+        return mForwarding;
+    }
+
+    /**
+     * Returns the handler of the requests that other instances forward.
+     *
+     * @return the handler
+     */
+    public ForwardedRequestHandler forwardedRequests() {
+        return new ForwardedRequests(this);
+    }
+
+    /**
+     * Forwards the pending requests of a service that this instance no longer reaches, unless its
+     * older connections may still bring their answers.
+     *
+     * @param view the view of the service
+     */
+    public void forwardPending(ReachabilityView view) {
+        if (view.evidence() != ReachabilityEvidence.PROBES_UNANSWERED) {
+            return;
+        }
+        for (RequestRun run : List.copyOf(mRuns)) {
+            if (run.isFor(view.service())) {
+                run.onServiceUnreachable();
+            }
+        }
+    }
+
+    /** Returns why no request can be processed now, or empty if requests can be. */
+    Optional<String> obstacle() {
+        if (mEnded) {
+            return Optional.of("stopping");
+        }
+        return isReady() ? Optional.empty() : Optional.of("not-ready");
+    }
+
     ColdGate coldGate() {
         return mColdGate;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -10,11 +10,10 @@
 import io.masticpond.core.statement.ServerStatement;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
-import io.masticpond.entry.backend.BackendRequest;
 import io.masticpond.entry.backend.CallFailure;
+import io.masticpond.entry.forward.ForwardRefusal;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.http.OutgoingAnswer;
-import io.masticpond.entry.http.Responder;
 import io.masticpond.entry.log.AttemptResult;
 import io.masticpond.entry.log.RequestRecord;
 import io.netty.util.concurrent.Future;
@@ -30,29 +29,30 @@
 final class RequestRun {
 
     private static final int MISDIRECTED = 421;
-    private static final int FIRST_SERVER_ERROR = 500;
 
     /** Bounds the servers that a request tries, as failed connections do not count as attempts. */
     private static final int MAXIMUM_CONNECT_FAILURES = 4;
 
     private static final Duration DEFAULT_RETRY_DELAY = Duration.ofMillis(100);
 
+    /** Retry delay while no instance is known to reach the service. */
+    private static final Duration UNREACHABLE_RETRY_DELAY = Duration.ofMillis(500);
+
     private final RequestFlow mFlow;
+    private final AdmittedRequest mAdmitted;
     private final IncomingRequest mRequest;
-    private final Responder mResponder;
     private final RequestRecord mFacts;
     private final Caller mCaller;
     private final Route mRoute;
     private final ServiceId mService;
     private final RequestTimes mTimes;
-    private final String mRequestId;
-    private final ForwardedHeaders mHeaders;
     private final ServerSearch mSearch;
     private final RequestCompletion mCompletion;
     private final CrashCheck mCrashCheck;
-
-    /** Null if spending has no cap. */
+    private final ServerFeedback mFeedback;
+    private final RequestForward mForward;
     private final AttemptCharge mAttemptCharge;
+    private final ServerCalls mCalls;
 
     private Future<?> mTimeout;
     private BackendCall mCall;
@@ -63,46 +63,45 @@
     private boolean mMayHaveRun;
     private boolean mDone;
 
-    RequestRun(
-            RequestFlow flow,
-            IncomingRequest request,
-            Responder responder,
-            RequestRecord facts,
-            Caller caller,
-            ServiceId service,
-            RequestTimes times,
-            boolean hasDeadline) {
+    RequestRun(RequestFlow flow, AdmittedRequest admitted) {
         mFlow = flow;
-        mRequest = request;
-        mResponder = responder;
-        mFacts = facts;
-        mCaller = caller;
-        mRoute = caller.route();
-        mService = service;
-        mTimes = times;
-        mRequestId = request.headers().get(flow.names().requestId());
-        mHeaders =
+        mAdmitted = admitted;
+        mRequest = admitted.request();
+        mFacts = admitted.facts();
+        mCaller = admitted.caller();
+        mRoute = mCaller.route();
+        mService = admitted.service();
+        mTimes = admitted.times();
+        ForwardedHeaders headers =
                 new ForwardedHeaders(
-                        request.headers(), flow.names(), hasDeadline, caller.workspace());
-        String key = request.headers().get(flow.names().affinityKey());
-        facts.key(key);
-        mSearch = new ServerSearch(flow, facts, caller, service, key, request.body());
-        mCrashCheck = new CrashCheck(flow.crashGuard(), request, facts);
-        mCompletion = new RequestCompletion(flow.answers(), facts, mRequestId);
-        mAttemptCharge = AttemptCharge.of(flow.spending(), facts, service);
+                        mRequest.headers(),
+                        flow.names(),
+                        admitted.hasDeadline(),
+                        mCaller.workspace());
+        String key = mRequest.headers().get(flow.names().affinityKey());
+        mFacts.key(key);
+        mSearch = new ServerSearch(flow, mFacts, mCaller, mService, key, mRequest.body());
+        mCrashCheck = new CrashCheck(flow.crashGuard(), mRequest, mFacts);
+        mFeedback = new ServerFeedback(flow, mSearch, mCrashCheck, mRoute, mRequest.body());
+        mForward = new RequestForward(flow, this, admitted, headers);
+        mCalls = new ServerCalls(flow, this, admitted, headers);
+        mCompletion = new RequestCompletion(flow, mFacts, mRequest);
+        mAttemptCharge = new AttemptCharge(flow.spending(), mFacts, mService);
     }
 
     void begin() {
         long now = mFlow.nowNanos();
-        mFlow.retries().recordFirstAttempt(mService, now);
-        mFlow.placer().arrived(mRoute, mService, mCaller.workspace(), now);
+        if (!mAdmitted.isForwarded()) {
+            mFlow.retries().recordFirstAttempt(mService, now);
+            mFlow.placer().arrived(mRoute, mService, mCaller.workspace(), now);
+        }
         long left = mTimes.leftNanos(now);
         if (left <= 0) {
             refuse("deadline-passed");
             return;
         }
-        mTimeout = mFlow.eventLoop().schedule(this::onTimeout, left, TimeUnit.NANOSECONDS);
-        mResponder.onClientDisconnected(this::onClientDisconnected);
+        mTimeout = mFlow.eventLoop().schedule(() -> abort("timeout"), left, TimeUnit.NANOSECONDS);
+        mAdmitted.responder().onClientDisconnected(this::onClientDisconnected);
         if (!mDone) {
             attempt();
         }
@@ -113,6 +112,10 @@
             return;
         }
         long now = mFlow.nowNanos();
+        if (mForward.isDue(now)) {
+            forward(now);
+            return;
+        }
         List<ServerLoad> servers = mFlow.servers().of(mService);
         Placement placement = mSearch.place(servers, mAttemptCount > 0, mTimes.leftNanos(now), now);
         if (placement instanceof Placement.Refused refused) {
@@ -125,7 +128,7 @@
             return;
         }
         if (!(placement instanceof Placement.Placed placed)) {
-            end("no-backend-server");
+            endUnsent("no-backend-server");
             return;
         }
         mSearch.recordChosen(placed.choice(), now);
@@ -135,6 +138,23 @@
         }
     }
 
+    /** Forwards the request to another instance, or refuses it if there is none. */
+    private void forward(long now) {
+        int attempts = Math.max(1, mAdmitted.maximumAttempts() - mAttemptCount);
+        if (!mForward.send(attempts, mTimes.leftNanos(now), now)) {
+            endRejected(Rejection.unavailable(ForwardRefusal.UNREACHABLE, UNREACHABLE_RETRY_DELAY));
+        }
+    }
+
+    /** Ends the request, which could not be sent, unless another instance may send it. */
+    private void endUnsent(String cause) {
+        if (mForward.isPossible()) {
+            forward(mFlow.nowNanos());
+        } else {
+            end(cause);
+        }
+    }
+
     private void refuseForLoad(AdmissionDecision decision, List<ServerLoad> servers, long now) {
         mSearch.recordRankedCandidates(servers, mTimes.leftNanos(now), now);
         mFacts.expectedWait(decision.expectedWaitNanos(), decision.maximumWaitNanos());
@@ -143,12 +163,10 @@
 
     /** Charges the next attempt, or ends the request if the charge is refused. */
     private boolean chargeOrEnd(ServerLoad chosen) {
-        if (mAttemptCharge != null) {
-            mAttemptCharge
-                    .charge(chosen.server().zone())
-                    .map(each -> Rejection.unavailable(each.cause(), each.retryAfter()))
-                    .ifPresent(this::endRejected);
-        }
+        mAttemptCharge
+                .charge(chosen.server().zone())
+                .map(each -> Rejection.unavailable(each.cause(), each.retryAfter()))
+                .ifPresent(this::endRejected);
         return !mDone;
     }
 
@@ -157,58 +175,32 @@
         mSentNanos = now;
         mAttemptCount++;
         mSearch.markTried(chosen);
-        mFlow.placer().sent(chosen, now);
-        mCaller.recordSent(now);
-        mFacts.retryBudget(mFlow.retries().remainingRetries(mService, now));
-        mFacts.sent(chosen.server().id(), chosen.server().zone(), mSearch.isCold(chosen, now), now);
-        BackendRequest request =
-                new BackendRequest(
-                        mRequestId,
-                        mRequest.method(),
-                        mRequest.target(),
-                        mHeaders.to(chosen.server().id(), mTimes.leftNanos(now)),
-                        mRequest.body(),
-                        Math.max(1, mTimes.leftNanos(now)),
-                        mRoute.idempotent());
-        mCall =
-                mFlow.connections()
-                        .send(
-                                chosen.server(),
-                                mFlow.connectionShare(mService),
-                                request,
-                                new AttemptListener(mFlow, this, mFacts, chosen, now));
+        mCall = mCalls.send(chosen, mSearch.isCold(chosen, now), mTimes.leftNanos(now), now);
     }
 
     void onAnswer(ServerLoad server, ServerStatement statement, BackendAnswer answer) {
         long now = mFlow.nowNanos();
         finishAttempt(server);
-        statement.load().ifPresent(load -> mFlow.placer().reported(server, load, now));
+        mFeedback.reported(server, statement, now);
         boolean notExecuted = answer.headers().contains(mFlow.names().notExecuted());
         if (answer.status() == MISDIRECTED || notExecuted) {
             answer.body().release();
-            refundCharge();
+            mAttemptCharge.refund();
             mFacts.attemptEnded(AttemptResult.TURNED_AWAY, answer.status(), now);
-            rejectedByServer(server, answer.status(), statement, now);
+            mFeedback.rejected(server, answer.status(), statement, now);
+            retryOrEnd("turned-away");
             return;
         }
         if (answer.isSuccess() && !answer.headers().contains(mFlow.names().seal())) {
             answer.body().release();
             mFacts.attemptEnded(AttemptResult.BAD_ANSWER, answer.status(), now);
-            mFlow.placer().failed(server, now);
+            mFeedback.failed(server, now);
             mMayHaveRun = true;
             retryOrEnd("bad-answer");
             return;
         }
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
-        int sentBytes = mRequest.body().readableBytes();
-        mFlow.placer().transferred(server, mRoute.id(), sentBytes, answer.body().readableBytes());
-        boolean failed = answer.status() >= FIRST_SERVER_ERROR;
-        if (failed && !statement.isWithdrawing()) {
-            mFlow.placer().failed(server, now);
-        } else if (!failed) {
-            mSearch.succeeded(server, statement.load(), now - mSentNanos, now);
-            mCrashCheck.recordAnswer();
-        }
+        boolean failed = mFeedback.answered(server, statement, answer, mSentNanos, now);
         if (failed && mRoute.idempotent() && tryAcquireRetry(now)) {
             answer.body().release();
             mMayHaveRun = true;
@@ -218,42 +210,62 @@
         respond(mCompletion.forwarded(answer, now));
     }
 
-    private void rejectedByServer(
-            ServerLoad server, int status, ServerStatement statement, long now) {
-        if (status == MISDIRECTED) {
-            mFlow.placer().misdirected(server, now);
-        } else if (!statement.isWithdrawing()) {
-            mFlow.placer().rejectedByServer(server, statement.load(), now);
-        }
-        retryOrEnd("turned-away");
-    }
-
     void onFailure(ServerLoad server, CallFailure failure) {
         long now = mFlow.nowNanos();
         finishAttempt(server);
         mFacts.attemptEnded(AttemptResult.of(failure), 0, now);
-        if (failure.kind() == CallFailure.Kind.NOT_CONNECTED) {
-            mFlow.placer().unreachable(server, now);
-        }
-        if (failure.kind().isServerFailure()) {
-            mFlow.placer().failed(server, now);
-        }
+        mFeedback.failed(server, failure, mSentNanos, now);
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
-            refundCharge();
+            mAttemptCharge.refund();
             reconnect();
             return;
         }
         mMayHaveRun = true;
-        if (failure.kind() == CallFailure.Kind.BROKEN_OFF) {
-            mCrashCheck.recordBrokenOff(server.server(), mSentNanos, now);
-        }
         if (failure.kind().isTimeout()) {
-            onTimeout();
+            abort("timeout");
             return;
         }
         retryOrEnd("broken-off");
     }
 
+    void onForwardAnswered(BackendAnswer answer) {
+        respond(mCompletion.forwarded(answer, mFlow.nowNanos()));
+    }
+
+    void onForwardRefused(Rejection rejection, boolean mayOtherInstanceAccept) {
+        if (mayOtherInstanceAccept && mTimes.leftNanos(mFlow.nowNanos()) > 0) {
+            attempt();
+        } else {
+            endRejected(rejection);
+        }
+    }
+
+    void onForwardUncertain(String cause) {
+        mMayHaveRun = true;
+        end(cause);
+    }
+
+    /**
+     * Forwards the request if it waits for an answer of a server that this instance no longer
+     * reaches and may be sent once more.
+     */
+    void onServiceUnreachable() {
+        if (mDone || mCall == null || !mForward.isPossible()) {
+            return;
+        }
+        if (mCall.isWritten()
+                && mRoute.idempotent()
+                && !mCrashCheck.isSuspected()
+                && tryAcquireRetry(mFlow.nowNanos())) {
+            cancelCall();
+            retry();
+        }
+    }
+
+    boolean isFor(ServiceId service) {
+        return mService.equals(service);
+    }
+
     /** Ends the request if it is rejected as crashing or its key is no longer proven valid. */
     private boolean endIfRejected() {
         if (!mDone) {
@@ -284,7 +296,7 @@
         mConnectFailureCount++;
         if (mConnectFailureCount >= MAXIMUM_CONNECT_FAILURES
                 || mTimes.leftNanos(mFlow.nowNanos()) <= 0) {
-            end("not-connected");
+            endUnsent("not-connected");
             return;
         }
         attempt();
@@ -301,7 +313,7 @@
     }
 
     private boolean tryAcquireRetry(long now) {
-        return mAttemptCount < mRoute.maximumAttempts()
+        return mAttemptCount < mAdmitted.maximumAttempts()
                 && mTimes.leftNanos(now) > 0
                 && mFlow.retries().tryRetry(mService, now);
     }
@@ -311,32 +323,18 @@
         attempt();
     }
 
-    private void refundCharge() {
-        if (mAttemptCharge != null) {
-            mAttemptCharge.refund();
-        }
-    }
-
     private void finishAttempt(ServerLoad server) {
         mSearch.attemptEnded(server);
         mCall = null;
     }
 
-    /** Ends the request at once because this instance stops. */
-    void stop() {
-        abort("stopping");
-    }
-
-    private void onTimeout() {
-        abort("timeout");
-    }
-
-    private void abort(String cause) {
+    /** Ends the request at once. */
+    void abort(String cause) {
         if (mDone) {
             return;
         }
         if (mCall != null && !mCall.isReadingPaused()) {
-            mFlow.placer().failed(mServer, mFlow.nowNanos());
+            mFeedback.failed(mServer, mFlow.nowNanos());
         }
         cancelCall();
         end(cause);
@@ -353,6 +351,9 @@
     }
 
     private void cancelCall() {
+        if (mForward.isInFlight()) {
+            mMayHaveRun |= mForward.cancel();
+        }
         if (mCall == null) {
             return;
         }
@@ -381,7 +382,7 @@
 
     private void respond(OutgoingAnswer answer) {
         finish();
-        mResponder.answer(answer);
+        mAdmitted.responder().answer(answer);
         mFlow.onRunEnded(this, mFacts);
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestTimes.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestTimes.java
@@ -29,6 +29,23 @@
                 arrivalNanos, arrivalNanos + wait, arrivalNanos + Math.min(wait, timeout));
     }
 
+    /**
+     * Reads the time that a client waits.
+     *
+     * @param text the value of the header, may be null
+     * @return the time in milliseconds, or null if it is missing or malformed
+     */
+    static Long parseDeadlineMillis(String text) {
+        if (text == null) {
+            return null;
+        }
+        try {
+            return Math.max(0, Long.parseLong(text.trim()));
+        } catch (NumberFormatException malformed) {
+            return null;
+        }
+    }
+
     /**
      * Returns the time left until this instance answers at the latest.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerSearch.java
@@ -149,12 +149,14 @@
     /** Records that the request was sent to a server, so that the server is not chosen again. */
     void markTried(ServerLoad load) {
         mTried.add(load.server().id());
+        mFlow.forwarding().monitor().recordSent(mService, mFlow.nowNanos());
         mFlow.crashGuard().bodies().started(load, mBodyBytes);
     }
 
     /** Records that the attempt at a server has ended in any way. */
     void attemptEnded(ServerLoad load) {
         load.requestEnded();
+        mFlow.forwarding().monitor().recordEnded(mService, mFlow.nowNanos());
         mFlow.crashGuard().bodies().ended(load, mBodyBytes);
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
@@ -20,6 +20,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 
 /**
  * Authenticator of requests by the keys of workspaces. A request is admitted as long as this
@@ -172,6 +174,31 @@
         return admit(workspace.get(), key, route);
     }
 
+    /**
+     * Returns the caller of a request that another instance forwarded, which has checked the key
+     * and counted the request.
+     */
+    Either<Rejection, Caller> authenticateForwarded(
+            Optional<WorkspaceId> workspace, long proofAgeNanos, Route route) {
+        if (workspace.isEmpty()) {
+            return mWorkspaces.isEmpty() || route.keyless()
+                    ? Either.right(new AnonymousCaller(route))
+                    : Either.left(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
+        }
+        Optional<Route> restrictedRoute =
+                mWorkspaces.find(workspace.get()).flatMap(route::restrictTo);
+        if (restrictedRoute.isEmpty()) {
+            return Either.left(Rejection.unavailable("no-allowed-region", UNPROVEN_RETRY_DELAY));
+        }
+        long provenNanos = mTimeSource.monotonicNanos() - proofAgeNanos;
+        return Either.right(
+                new KnownCaller(
+                        restrictedRoute.get(),
+                        workspace.get(),
+                        () -> rejectionOfForwarded(provenNanos),
+                        nowNanos -> {}));
+    }
+
     private Either<Rejection, Caller> admit(Workspace workspace, KeyDigest key, Route route) {
         Optional<Route> restrictedRoute = route.restrictTo(workspace);
         if (restrictedRoute.isEmpty()) {
@@ -182,7 +209,12 @@
             Duration retryDelay = mRates.retryAfter(workspace.id(), now);
             return Either.left(Rejection.tooManyRequests("over-rate", retryDelay));
         }
-        return Either.right(new KnownCaller(restrictedRoute.get(), workspace.id(), key));
+        return Either.right(
+                new KnownCaller(
+                        restrictedRoute.get(),
+                        workspace.id(),
+                        () -> rejection(workspace.id(), key),
+                        nowNanos -> mRates.sent(workspace.id(), nowNanos)));
     }
 
     private static Rejection rejectUnknownKey(long ageNanos) {
@@ -223,17 +255,40 @@
         public void recordSent(long nowNanos) {}
     }
 
+    /** Returns why a request must not be sent any more, whose key was valid at a time. */
+    private Optional<Rejection> rejectionOfForwarded(long provenNanos) {
+        return isProven(mTimeSource.monotonicNanos() - provenNanos)
+                ? Optional.empty()
+                : Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
+    }
+
+    /** Returns why a request must not be sent any more, whose key belonged to a workspace. */
+    private Optional<Rejection> rejection(WorkspaceId workspace, KeyDigest key) {
+        if (!isProven()) {
+            return Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
+        }
+        boolean isValid =
+                mWorkspaces.findByKey(key).map(Workspace::id).filter(workspace::equals).isPresent();
+        return isValid ? Optional.empty() : Optional.of(Rejection.unauthorized("unknown-key"));
+    }
+
     /** Caller of a request whose key belonged to a workspace when the request arrived. */
-    private final class KnownCaller implements Caller {
+    private static final class KnownCaller implements Caller {
 
         private final Route mRoute;
         private final WorkspaceId mWorkspace;
-        private final KeyDigest mKey;
+        private final Supplier<Optional<Rejection>> mRejection;
+        private final LongConsumer mSentListener;
 
-        KnownCaller(Route route, WorkspaceId workspace, KeyDigest key) {
+        KnownCaller(
+                Route route,
+                WorkspaceId workspace,
+                Supplier<Optional<Rejection>> rejection,
+                LongConsumer sentListener) {
             mRoute = route;
             mWorkspace = workspace;
-            mKey = key;
+            mRejection = rejection;
+            mSentListener = sentListener;
         }
 
         @Override
@@ -248,21 +303,12 @@
 
         @Override
         public Optional<Rejection> rejection() {
-            if (!isProven()) {
-                return Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
-            }
-            boolean isValid =
-                    mWorkspaces
-                            .findByKey(mKey)
-                            .map(Workspace::id)
-                            .filter(mWorkspace::equals)
-                            .isPresent();
-            return isValid ? Optional.empty() : Optional.of(Rejection.unauthorized("unknown-key"));
+            return mRejection.get();
         }
 
         @Override
         public void recordSent(long nowNanos) {
-            mRates.sent(mWorkspace, nowNanos);
+            mSentListener.accept(nowNanos);
         }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettings.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.loadcontrol.LoadControlSettings;
 import io.masticpond.core.placement.PlacementSettings;
+import io.masticpond.core.reachability.ReachabilitySettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.statement.WithdrawalSettings;
 import io.masticpond.core.support.Assert;
@@ -35,6 +36,7 @@
  * @param crashes when a request counts as one that terminates backend servers
  * @param serverLimits how far the limits that backend servers state may be exceeded
  * @param withdrawals how long the withdrawal of a backend server remains in effect
+ * @param reachability when a service counts as unreachable, and how its requests are forwarded
  * @param loadControl for which services load control is active, and its limits
  * @param workspaces how strictly keys and rates of workspaces are enforced
  * @param spending the spending caps; if absent, spending is not capped
@@ -57,6 +59,7 @@
         CrashSettings crashes,
         ServerLimitSettings serverLimits,
         WithdrawalSettings withdrawals,
+        ReachabilitySettings reachability,
         LoadControlSettings loadControl,
         WorkspaceSettings workspaces,
         Optional<SpendingSettings> spending) {
@@ -79,6 +82,8 @@
      * @param readiness the address for readiness checks
      * @param directory the address for clients that query where to connect
      * @param internal the address for other instances, over TCP and UDP
+     * @param forward the address for requests that other instances forward, if it accepts any; the
+     *     port is the same on all instances
      * @param metrics the address for scrapes of its metrics, if they are exposed
      * @since 0.2
      */
@@ -87,6 +92,7 @@
             ServerAddress readiness,
             ServerAddress directory,
             ServerAddress internal,
+            Optional<ServerAddress> forward,
             Optional<ServerAddress> metrics) {}
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.loadcontrol.LoadControlMode;
 import io.masticpond.core.loadcontrol.LoadControlSettings;
 import io.masticpond.core.placement.PlacementSettings;
+import io.masticpond.core.reachability.ReachabilitySettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.statement.WithdrawalSettings;
 import io.masticpond.entry.json.JsonTree;
@@ -148,6 +149,7 @@
                 crashes(root.optionalObject("crashes")),
                 serverLimits(root.optionalObject("serverLimits")),
                 withdrawals(root.optionalObject("withdrawals")),
+                reachability(root.optionalObject("reachability")),
                 loadControl(root.optionalObject("loadControl")),
                 workspaces(root.optionalObject("workspaces")),
                 spending(root, zones));
@@ -183,9 +185,12 @@
                 fields.address("readiness"),
                 fields.address("directory"),
                 fields.address("internal"),
-                fields.isGiven("metrics")
-                        ? Optional.of(fields.address("metrics"))
-                        : Optional.empty());
+                optionalAddress(fields, "forward"),
+                optionalAddress(fields, "metrics"));
+    }
+
+    private static Optional<ServerAddress> optionalAddress(SettingsFields fields, String name) {
+        return fields.isGiven(name) ? Optional.of(fields.address(name)) : Optional.empty();
     }
 
     private static List<ServerAddress> seeds(SettingsFields root) {
@@ -277,6 +282,18 @@
                 fields.time("ramp", fallback.ramp()));
     }
 
+    private static ReachabilitySettings reachability(SettingsFields fields) {
+        ReachabilitySettings fallback = ReachabilitySettings.DEFAULT;
+        return new ReachabilitySettings(
+                fields.time("silence", fallback.silence()),
+                fields.time("failureWindow", fallback.failureWindow()),
+                fields.whole("probes", fallback.probes()),
+                fields.time("probeInterval", fallback.probeInterval()),
+                fields.time("ramp", fallback.ramp()),
+                fields.time("peerMemory", fallback.peerMemory()),
+                fields.whole("forwardedRequests", fallback.forwardedRequests()));
+    }
+
     private static LoadControlSettings loadControl(SettingsFields fields) {
         LoadControlSettings fallback = LoadControlSettings.DEFAULT;
         return new LoadControlSettings(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsPart.java
@@ -46,6 +46,8 @@
     SERVER_LIMITS("serverLimits", true, EntrySettings::serverLimits),
     /** How long the withdrawal of a backend server remains in effect. */
     WITHDRAWALS("withdrawals", true, EntrySettings::withdrawals),
+    /** When a service counts as unreachable, and how its requests are forwarded. */
+    REACHABILITY("reachability", true, EntrySettings::reachability),
     /** For which services load control is active, and its limits. */
     LOAD_CONTROL("loadControl", true, EntrySettings::loadControl),
     /** How strictly keys and rates of workspaces are enforced. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -36,6 +36,7 @@
     private final LimitSharing mLimitSharing;
     private final LoadControlWiring mLoadControl;
     private final Probing mProbing;
+    private final Reachability mReachability;
 
     @Inject
     EntryInstance(
@@ -54,7 +55,8 @@
             RateSharing rateSharing,
             LimitSharing limitSharing,
             LoadControlWiring loadControl,
-            Probing probing) {
+            Probing probing,
+            Reachability reachability) {
         mProcessChanges = processChanges;
         mTraffic = traffic;
         mControl = control;
@@ -71,6 +73,7 @@
         mLimitSharing = limitSharing;
         mLoadControl = loadControl;
         mProbing = probing;
+        mReachability = reachability;
     }
 
     /** Starts all parts. The instance becomes ready once routes and backend servers are known. */
@@ -83,6 +86,7 @@
         mLimitSharing.start();
         mLoadControl.start();
         mProbing.start();
+        mReachability.start();
         if (mFlow.spending().isPresent()) {
             SpendingCheck spending = mFlow.spending().get();
             mTraffic.execute(spending::start);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -7,13 +7,16 @@
 import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.control.ControlHandler;
+import io.masticpond.entry.forward.ForwardEndpoint;
 import io.masticpond.entry.http.HttpEntryOptions;
 import io.masticpond.entry.http.HttpEntryServer;
 import io.masticpond.entry.http.RequestHandler;
 import io.masticpond.entry.lifecycle.Readiness;
+import io.masticpond.entry.peer.PeerView;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoopGroup;
+import java.util.Optional;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -29,6 +32,7 @@
     private final EntrySettings.Listeners mAddresses;
     private final Lazy<ControlHandler> mControlHandler;
     private final HttpEntryServer mEntry;
+    private final Optional<HttpEntryServer> mForward;
     private final HttpEntryServer mDirectory;
     private final HttpEntryServer mReadiness;
     private volatile boolean mListening;
@@ -47,6 +51,7 @@
             TimeSource timeSource,
             RequestFlow flow,
             BodyBudget budget,
+            PeerView peers,
             DirectoryHandler directory,
             Lazy<Readiness> readiness,
             Lazy<ControlHandler> controlHandler) {
@@ -55,6 +60,19 @@
         mAddresses = settings.listeners();
         mControlHandler = controlHandler;
         mEntry = server(trafficGroup, mAddresses.entry(), flow, budget);
+        mForward =
+                mAddresses
+                        .forward()
+                        .map(
+                                address ->
+                                        forwardServer(
+                                                trafficGroup,
+                                                address,
+                                                new ForwardEndpoint(
+                                                        platform.headerNames(),
+                                                        flow.forwardedRequests()),
+                                                budget,
+                                                peers));
         mDirectory = server(trafficGroup, mAddresses.directory(), directory, budget);
         mReadiness =
                 server(
@@ -64,6 +82,19 @@
                         budget);
     }
 
+    /** Creates the server for other instances, which accepts no other clients. */
+    private HttpEntryServer forwardServer(
+            EventLoopGroup group,
+            ServerAddress address,
+            RequestHandler handler,
+            BodyBudget budget,
+            PeerView peers) {
+        HttpEntryServer server = server(group, address, handler, budget);
+        server.setAcceptedClients(
+                ip -> peers.alive().stream().anyMatch(peer -> peer.internal().ip().equals(ip)));
+        return server;
+    }
+
     private HttpEntryServer server(
             EventLoopGroup group,
             ServerAddress address,
@@ -87,6 +118,7 @@
     void start(Runnable onBound) {
         mReadiness.start();
         mDirectory.start();
+        mForward.ifPresent(HttpEntryServer::start);
         mEntry.start()
                 .addListener(
                         bound -> {
@@ -125,6 +157,29 @@
         return mEntry;
     }
 
+    /** Begins to close the connections of clients and of other instances. */
+    void drain() {
+        mEntry.drain();
+        mForward.ifPresent(HttpEntryServer::drain);
+    }
+
+    /** Closes the listening sockets, except that for readiness checks. */
+    void stopAccepting() {
+        mEntry.stopAccepting();
+        mDirectory.stopAccepting();
+        mForward.ifPresent(HttpEntryServer::stopAccepting);
+    }
+
+    /** Returns the number of requests of clients and other instances without an answer. */
+    int openRequests() {
+        return mEntry.openRequests() + mForward.map(HttpEntryServer::openRequests).orElse(0);
+    }
+
+    /** Returns the number of connections of clients and other instances. */
+    int openConnections() {
+        return mEntry.openConnections() + mForward.map(HttpEntryServer::openConnections).orElse(0);
+    }
+
     HttpEntryServer directory() {
         return mDirectory;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.limit.RetryBudgetUsage;
+import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.serverlimit.LimitView;
 import io.masticpond.core.spending.SpendingView;
@@ -28,6 +29,7 @@
 import io.masticpond.entry.replica.CategoryStatus;
 import io.masticpond.entry.replica.ReplicaStatus;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.RequestForwarding;
 import io.masticpond.entry.request.ServerLimitGate;
 import io.masticpond.entry.request.ServerStatements;
 import io.masticpond.entry.request.SpendingCheck;
@@ -77,6 +79,7 @@
                     Keys.NONE,
                     Limits.NONE,
                     Withdrawals.NONE,
+                    Forwarding.NONE,
                     Map.of(),
                     Bodies.NONE,
                     ServiceLoads.NONE);
@@ -128,6 +131,29 @@
         }
     }
 
+    /** The metrics of the services that are not reached and of the forwarded requests. */
+    private record Forwarding(long unreachable, long losses, long forwarded, long accepted) {
+
+        static final Forwarding NONE = new Forwarding(0, 0, 0, 0);
+
+        static Forwarding of(RequestForwarding forwarding) {
+            return new Forwarding(
+                    forwarding.monitor().views().stream()
+                            .filter(each -> each.state() == ReachabilityState.UNREACHABLE)
+                            .count(),
+                    forwarding.monitor().losses(),
+                    forwarding.forwarded(),
+                    forwarding.accepted());
+        }
+
+        void set(EntryValues values) {
+            values.set(EntryValue.UNREACHABLE_SERVICES, unreachable);
+            values.set(EntryValue.REACHABILITY_LOSSES, losses);
+            values.set(EntryValue.FORWARDED_REQUESTS, forwarded);
+            values.set(EntryValue.ACCEPTED_REQUESTS, accepted);
+        }
+    }
+
     /** The metrics of the body budget. */
     private record Bodies(long requestBytes, long responseBytes, long refusals) {
 
@@ -178,6 +204,7 @@
             Keys keys,
             Limits limits,
             Withdrawals withdrawals,
+            Forwarding forwarding,
             Map<ServiceId, Map<RegionId, Double>> regionWeights,
             Bodies bodies,
             ServiceLoads loads) {
@@ -229,6 +256,7 @@
                         Keys.of(mFlow.authenticator()),
                         Limits.of(mFlow.statements().limits()),
                         Withdrawals.of(mFlow.statements()),
+                        Forwarding.of(mFlow.forwarding()),
                         mRegions.factors(),
                         Bodies.of(mBodies),
                         new ServiceLoads(
@@ -294,6 +322,7 @@
         values.set(EntryValue.RETRY_BUDGET_USED, traffic.sum(RetryBudgetUsage::used));
         setKeys(values, traffic.keys());
         traffic.loads().set(values);
+        traffic.forwarding().set(values);
         traffic.spendings().ifPresent(spendings -> setSpending(values, spendings));
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -50,7 +50,7 @@
     public void announceLeaving() {
         mHeartbeats.leave();
         mReplica.leave();
-        mListeners.entry().drain();
+        mListeners.drain();
     }
 
     @Override
@@ -61,13 +61,12 @@
 
     @Override
     public void stopAccepting() {
-        mListeners.entry().stopAccepting();
-        mListeners.directory().stopAccepting();
+        mListeners.stopAccepting();
     }
 
     @Override
     public void closeIdleConnections() {
-        mListeners.entry().drain();
+        mListeners.drain();
     }
 
     @Override
@@ -83,12 +82,12 @@
 
     @Override
     public int requests() {
-        return mListeners.entry().openRequests();
+        return mListeners.openRequests();
     }
 
     @Override
     public int connections() {
-        return mListeners.entry().openConnections();
+        return mListeners.openConnections();
     }
 
     @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/SettingsReloader.java
@@ -82,6 +82,7 @@
                     mFlow.authenticator().applySettings(settings.workspaces());
                     mFlow.statements().limits().applySettings(settings.serverLimits());
                     mFlow.statements().applySettings(settings.withdrawals());
+                    mFlow.forwarding().applySettings(settings.reachability());
                 });
         mProcessChanges.log(
                 ProcessChange.Kind.RELOADED, SettingsPart.describeChanges(mSettings, settings));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -16,11 +16,14 @@
 import io.masticpond.core.placement.RequestPlacer;
 import io.masticpond.core.placement.ServerChooser;
 import io.masticpond.core.placement.ServerTable;
+import io.masticpond.core.reachability.ForwardingTargets;
 import io.masticpond.core.routing.ServiceSplit;
 import io.masticpond.core.support.HashMixer;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionOptions;
 import io.masticpond.entry.backend.NettyBackendConnections;
+import io.masticpond.entry.forward.ForwardHeaders;
+import io.masticpond.entry.forward.PeerRequests;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LoadChange;
 import io.masticpond.entry.metrics.EntryMetrics;
@@ -38,6 +41,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Singleton;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
@@ -112,15 +116,45 @@
             HeaderNames names,
             BodyBudget budget) {
         return new NettyBackendConnections(
-                traffic,
-                timeSource,
-                new ConnectionOptions(
-                        names.requestId(),
-                        names.notExecuted(),
-                        CONNECT_TIMEOUT_NANOS,
-                        IDLE_NANOS,
-                        MAXIMUM_ANSWER_BYTES),
-                budget);
+                traffic, timeSource, connectionOptions(names, Optional.empty()), budget);
+    }
+
+    private static ConnectionOptions connectionOptions(
+            HeaderNames names, Optional<String> localAddress) {
+        return new ConnectionOptions(
+                names.requestId(),
+                names.notExecuted(),
+                CONNECT_TIMEOUT_NANOS,
+                IDLE_NANOS,
+                MAXIMUM_ANSWER_BYTES,
+                localAddress);
+    }
+
+    /**
+     * Creates the sender of requests to other instances, which accept connections from the address
+     * alone that this instance reports.
+     */
+    private static PeerRequests peerRequests(
+            EventLoop traffic,
+            TimeSource timeSource,
+            HeaderNames names,
+            BodyBudget budget,
+            EntrySettings settings,
+            UniformRandomProvider random) {
+        String localAddress = settings.listeners().internal().ip();
+        return new PeerRequests(
+                new ForwardHeaders(names),
+                new NettyBackendConnections(
+                        traffic,
+                        timeSource,
+                        connectionOptions(names, Optional.of(localAddress)),
+                        budget),
+                new ForwardingTargets(
+                        settings.zone(),
+                        settings.region(),
+                        settings.reachability().peerMemory(),
+                        random::nextInt),
+                timeSource);
     }
 
     @Provides
@@ -204,6 +238,7 @@
             EntryMetrics metrics,
             WorkspaceAuthenticator authenticator,
             ServerStatements statements,
+            BodyBudget budget,
             @ControlThread EventLoop control,
             DecisionLog log) {
         Optional<SpendingCheck> spending = Optional.empty();
@@ -231,6 +266,15 @@
                         statements,
                         log);
         flow.crashGuard().applySettings(settings.crashes());
+        if (settings.listeners().forward().isPresent()) {
+            UniformRandomProvider random =
+                    RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 5);
+            flow.forwarding()
+                    .setPeers(
+                            peerRequests(traffic, timeSource, names, budget, settings, random),
+                            random::nextDouble);
+        }
+        flow.forwarding().applySettings(settings.reachability());
         return flow;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/EntryArchitectureTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/EntryArchitectureTest.java
@@ -36,7 +36,8 @@
                     Map.entry("log", List.of("backend")),
                     Map.entry("metrics", List.of("log", "replica")),
                     Map.entry("spending", List.of("log", "replica", "request", "settings")),
-                    Map.entry("request", List.of("backend", "http", "log", "settings")),
+                    Map.entry("forward", List.of("backend", "http", "log", "settings")),
+                    Map.entry("request", List.of("backend", "forward", "http", "log", "settings")),
                     Map.entry("control", List.of("http", "log", "peer", "replica", "request")));
 
     private static final String WIRING = packageOf("wiring");
@@ -107,7 +108,15 @@
     @Example
     void librariesAreUsedOnlyInTheirPackages() {
         checkUsedOnlyIn(
-                "io.netty..", "http", "backend", "replica", "peer", "request", "control", "wiring");
+                "io.netty..",
+                "http",
+                "backend",
+                "forward",
+                "replica",
+                "peer",
+                "request",
+                "control",
+                "wiring");
         checkUsedOnlyIn("io.prometheus..", "metrics");
         checkUsedOnlyIn("ch.qos.logback..", "log");
         checkUsedOnlyIn("org.jctools..", "log");
--- a/masticpond-entry/src/test/java/io/masticpond/entry/control/LoadDocumentTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/control/LoadDocumentTest.java
@@ -15,6 +15,7 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.loadcontrol.LoadControlActivation;
 import io.masticpond.core.loadcontrol.LoadControlSettings;
+import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.routing.RequestLimits;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
@@ -45,8 +46,8 @@
         assertThat(document)
                 .hasToString(
                         "{\"service\":\"lookup\",\"mode\":\"automatic\",\"active\":false,"
-                                + "\"reason\":\"no-times-reported\",\"regions\":"
-                                + "[{\"region\":\"north\",\"weight\":1.0}]}");
+                            + "\"reason\":\"no-times-reported\",\"reachability\":\"reachable\",\"regions\":"
+                            + "[{\"region\":\"north\",\"weight\":1.0}]}");
     }
 
     /** Guards against a value that decisions are based on but that operators cannot see. */
@@ -112,7 +113,11 @@
         FleetSnapshot fleet =
                 new FleetSnapshot(1, Optional.of(routing), Map.of(SERVER, server), Set.of());
         List<ServiceLoadSnapshot> snapshots =
-                mSources.take(fleet, any -> Optional.of(REGION), nowNanos);
+                mSources.take(
+                        fleet,
+                        any -> Optional.of(REGION),
+                        any -> ReachabilityState.REACHABLE,
+                        nowNanos);
         assertThat(snapshots).hasSize(1);
         ObjectNode document = JsonFormat.object();
         LoadDocument.write(snapshots.get(0), ZONE, document);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
@@ -35,6 +35,12 @@
         return call;
     }
 
+    @Override
+    public BackendCall sendOnNewConnection(
+            RegisteredServer server, BackendRequest request, BackendCallListener listener) {
+        return send(server, 1, request, listener);
+    }
+
     @Override
     public void check(RegisteredServer server, Consumer<ServerReachability> listener) {
         mChecks.add(new Check(server, listener));
