Check the key of a forwarded request at the instance that sends it on

A forwarded request carried the age of the proof that its key was valid. The request now carries the digest of the key, and the other instance checks it against its own keys and proof before each attempt, as for a client's request. An unknown key is refused as unproven, since the other instance may know the newer keys, and goes to another one.

Also: known instances are updated once a second while all services are reachable, so that the first request that cannot connect has one to go to. Ruled out: stating the wall time of the proof, since clocks of machines differ.

--- a/masticpond-core/src/main/java/io/masticpond/core/workspace/KeyDigest.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/workspace/KeyDigest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /**
  * SHA-256 digest of a caller's key. Keys themselves are never stored, and the duration of a lookup
@@ -17,6 +18,8 @@
     private static final ThreadLocal<MessageDigest> DIGESTS =
             ThreadLocal.withInitial(KeyDigest::digest);
 
+    private static final int BYTES = 32;
+
     private final long mFirst;
     private final long mSecond;
     private final long mThird;
@@ -41,6 +44,31 @@
         return new KeyDigest(ByteBuffer.wrap(bytes));
     }
 
+    /**
+     * Parses a digest.
+     *
+     * @param hexadecimal the digest as returned by {@link #toHexadecimal}
+     * @return the digest
+     * @throws IllegalArgumentException if the text is no digest
+     */
+    public static KeyDigest parse(String hexadecimal) {
+        byte[] bytes = HexFormat.of().parseHex(hexadecimal);
+        Assert.isTrue(
+                bytes.length == BYTES, "A digest has %d bytes, but was %d.", BYTES, bytes.length);
+        return new KeyDigest(ByteBuffer.wrap(bytes));
+    }
+
+    /**
+     * Returns the digest for another instance, which knows the digests of all keys.
+     *
+     * @return the digest as hexadecimal text
+     */
+    public String toHexadecimal() {
+        ByteBuffer bytes = ByteBuffer.allocate(BYTES);
+        bytes.putLong(mFirst).putLong(mSecond).putLong(mThird).putLong(mFourth);
+        return HexFormat.of().formatHex(bytes.array());
+    }
+
     private static MessageDigest digest() {
         try {
             return MessageDigest.getInstance("SHA-256");
--- a/masticpond-core/src/test/java/io/masticpond/core/reachability/ForwardingTargetsTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/reachability/ForwardingTargetsTest.java
@@ -84,14 +84,14 @@
     }
 
     @Example
-    void leavesAZoneAfterOneInstanceThatDoesNotReachTheServiceEither() {
+    void leavesZoneAfterOneInstanceThatDoesNotReachTheServiceEither() {
         mTargets.update(fleet(16));
         assertThat(forward(Set.of(new ZoneId("r0-a")))).isEqualTo(2);
         assertThat(forward(Set.of(new ZoneId("r0-a")))).isEqualTo(1);
     }
 
     @Example
-    void findsAnInstanceWithinThreeTriesWhileAWholeRegionHasNoConnection() {
+    void findsAnInstanceWithinThreeTriesWhileOneRegionHasNoConnection() {
         mTargets.update(fleet(16));
         Set<ZoneId> region = Set.of(new ZoneId("r0-a"), new ZoneId("r0-b"));
         for (int request = 0; request < 50; request++) {
@@ -100,7 +100,7 @@
     }
 
     @Example
-    void givesUpOnceNoInstanceHasAConnectionAndTriesAgainLater() {
+    void givesUpOnceAllInstancesLackConnectionsAndTriesAgainLater() {
         List<ForwardingPeer> peers = fleet(10);
         mTargets.update(peers);
         int asked = 0;
@@ -123,7 +123,7 @@
     }
 
     @Example
-    void avoidsABusyInstanceForAMoment() {
+    void avoidsBusyInstanceForShortTime() {
         mTargets.update(List.of(peer("r0", "a", 0)));
         mTargets.busy(new InstanceId("r0-a-0"), mNowNanos);
         assertThat(choose(Set.of())).isEmpty();
--- a/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
@@ -127,7 +127,7 @@
     }
 
     @Example
-    void silenceOfOnePendingRequestIsNoticedWithinASecond() {
+    void silenceOfOnePendingRequestIsNoticedWithinOneSecond() {
         mMonitor.recordAnswered(ORDERS, TimeUnit.MILLISECONDS.toNanos(50), mNowNanos);
         mMonitor.recordSent(ORDERS, mNowNanos);
         for (int time = 0; time < 6; time++) {
@@ -195,7 +195,7 @@
 
     /** Whatever happens before, a service whose probes are answered from now on is reachable. */
     @Property(seed = "45")
-    void answeredProbesAlwaysEndALoss(@ForAll List<@IntRange(min = 0, max = 5) Integer> events) {
+    void answeredProbesAlwaysEndTheLoss(@ForAll List<@IntRange(min = 0, max = 5) Integer> events) {
         for (int event : events) {
             switch (event) {
                 case 0 -> failServers(ORDERS, 2);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
@@ -1,8 +1,8 @@
 package io.masticpond.entry.forward;
 
 import io.masticpond.core.id.ServiceId;
-import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.support.Assert;
+import io.masticpond.core.workspace.KeyDigest;
 import io.masticpond.entry.log.RequestOutcome;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -19,7 +19,7 @@
 
     private static final String SERVICE = "Masticpond-Forward-Service";
     private static final String ATTEMPTS = "Masticpond-Forward-Attempts";
-    private static final String PROOF_AGE = "Masticpond-Forward-Proof-Age";
+    private static final String KEY = "Masticpond-Forward-Key";
     private static final String OUTCOME = "Masticpond-Forward-Outcome";
     private static final String CAUSE = "Masticpond-Forward-Cause";
     private static final long MILLIS_PER_SECOND = 1_000;
@@ -44,13 +44,12 @@
     public void writeTerms(ForwardTerms terms, HttpHeaders headers) {
         headers.set(SERVICE, terms.service().value());
         headers.set(ATTEMPTS, Integer.toString(terms.attempts()));
-        headers.set(PROOF_AGE, Long.toString(terms.proofAgeMillis()));
-        headers.remove(mNames.workspace());
-        terms.workspace().ifPresent(id -> headers.set(mNames.workspace(), id.value()));
+        headers.remove(KEY);
+        terms.key().ifPresent(key -> headers.set(KEY, key.toHexadecimal()));
     }
 
     /**
-     * Reads the terms of a request and removes their headers, except the workspace.
+     * Reads the terms of a request and removes their headers.
      *
      * @param headers the headers of the request
      * @return the terms, or empty if they are missing or malformed
@@ -58,18 +57,16 @@
     public Optional<ForwardTerms> takeTerms(HttpHeaders headers) {
         String service = take(SERVICE, headers);
         String attempts = take(ATTEMPTS, headers);
-        String proofAge = take(PROOF_AGE, headers);
-        if (service == null || attempts == null || proofAge == null) {
+        String key = take(KEY, headers);
+        if (service == null || attempts == null) {
             return Optional.empty();
         }
         try {
             return Optional.of(
                     new ForwardTerms(
                             new ServiceId(service),
-                            Optional.ofNullable(headers.get(mNames.workspace()))
-                                    .map(WorkspaceId::new),
-                            Integer.parseInt(attempts),
-                            Long.parseLong(proofAge)));
+                            Optional.ofNullable(key).map(KeyDigest::parse),
+                            Integer.parseInt(attempts)));
         } catch (IllegalArgumentException malformed) {
             return Optional.empty();
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardRefusal.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardRefusal.java
@@ -36,7 +36,7 @@
      */
     public boolean isOfInstance() {
         return switch (cause) {
-            case UNREACHABLE, BUSY, NOT_CONNECTED, "not-ready", "stopping" -> true;
+            case UNREACHABLE, BUSY, NOT_CONNECTED, "not-ready", "stopping", "unproven-keys" -> true;
             default -> false;
         };
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/Caller.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/Caller.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.workspace.KeyDigest;
 import java.util.Optional;
 
 /**
@@ -15,6 +16,9 @@
     /** Returns the caller's workspace, empty if the route requires none. */
     Optional<WorkspaceId> workspace();
 
+    /** Returns the digest of the caller's key, empty if the route requires none. */
+    Optional<KeyDigest> key();
+
     /**
      * Returns why the request must not be sent any more, empty if it may be. Called before each
      * attempt.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardedRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardedRequests.java
@@ -12,7 +12,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * {@link ForwardedRequestHandler} that processes requests of other instances like those of clients,
@@ -48,11 +47,7 @@
             return;
         }
         Either<Rejection, Caller> caller =
-                mFlow.authenticator()
-                        .authenticateForwarded(
-                                terms.workspace(),
-                                TimeUnit.MILLISECONDS.toNanos(terms.proofAgeMillis()),
-                                route.get());
+                mFlow.authenticator().authenticateForwarded(terms.key(), route.get());
         if (caller.isLeft()) {
             mFlow.refuse(request, counted, facts, caller.getLeft());
             return;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestForward.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestForward.java
@@ -18,7 +18,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Forwarding of one request to other instances, one after the other, until one of them processes
@@ -96,11 +95,7 @@
         mCall =
                 peers.send(
                         peer,
-                        new ForwardTerms(
-                                mAdmitted.service(),
-                                mAdmitted.caller().workspace(),
-                                attempts,
-                                proofAgeMillis()),
+                        new ForwardTerms(mAdmitted.service(), mAdmitted.caller().key(), attempts),
                         new BackendRequest(
                                 request.headers().get(mFlow.names().requestId()),
                                 request.method(),
@@ -112,13 +107,6 @@
                         this);
     }
 
-    private long proofAgeMillis() {
-        long ageNanos = mFlow.authenticator().proofAgeNanos();
-        return mAdmitted.caller().workspace().isEmpty()
-                ? 0
-                : TimeUnit.NANOSECONDS.toMillis(Math.max(0, ageNanos));
-    }
-
     boolean isInFlight() {
         return mCall != null;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongConsumer;
-import java.util.function.Supplier;
 
 /**
  * Authenticator of requests by the keys of workspaces. A request is admitted as long as this
@@ -175,28 +174,23 @@
     }
 
     /**
-     * Returns the caller of a request that another instance forwarded, which has checked the key
-     * and counted the request.
+     * Returns the caller of a request that another instance forwarded, which has counted it. An
+     * unknown key may be one that this instance does not know yet.
      */
-    Either<Rejection, Caller> authenticateForwarded(
-            Optional<WorkspaceId> workspace, long proofAgeNanos, Route route) {
-        if (workspace.isEmpty()) {
-            return mWorkspaces.isEmpty() || route.keyless()
-                    ? Either.right(new AnonymousCaller(route))
-                    : Either.left(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
+    Either<Rejection, Caller> authenticateForwarded(Optional<KeyDigest> key, Route route) {
+        if (mWorkspaces.isEmpty() || route.keyless()) {
+            return Either.right(new AnonymousCaller(route));
+        }
+        Optional<Workspace> workspace = key.flatMap(mWorkspaces::findByKey);
+        if (!isProven() || workspace.isEmpty()) {
+            return Either.left(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
         }
-        Optional<Route> restrictedRoute =
-                mWorkspaces.find(workspace.get()).flatMap(route::restrictTo);
+        Optional<Route> restrictedRoute = route.restrictTo(workspace.get());
         if (restrictedRoute.isEmpty()) {
             return Either.left(Rejection.unavailable("no-allowed-region", UNPROVEN_RETRY_DELAY));
         }
-        long provenNanos = mTimeSource.monotonicNanos() - proofAgeNanos;
-        return Either.right(
-                new KnownCaller(
-                        restrictedRoute.get(),
-                        workspace.get(),
-                        () -> rejectionOfForwarded(provenNanos),
-                        nowNanos -> {}));
+        WorkspaceId id = workspace.get().id();
+        return Either.right(new KnownCaller(restrictedRoute.get(), id, key.get(), nowNanos -> {}));
     }
 
     private Either<Rejection, Caller> admit(Workspace workspace, KeyDigest key, Route route) {
@@ -213,7 +207,7 @@
                 new KnownCaller(
                         restrictedRoute.get(),
                         workspace.id(),
-                        () -> rejection(workspace.id(), key),
+                        key,
                         nowNanos -> mRates.sent(workspace.id(), nowNanos)));
     }
 
@@ -246,6 +240,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public Optional<KeyDigest> key() {
+            return Optional.empty();
+        }
+
         @Override
         public Optional<Rejection> rejection() {
             return Optional.empty();
@@ -255,39 +254,18 @@
         public void recordSent(long nowNanos) {}
     }
 
-    /** Returns why a request must not be sent any more, whose key was valid at a time. */
-    private Optional<Rejection> rejectionOfForwarded(long provenNanos) {
-        return isProven(mTimeSource.monotonicNanos() - provenNanos)
-                ? Optional.empty()
-                : Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
-    }
-
-    /** Returns why a request must not be sent any more, whose key belonged to a workspace. */
-    private Optional<Rejection> rejection(WorkspaceId workspace, KeyDigest key) {
-        if (!isProven()) {
-            return Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
-        }
-        boolean isValid =
-                mWorkspaces.findByKey(key).map(Workspace::id).filter(workspace::equals).isPresent();
-        return isValid ? Optional.empty() : Optional.of(Rejection.unauthorized("unknown-key"));
-    }
-
     /** Caller of a request whose key belonged to a workspace when the request arrived. */
-    private static final class KnownCaller implements Caller {
+    private final class KnownCaller implements Caller {
 
         private final Route mRoute;
         private final WorkspaceId mWorkspace;
-        private final Supplier<Optional<Rejection>> mRejection;
+        private final KeyDigest mKey;
         private final LongConsumer mSentListener;
 
-        KnownCaller(
-                Route route,
-                WorkspaceId workspace,
-                Supplier<Optional<Rejection>> rejection,
-                LongConsumer sentListener) {
+        KnownCaller(Route route, WorkspaceId workspace, KeyDigest key, LongConsumer sentListener) {
             mRoute = route;
             mWorkspace = workspace;
-            mRejection = rejection;
+            mKey = key;
             mSentListener = sentListener;
         }
 
@@ -301,9 +279,23 @@
             return Optional.of(mWorkspace);
         }
 
+        @Override
+        public Optional<KeyDigest> key() {
+            return Optional.of(mKey);
+        }
+
         @Override
         public Optional<Rejection> rejection() {
-            return mRejection.get();
+            if (!isProven()) {
+                return Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
+            }
+            boolean isValid =
+                    mWorkspaces
+                            .findByKey(mKey)
+                            .map(Workspace::id)
+                            .filter(mWorkspace::equals)
+                            .isPresent();
+            return isValid ? Optional.empty() : Optional.of(Rejection.unauthorized("unknown-key"));
         }
 
         @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
@@ -47,6 +47,9 @@
 @Singleton
 final class Reachability {
 
+    /** Period in which the known instances are updated while all services are reachable. */
+    private static final long PEERS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final EventLoop mTraffic;
     private final TimeSource mTimeSource;
     private final RequestFlow mFlow;
@@ -59,6 +62,7 @@
     private final ProbeClient mClient;
     private final Map<ServiceId, BackendServerId> mAnsweredProbes = new HashMap<>();
     private final UniformRandomProvider mRandom;
+    private long mPeersUpdatedNanos;
 
     @Inject
     Reachability(
@@ -104,8 +108,12 @@
     private void evaluate() {
         long now = mTimeSource.monotonicNanos();
         mMonitor.evaluate(now);
-        if (mMonitor.isAnyInDoubt(now)) {
+        boolean isAnyInDoubt = mMonitor.isAnyInDoubt(now);
+        if (isAnyInDoubt || now - mPeersUpdatedNanos >= PEERS_PERIOD_NANOS) {
+            mPeersUpdatedNanos = now;
             updatePeers();
+        }
+        if (isAnyInDoubt) {
             mMonitor.servicesToProbe(now).forEach(service -> probe(service, now));
         }
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
@@ -215,7 +215,7 @@
     private FakeResponder handleForwarded(RequestFlow flow, int attempts) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set("Host", "host").set("Id", "one").set("Wait", "800");
-        mHeaders.writeTerms(new ForwardTerms(SERVICE, Optional.empty(), attempts, 0), headers);
+        mHeaders.writeTerms(new ForwardTerms(SERVICE, Optional.empty(), attempts), headers);
         long now = mTime.monotonicNanos();
         FakeResponder responder = new FakeResponder();
         new ForwardEndpoint(NAMES, flow.forwardedRequests())
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
@@ -12,6 +12,9 @@
 import io.masticpond.core.workspace.RateLimit;
 import io.masticpond.core.workspace.Workspace;
 import io.masticpond.core.workspace.WorkspaceTable;
+import io.masticpond.entry.forward.ForwardEndpoint;
+import io.masticpond.entry.forward.ForwardHeaders;
+import io.masticpond.entry.forward.ForwardTerms;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.http.OutgoingAnswer;
 import io.masticpond.entry.settings.WorkspaceSettings;
@@ -133,6 +136,38 @@
         assertThat(last().headers().get("Retry-After")).isEqualTo("0.100");
     }
 
+    /** Sends a request that another instance has forwarded with the digest of a key. */
+    private FakeResponder sendForwarded(RequestFlow flow, String key) {
+        IncomingRequest request = request();
+        new ForwardHeaders(NAMES)
+                .writeTerms(
+                        new ForwardTerms(SERVICE, Optional.of(KeyDigest.of(key)), 2),
+                        request.headers());
+        FakeResponder responder = new FakeResponder();
+        new ForwardEndpoint(NAMES, flow.forwardedRequests()).handle(request, responder);
+        return responder;
+    }
+
+    @Example
+    void forwardedRequestRunsForTheWorkspaceOfItsKey() {
+        RequestFlow flow = flow();
+        recordProof();
+        sendForwarded(flow, KEY);
+        assertThat(mConnections.last().mRequest.headers().get("Workspace")).isEqualTo("shop");
+    }
+
+    @Example
+    void forwardedRequestIsNotSentWithRevokedKeyOrOldProof() {
+        RequestFlow flow = flow();
+        recordProof();
+        passTime(REVOCATION);
+        assertThat(sendForwarded(flow, KEY).status()).isEqualTo(503);
+        recordProof();
+        applyState(flow, Optional.empty(), "another-key");
+        assertThat(sendForwarded(flow, KEY).status()).isEqualTo(503);
+        assertThat(mConnections.mCalls).isEmpty();
+    }
+
     @Example
     void suspensionOfMachineAgesProof() {
         RequestFlow flow = flow();
