Probe cold servers of an unreachable service at their pace

A service was found reachable again by probes that left cold servers out. A probe of a cold server now takes a permit of its pace, as a request does, and a service of which no server may be probed counts as reachable: requests are then the only way to find out.

Measured: ReachabilityMonitorTest with an example for it. Ruled out: probing cold servers without a permit, as the sum over all instances would not keep their bound.

--- a/masticpond-core/src/main/java/io/masticpond/core/probe/ProbeObstacle.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/probe/ProbeObstacle.java
@@ -29,12 +29,12 @@
 
     /**
      * Returns whether the server must not be probed for its reachability either. A server that is
-     * avoided is the one that such a probe is about.
+     * avoided is the one that such a probe is about, and a cold one may be probed at its pace.
      *
      * @return whether the server has to be spared
      */
     public boolean isBinding() {
-        return this != AVOIDED && this != CONNECTIONS_IN_USE;
+        return this != AVOIDED && this != COLD && this != CONNECTIONS_IN_USE;
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityEvidence.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityEvidence.java
@@ -16,6 +16,8 @@
     PROBES_UNANSWERED,
     /** All probes remained without an answer, though older connections still bring answers. */
     NEW_CONNECTIONS_FAILED,
+    /** No server may be probed. */
+    NOT_PROBED,
     /** Probes were answered. */
     PROBES_ANSWERED,
     /** An answer arrived. */
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
@@ -233,7 +233,11 @@
      * @param nowNanos the current time
      */
     public void endProbing(ServiceId service, long nowNanos) {
-        of(service, nowNanos).endProbing(nowNanos);
+        ServiceReachability state = of(service, nowNanos);
+        ReachabilityView former = state.view();
+        if (state.endProbing(nowNanos)) {
+            changed(former, state, nowNanos);
+        }
         concludeInconclusive(nowNanos);
     }
 
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
@@ -137,12 +137,22 @@
         mNextProbeNanos = nowNanos + settings.probeInterval().toNanos();
     }
 
-    /** Ends a suspicion that cannot be examined, as no server may be probed. */
-    void endProbing(long nowNanos) {
+    /**
+     * Records that no further server may be probed. Without any probe, requests are the only way to
+     * find out, so the service counts as reachable.
+     *
+     * @return whether the service changed from unreachable
+     */
+    boolean endProbing(long nowNanos) {
         mProbesToStart = 0;
-        if (mState == ReachabilityState.SUSPECTED && mProbesInFlight == 0) {
-            refute(mEvidence, nowNanos);
+        if (mState == ReachabilityState.REACHABLE || mProbesInFlight > 0 || mIsInconclusive) {
+            return false;
         }
+        boolean isReturned = mState == ReachabilityState.UNREACHABLE;
+        mHasReturned |= isReturned;
+        mReturnedNanos = isReturned ? nowNanos : mReturnedNanos;
+        refute(ReachabilityEvidence.NOT_PROBED, nowNanos);
+        return isReturned;
     }
 
     /** Records the end of a probe; returns whether the service changed to or from unreachable. */
--- a/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
@@ -173,6 +173,15 @@
         assertThat(mMonitor.isDirect(ORDERS, 0.99, mNowNanos)).isTrue();
     }
 
+    @Example
+    void serviceWhoseServersMayNotBeProbedIsNotLostForGood() {
+        lose(ORDERS);
+        mNowNanos += SETTINGS.probeInterval().toNanos();
+        mMonitor.endProbing(ORDERS, mNowNanos);
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.REACHABLE);
+        assertThat(mChanges).hasSize(2);
+    }
+
     @Example
     void flappingLinkNeedsMoreAnsweredProbesEachTime() {
         lose(ORDERS);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
@@ -91,6 +91,25 @@
         return mFlow.connectionShare(server.server().service());
     }
 
+    /**
+     * Takes the permit for a request to a server, if the server is cold, so that probes count in
+     * its pace.
+     *
+     * @param server the server
+     * @param nowNanos the monotonic time
+     * @return whether the server may be probed
+     */
+    public boolean tryPermit(ServerLoad server, long nowNanos) {
+        return !mFlow.coldGate().isCold(server.server(), nowNanos)
+                || mFlow.state()
+                        .rules(server.server().service())
+                        .filter(
+                                rules ->
+                                        mFlow.coldGate()
+                                                .tryAcquire(server.server(), rules, nowNanos))
+                        .isPresent();
+    }
+
     /**
      * Returns the path of the health check of a server.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
@@ -137,16 +137,18 @@
 
     private void probe(ServiceId service, long now) {
         List<ServerLoad> servers = probeable(service, now);
-        int count = Math.min(mMonitor.dueProbes(service, now), servers.size());
-        for (ServerLoad each : servers.subList(0, count)) {
+        for (ServerLoad each : servers) {
+            if (mMonitor.dueProbes(service, now) == 0) {
+                return;
+            }
             Optional<String> path = mServers.healthPath(each);
-            if (path.isPresent()) {
+            if (path.isPresent() && mServers.tryPermit(each, now)) {
                 mMonitor.probeStarted(service, now);
                 mClient.sendOnNewConnection(
                         each.server(), path.get(), end -> probeEnded(each, end));
             }
         }
-        if (mMonitor.state(service) == ReachabilityState.SUSPECTED) {
+        if (servers.isEmpty() || mMonitor.state(service) == ReachabilityState.SUSPECTED) {
             mMonitor.endProbing(service, now);
         }
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/control/LoadDocumentTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/control/LoadDocumentTest.java
@@ -46,8 +46,9 @@
         assertThat(document)
                 .hasToString(
                         "{\"service\":\"lookup\",\"mode\":\"automatic\",\"active\":false,"
-                            + "\"reason\":\"no-times-reported\",\"reachability\":\"reachable\",\"regions\":"
-                            + "[{\"region\":\"north\",\"weight\":1.0}]}");
+                                + "\"reason\":\"no-times-reported\",\"reachability\":\"reachable\","
+                                + "\"regions\":"
+                                + "[{\"region\":\"north\",\"weight\":1.0}]}");
     }
 
     /** Guards against a value that decisions are based on but that operators cannot see. */
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
@@ -227,7 +227,7 @@
     }
 
     @Example
-    void sendsForwardedRequestToAServerWithoutTheTerms() {
+    void sendsForwardedRequestToServerWithoutTheTerms() {
         RequestFlow flow = flowWithPeers(true, 1);
         FakeResponder responder = handleForwarded(flow, 1);
         HttpHeaders sent = mConnections.last().mRequest.headers();
