--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestForward.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardAttempts.java
@@ -23,7 +23,7 @@
  * Forwarding of one request to other instances, one after the other, until one of them processes
  * it. A request is forwarded once at most between its client and a backend server.
  */
-final class RequestForward implements ForwardListener {
+final class ForwardAttempts implements ForwardListener {
 
     private static final int MAXIMUM_PEERS = 3;
 
@@ -34,7 +34,7 @@
     private final Set<InstanceId> mTried = new HashSet<>(MAXIMUM_PEERS);
     private BackendCall mCall;
 
-    RequestForward(
+    ForwardAttempts(
             RequestFlow flow, RequestRun run, AdmittedRequest admitted, ForwardedHeaders headers) {
         mFlow = flow;
         mRun = run;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -50,7 +50,7 @@
     private final RequestCompletion mCompletion;
     private final CrashCheck mCrashCheck;
     private final ServerFeedback mFeedback;
-    private final RequestForward mForward;
+    private final ForwardAttempts mForwardAttempts;
     private final AttemptCharge mAttemptCharge;
     private final ServerCalls mCalls;
 
@@ -83,7 +83,7 @@
         mSearch = new ServerSearch(flow, mFacts, mCaller, mService, key, mRequest.body());
         mCrashCheck = new CrashCheck(flow.crashGuard(), mRequest, mFacts);
         mFeedback = new ServerFeedback(flow, mSearch, mCrashCheck, mRoute, mRequest.body());
-        mForward = new RequestForward(flow, this, admitted, headers);
+        mForwardAttempts = new ForwardAttempts(flow, this, admitted, headers);
         mCalls = new ServerCalls(flow, this, admitted, headers);
         mCompletion = new RequestCompletion(flow, mFacts, mRequest);
         mAttemptCharge = new AttemptCharge(flow.spending(), mFacts, mService);
@@ -112,7 +112,7 @@
             return;
         }
         long now = mFlow.nowNanos();
-        if (mForward.isDue(now)) {
+        if (mForwardAttempts.isDue(now)) {
             forward(now);
             return;
         }
@@ -141,14 +141,14 @@
     /** Forwards the request to another instance, or refuses it if there is none. */
     private void forward(long now) {
         int attempts = Math.max(1, mAdmitted.maximumAttempts() - mAttemptCount);
-        if (!mForward.send(attempts, mTimes.leftNanos(now), now)) {
+        if (!mForwardAttempts.send(attempts, mTimes.leftNanos(now), now)) {
             endRejected(Rejection.unavailable(ForwardRefusal.UNREACHABLE, UNREACHABLE_RETRY_DELAY));
         }
     }
 
     /** Ends the request, which could not be sent, unless another instance may send it. */
     private void endUnsent(String cause) {
-        if (mForward.isPossible()) {
+        if (mForwardAttempts.isPossible()) {
             forward(mFlow.nowNanos());
         } else {
             end(cause);
@@ -250,7 +250,7 @@
      * reaches and may be sent once more.
      */
     void onServiceUnreachable() {
-        if (mDone || mCall == null || !mForward.isPossible()) {
+        if (mDone || mCall == null || !mForwardAttempts.isPossible()) {
             return;
         }
         if (mCall.isWritten()
@@ -351,8 +351,8 @@
     }
 
     private void cancelCall() {
-        if (mForward.isInFlight()) {
-            mMayHaveRun |= mForward.cancel();
+        if (mForwardAttempts.isInFlight()) {
+            mMayHaveRun |= mForwardAttempts.cancel();
         }
         if (mCall == null) {
             return;
