Conclude an inconclusive suspicion at each evaluation

A service whose probes remained unanswered while older connections still brought answers waits for the probes of the other services. If one of these was cleared by an answer instead of a probe, nothing concluded the first suspicion: it stayed suspected, no server was probed, and connections that had broken off were checked again every 0.1 s without an end. Found by reading.

--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
@@ -163,6 +163,7 @@
             mServices.values().forEach(each -> each.restartSilence(nowNanos));
             return;
         }
+        concludeInconclusive(nowNanos);
         if (mPending == 0) {
             return;
         }
--- a/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
@@ -110,6 +110,22 @@
         assertThat(mChanges).isEmpty();
     }
 
+    @Example
+    void inconclusiveSuspicionEndsWhenAnotherServiceAnswersWithoutProbes() {
+        mMonitor.recordSent(READS, mNowNanos);
+        for (int time = 0; time < 6; time++) {
+            step();
+        }
+        assertThat(mMonitor.state(READS)).isEqualTo(ReachabilityState.SUSPECTED);
+        failServers(ORDERS, 3);
+        mNowNanos++;
+        mMonitor.recordAnswered(ORDERS, 1_000, mNowNanos);
+        probe(ORDERS, false);
+        mMonitor.recordAnswered(READS, 1_000, mNowNanos);
+        step();
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.REACHABLE);
+    }
+
     @Example
     void newConnectionsThatFailAtAllServicesShowUnreachableServicesWhileOldOnesWork() {
         failServers(ORDERS, 3);
