Treat a server that ended as cold until it states otherwise

Cause: an instance that knows by a refused connection that a server ended used this for the requests there and not for the server. The entry of the new run arrives up to a second later, since the reader of the store rests after a change; until then requests go there as before.

Change: refused connections and resets of idle ones are checked as well. A server that refuses the check is paced like a cold one, until a health check on a new connection states its cold time or the registry lists a new run. One refused connection changes nothing. The cold time of health checks, which nobody read, applies to each of them. BrokenOffRequests is ServerChecks now.

Ruled out: to wait for the entry of the store (its lag is the fault); to pace by a single refused connection, which takes the share of a warm server; to check all servers whose idle connections are reset, which is one connection for each of them when a link is cut.

--- a/masticpond-core/src/main/java/io/masticpond/core/limit/ColdPacer.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/limit/ColdPacer.java
@@ -179,6 +179,11 @@
     private ColdState updateState(RegisteredServer server, long nowNanos) {
         ColdState state = mStates.get(server.id());
         if (!server.isCold(nowNanos)) {
+            if (state != null) {
+                // The server may be warm sooner than it was expected to be.
+                long warmNanos = nowNanos + mSettings.margin().toNanos();
+                state.mWarmFromNanos = Math.min(state.mWarmFromNanos, warmNanos);
+            }
             return state;
         }
         if (state == null) {
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -32,7 +32,10 @@
     private static final long IDLE_CONNECTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final long mHash;
+    private RegisteredServer mRegistered;
     private RegisteredServer mServer;
+    private boolean mMayHaveRestarted;
+    private long mAssumedColdUntilNanos;
     private Distance mDistance;
     private int mOwnRequests;
     private double mOtherRequests;
@@ -56,7 +59,8 @@
      * @param distance the distance of the server
      */
     public ServerLoad(RegisteredServer server, Distance distance) {
-        mServer = Assert.notNull(server, "A backend server");
+        mRegistered = Assert.notNull(server, "A backend server");
+        mServer = mRegistered;
         mDistance = Assert.notNull(distance, "A distance");
         mHash = HashMixer.hash(server.id().value());
     }
@@ -68,18 +72,27 @@
      * @param distance the distance of the server
      */
     public void update(RegisteredServer server, Distance distance) {
-        long coldUntilNanos = mServer.coldUntilNanos();
-        mServer = server;
+        long coldUntilNanos = mRegistered.coldUntilNanos();
+        mRegistered = server;
         mDistance = distance;
         if (!server.leaving()) {
             coldUntil(coldUntilNanos);
         }
+        updateEffective();
+    }
+
+    /** Applies the assumption that the server has restarted, if there is one. */
+    private void updateEffective() {
+        boolean isAssumedCold =
+                mMayHaveRestarted && mRegistered.coldUntilNanos() - mAssumedColdUntilNanos < 0;
+        mServer = isAssumedCold ? mRegistered.withColdUntil(mAssumedColdUntilNanos) : mRegistered;
     }
 
     /**
      * Returns the server.
      *
-     * @return the server as registered, with a longer cold time if it was observed to be cold
+     * @return the server as registered, with a longer cold time if it was observed to be cold or
+     *     may have restarted
      */
     public RegisteredServer server() {
         return mServer;
@@ -318,11 +331,46 @@
      * @param untilNanos the end on the monotonic clock
      */
     public void coldUntil(long untilNanos) {
-        if (mServer.coldUntilNanos() - untilNanos < 0) {
-            mServer = mServer.withColdUntil(untilNanos);
+        if (mRegistered.coldUntilNanos() - untilNanos < 0) {
+            mRegistered = mRegistered.withColdUntil(untilNanos);
+            updateEffective();
         }
     }
 
+    /**
+     * Treats the server as cold, since it terminated and a later run with the same id and address
+     * may not be registered yet. Lasts until a time or until the server itself states whether it is
+     * cold.
+     *
+     * @param coldUntilNanos the end on the monotonic clock
+     */
+    public void assumeRestart(long coldUntilNanos) {
+        mMayHaveRestarted = true;
+        mAssumedColdUntilNanos = coldUntilNanos;
+        updateEffective();
+    }
+
+    /**
+     * Determines whether the server terminated and has not stated since whether it is cold.
+     *
+     * @return whether it may have restarted
+     */
+    public boolean mayHaveRestarted() {
+        return mMayHaveRestarted;
+    }
+
+    /**
+     * Records that the server itself stated until when it is cold, which ends the assumption that
+     * it has restarted.
+     *
+     * @param untilNanos the end on the monotonic clock, in the past or present if it is warm
+     */
+    public void statedColdUntil(long untilNanos) {
+        mMayHaveRestarted = false;
+        coldUntil(untilNanos);
+        updateEffective();
+    }
+
     /**
      * Returns the number of requests that this instance has in flight there.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -266,12 +266,18 @@
         if (mState == State.IDLE && mOrderlyEnd && !mIdleStated) {
             mPool.closedWhenIdle(idleNanos());
         }
+        if (mState == State.IDLE && !mOrderlyEnd) {
+            mPool.resetWhenIdle();
+        }
         boolean isMismatched = mState == State.BUSY && mAssembler.hasMismatchedAnswer();
         fail(isMismatched ? CallFailure.Kind.BAD_ANSWER : CallFailure.Kind.BROKEN_OFF);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (mState == State.IDLE && cause instanceof IOException) {
+            mPool.resetWhenIdle();
+        }
         fail(
                 cause instanceof IOException
                         ? CallFailure.Kind.BROKEN_OFF
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
@@ -68,4 +68,11 @@
 
     /** Closes all connections. */
     void close();
+
+    /**
+     * Sets the listener for servers that reset an idle connection.
+     *
+     * @param listener the listener, called on the event loop
+     */
+    default void setIdleResetListener(Consumer<RegisteredServer> listener) {}
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
@@ -33,6 +33,7 @@
     /** Pools of servers that were removed while calls were in progress. */
     private final List<ServerPool> mRetired = new ArrayList<>();
 
+    private Consumer<RegisteredServer> mIdleResetListener = server -> {};
     private boolean mSweepScheduled;
     private boolean mClosed;
 
@@ -60,7 +61,8 @@
                         mCounts,
                         new IdleReusePolicy(),
                         Assert.notNull(budget, "A body budget"),
-                        this::scheduleSweep);
+                        this::scheduleSweep,
+                        server -> mIdleResetListener.accept(server));
     }
 
     @Override
@@ -75,7 +77,7 @@
     @Override
     public BackendCall sendOnNewConnection(
             RegisteredServer server, BackendRequest request, BackendCallListener listener) {
-        ServerPool pool = new ServerPool(server.address(), mContext);
+        ServerPool pool = new ServerPool(server, mContext);
         BackendCall call = send(pool, 1, request, listener);
         pool.retire();
         return call;
@@ -117,7 +119,7 @@
      * registry; the connection is closed afterwards.
      */
     private void checkOnce(RegisteredServer server, Consumer<ServerReachability> listener) {
-        ServerPool pool = new ServerPool(server.address(), mContext);
+        ServerPool pool = new ServerPool(server, mContext);
         pool.check(
                 reachability -> {
                     listener.accept(reachability);
@@ -125,6 +127,11 @@
                 });
     }
 
+    @Override
+    public void setIdleResetListener(Consumer<RegisteredServer> listener) {
+        mIdleResetListener = Assert.notNull(listener, "A listener");
+    }
+
     @Override
     public long roundTripNanos(RegisteredServer server) {
         ServerPool pool = mPools.get(server.id());
@@ -179,7 +186,7 @@
             return pool;
         }
         removeServer(server);
-        ServerPool created = new ServerPool(server.address(), mContext);
+        ServerPool created = new ServerPool(server, mContext);
         mPools.put(server.id(), created);
         return created;
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PoolContext.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PoolContext.java
@@ -1,8 +1,10 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.body.BodyBudget;
+import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.time.TimeSource;
 import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
 
 /** Collaborators shared by the pools of all servers. */
 record PoolContext(
@@ -13,4 +15,5 @@
         ConnectionCounts counts,
         IdleReusePolicy idleReusePolicy,
         BodyBudget budget,
-        Runnable onIdle) {}
+        Runnable onIdle,
+        Consumer<RegisteredServer> onIdleReset) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.backend;
 
+import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -20,7 +21,7 @@
     private static final Logger sLogger = LoggerFactory.getLogger(ServerPool.class);
     private static final long MINIMUM_OBSERVED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    private final ServerAddress mAddress;
+    private final RegisteredServer mServer;
     private final InetSocketAddress mSocketAddress;
     private final PoolContext mContext;
     private final List<BackendConnection> mConnections = new ArrayList<>();
@@ -33,9 +34,9 @@
     private long mLastReceivedNanos;
     private long mRoundTripNanos;
 
-    ServerPool(ServerAddress address, PoolContext context) {
-        mAddress = address;
-        mSocketAddress = ConnectionOpener.socketAddress(address);
+    ServerPool(RegisteredServer server, PoolContext context) {
+        mServer = server;
+        mSocketAddress = ConnectionOpener.socketAddress(server.address());
         mContext = context;
         mUnstatedIdleNanos = context.options().unstatedIdleNanos();
         mLastReceivedNanos = nowNanos();
@@ -46,7 +47,7 @@
     }
 
     ServerAddress address() {
-        return mAddress;
+        return mServer.address();
     }
 
     ConnectionOptions options() {
@@ -161,6 +162,11 @@
                 Math.min(mUnstatedIdleNanos, Math.max(limitNanos, MINIMUM_OBSERVED_IDLE_NANOS));
     }
 
+    /** Records that the server reset an idle connection. */
+    void resetWhenIdle() {
+        mContext.onIdleReset().accept(mServer);
+    }
+
     /**
      * Records that a connection was broken off after it had been idle, without a byte of an answer.
      */
@@ -254,7 +260,7 @@
         try {
             connection = mContext.opener().open(this);
         } catch (ChannelException exception) {
-            sLogger.warn("BACKEND  No socket for {}.", mAddress, exception);
+            sLogger.warn("BACKEND  No socket for {}.", address(), exception);
             failLater(call, CallFailure.Kind.NOT_CONNECTED);
             return;
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashCheck.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashCheck.java
@@ -70,7 +70,12 @@
         mFacts.fingerprint(fingerprint());
         mGuard.bodies().brokenOff(server, mRequest.body().readableBytes(), nowNanos);
         mGuard.recordBrokenOff(
-                server, new BrokenOffRequests.Request(fingerprint(), sentNanos, nowNanos));
+                server, new ServerChecks.Request(fingerprint(), sentNanos, nowNanos));
+    }
+
+    /** Records that no connection to a server opened, so that the request was not sent. */
+    void recordNotConnected(RegisteredServer server) {
+        mGuard.recordConnectionFailed(server);
     }
 
     boolean isFor(RequestFingerprint request) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
@@ -32,12 +32,13 @@
 
     private final TimeSource mTimeSource;
     private final DecisionLog mLog;
-    private final BrokenOffRequests mBrokenOff;
+    private final ServerChecks mChecks;
     private final ServerBodies mBodies;
     private final Fingerprints mFingerprints = new Fingerprints();
     private final CrashingRequests mRequests;
     private final Consumer<RequestFingerprint> mRejectionListener;
     private CrashMessageSender mMessageSender = CrashMessageSender.NONE;
+    private Consumer<RegisteredServer> mServerEndListener = server -> {};
     private long mServerEnds;
 
     CrashGuard(
@@ -49,7 +50,15 @@
             Consumer<RequestFingerprint> rejectionListener) {
         mTimeSource = timeSource;
         mLog = log;
-        mBrokenOff = new BrokenOffRequests(eventLoop, timeSource, connections, reachability, log);
+        mChecks =
+                new ServerChecks(
+                        eventLoop,
+                        timeSource,
+                        connections,
+                        reachability,
+                        log,
+                        new CheckedServers());
+        connections.setIdleResetListener(mChecks::addIfFew);
         mBodies = new ServerBodies(timeSource, log);
         mRequests = new CrashingRequests(CrashSettings.DEFAULT, new Output());
         mRejectionListener = rejectionListener;
@@ -64,6 +73,15 @@
         mMessageSender = Assert.notNull(sender, "A message sender");
     }
 
+    /**
+     * Sets the listener for servers that terminated, as a refused connection showed.
+     *
+     * @param listener the listener, called on the traffic thread
+     */
+    public void setServerEndListener(Consumer<RegisteredServer> listener) {
+        mServerEndListener = Assert.notNull(listener, "A listener");
+    }
+
     /**
      * Replaces the settings. Applies to later decisions only.
      *
@@ -159,25 +177,40 @@
         mRequests.answered(request, now());
     }
 
-    void recordBrokenOff(RegisteredServer server, BrokenOffRequests.Request request) {
-        mBrokenOff.add(server, request, this::onServerEnded);
+    void recordBrokenOff(RegisteredServer server, ServerChecks.Request request) {
+        mChecks.add(server, request);
     }
 
-    private void onServerEnded(RegisteredServer server, BrokenOffRequests.Request request) {
-        mServerEnds++;
-        mBodies.terminated(server);
-        mRequests.addServerEnd(
-                request.fingerprint(),
-                HashMixer.hash(server.id().value()),
-                request.sentNanos(),
-                request.endedNanos(),
-                now());
+    /** Records that a connection to a server failed which carried no request. */
+    void recordConnectionFailed(RegisteredServer server) {
+        mChecks.add(server);
     }
 
     private long now() {
         return mTimeSource.monotonicNanos();
     }
 
+    /** Listener that passes on which servers ended and which requests they had. */
+    private final class CheckedServers implements ServerChecks.Listener {
+
+        @Override
+        public void onServerEnded(RegisteredServer server) {
+            mServerEndListener.accept(server);
+        }
+
+        @Override
+        public void onRequestEnded(RegisteredServer server, ServerChecks.Request request) {
+            mServerEnds++;
+            mBodies.terminated(server);
+            mRequests.addServerEnd(
+                    request.fingerprint(),
+                    HashMixer.hash(server.id().value()),
+                    request.sentNanos(),
+                    request.endedNanos(),
+                    now());
+        }
+    }
+
     /** Output that sends the messages and logs the view changes of the crash decisions. */
     private final class Output implements CrashOutput {
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/EntryState.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/EntryState.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.routing.RouteTable;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -60,4 +61,14 @@
     public Optional<ServiceRules> rules(ServiceId service) {
         return snapshot.routing().map(routing -> routing.services().get(service));
     }
+
+    /**
+     * Returns for how long a server of a service is cold after its start.
+     *
+     * @param service the service
+     * @return the time, zero if the configuration has no rules of the service
+     */
+    public Duration warmUp(ServiceId service) {
+        return rules(service).map(ServiceRules::warmUp).orElse(Duration.ZERO);
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.support.Assert;
 import io.masticpond.entry.log.Exclusion;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
@@ -135,10 +136,21 @@
         ServerStatement statement = mFlow.statements().read(server, status, headers);
         if (!server.isTerminated()) {
             mFlow.statements().applyAnswer(server, statement, sentNanos);
+            applyColdTime(server, headers);
             statement
                     .load()
                     .ifPresent(load -> mFlow.placer().reported(server, load, mFlow.nowNanos()));
         }
         return statement.load().isPresent() ? ProbeResult.ANSWERED : ProbeResult.WITHOUT_LOAD;
     }
+
+    /** Applies for how long a server states that it is cold, at most for its warm-up time. */
+    private void applyColdTime(ServerLoad server, HttpHeaders headers) {
+        Optional<Duration> stated = mFlow.statements().readColdTime(headers);
+        if (stated.isPresent()) {
+            Duration warmUp = mFlow.state().warmUp(server.server().service());
+            Duration cold = stated.get().compareTo(warmUp) < 0 ? stated.get() : warmUp;
+            server.statedColdUntil(mFlow.nowNanos() + cold.toNanos());
+        }
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/BrokenOffRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerChecks.java
@@ -20,19 +20,22 @@
 import java.util.function.Function;
 
 /**
- * Requests that broke off at backend servers. For each server it is checked whether the server
- * ended or only the connections were cut: in the first case a new connection is refused, in the
- * second it opens. One connection is tried for all requests that broke off at about the same time.
- * An instance that reaches no server of the service cannot tell whether one ended. For use on the
+ * Checks of backend servers whose connections broke off or were refused: whether the server ended
+ * or only the connections were cut. In the first case a new connection is refused, in the second it
+ * opens. One connection is tried for all requests that broke off at about the same time. An
+ * instance that reaches no server of the service cannot tell whether one ended. For use on the
  * traffic thread only.
  */
-final class BrokenOffRequests {
+final class ServerChecks {
 
     /** Callback interface for the ends of servers that had requests. */
     interface Listener {
 
-        /** Called when a server ended while it had a request. */
-        void onServerEnded(RegisteredServer server, Request request);
+        /** Called when a server ended. */
+        void onServerEnded(RegisteredServer server);
+
+        /** Called for each request that the server had, after {@link #onServerEnded}. */
+        void onRequestEnded(RegisteredServer server, Request request);
     }
 
     /** Request that broke off, with the monotonic times of its sending and its end. */
@@ -56,39 +59,67 @@
      */
     private static final int MAXIMUM_REQUESTS = 64;
 
+    /** Maximum number of servers under check for the reset of an idle connection. */
+    private static final int MAXIMUM_IDLE_CHECKS = 4;
+
     private final EventLoop mEventLoop;
     private final TimeSource mTimeSource;
     private final BackendConnections mConnections;
     private final DecisionLog mLog;
     private final Function<ServiceId, ReachabilityState> mReachability;
+    private final Listener mListener;
     private final Map<BackendServerId, List<Request>> mRequestsUnderCheck = new HashMap<>();
 
-    BrokenOffRequests(
+    ServerChecks(
             EventLoop eventLoop,
             TimeSource timeSource,
             BackendConnections connections,
             Function<ServiceId, ReachabilityState> reachability,
-            DecisionLog log) {
+            DecisionLog log,
+            Listener listener) {
         mReachability = reachability;
+        mListener = listener;
         mEventLoop = eventLoop;
         mTimeSource = timeSource;
         mConnections = connections;
         mLog = log;
     }
 
-    void add(RegisteredServer server, Request request, Listener listener) {
+    /** Checks a server at which a request broke off. */
+    void add(RegisteredServer server, Request request) {
+        List<Request> requests = requestsUnderCheck(server);
+        if (requests.size() < MAXIMUM_REQUESTS) {
+            requests.add(request);
+        }
+    }
+
+    /** Checks a server whose connections failed without a request. */
+    void add(RegisteredServer server) {
+        requestsUnderCheck(server);
+    }
+
+    /**
+     * Checks a server that reset an idle connection, unless many servers are checked: if many reset
+     * their connections at the same time, the connections were cut.
+     */
+    void addIfFew(RegisteredServer server) {
+        if (mRequestsUnderCheck.size() < MAXIMUM_IDLE_CHECKS) {
+            requestsUnderCheck(server);
+        }
+    }
+
+    private List<Request> requestsUnderCheck(RegisteredServer server) {
         List<Request> requests = mRequestsUnderCheck.get(server.id());
         if (requests == null) {
             requests = new ArrayList<>();
             mRequestsUnderCheck.put(server.id(), requests);
+            long nowNanos = mTimeSource.monotonicNanos();
             check(
                     server,
                     CHECK_AFTER_MILLIS,
-                    reachability -> onFirstCheck(server, reachability, listener));
-        }
-        if (requests.size() < MAXIMUM_REQUESTS) {
-            requests.add(request);
+                    reachability -> onFirstCheck(server, reachability, nowNanos));
         }
+        return requests;
     }
 
     private void check(
@@ -100,39 +131,39 @@
     }
 
     private void onFirstCheck(
-            RegisteredServer server, ServerReachability reachability, Listener listener) {
+            RegisteredServer server, ServerReachability reachability, long sinceNanos) {
         if (reachability == ServerReachability.UNKNOWN) {
             check(
                     server,
                     CHECK_AGAIN_MILLIS,
-                    secondReachability -> onLastCheck(server, secondReachability, listener));
+                    secondReachability -> onLastCheck(server, secondReachability, sinceNanos));
         } else {
-            onLastCheck(server, reachability, listener);
+            onLastCheck(server, reachability, sinceNanos);
         }
     }
 
     private void onLastCheck(
-            RegisteredServer server, ServerReachability reachability, Listener listener) {
+            RegisteredServer server, ServerReachability reachability, long sinceNanos) {
         ReachabilityState state = mReachability.apply(server.service());
         if (state == ReachabilityState.SUSPECTED) {
             check(
                     server,
                     CHECK_AGAIN_MILLIS,
-                    laterReachability -> onLastCheck(server, laterReachability, listener));
+                    laterReachability -> onLastCheck(server, laterReachability, sinceNanos));
             return;
         }
         List<Request> requests = mRequestsUnderCheck.remove(server.id());
         boolean ended =
                 reachability == ServerReachability.REFUSED && state == ReachabilityState.REACHABLE;
-        long sinceNanos = mTimeSource.monotonicNanos() - requests.get(0).endedNanos();
         mLog.viewChanged(
                 new ViewChange.ServerCheck(
                         server.id(),
                         ended,
                         requests.size(),
-                        TimeUnit.NANOSECONDS.toMillis(sinceNanos)));
+                        TimeUnit.NANOSECONDS.toMillis(mTimeSource.monotonicNanos() - sinceNanos)));
         if (ended) {
-            requests.forEach(request -> listener.onServerEnded(server, request));
+            mListener.onServerEnded(server);
+            requests.forEach(request -> mListener.onRequestEnded(server, request));
         }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerFeedback.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerFeedback.java
@@ -77,6 +77,7 @@
     void failed(ServerLoad server, CallFailure failure, long sentNanos, long now) {
         if (failure.kind() == CallFailure.Kind.NOT_CONNECTED) {
             mPlacer.unreachable(server, now);
+            mCrashCheck.recordNotConnected(server.server());
         }
         if (failure.kind().isServerFailure()) {
             failed(server, now);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
@@ -17,8 +17,10 @@
 import io.masticpond.entry.log.ViewChange;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -117,6 +119,11 @@
         return mReader.read(status, headers);
     }
 
+    /** Reads for how long a server is cold from its answer to a health check. */
+    Optional<Duration> readColdTime(HttpHeaders headers) {
+        return mReader.readColdTime(headers);
+    }
+
     void applyAnswer(ServerLoad load, ServerStatement statement, long sentNanos) {
         mLimits.applyAnswer(load, statement.limit(), sentNanos);
         mWithdrawals.answered(load.server(), statement, mTimeSource.monotonicNanos());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/StatementReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/StatementReader.java
@@ -2,11 +2,14 @@
 
 import io.masticpond.core.placement.ReportedLoad;
 import io.masticpond.core.serverlimit.LimitHeader;
+import io.masticpond.core.statement.ColdHeader;
 import io.masticpond.core.statement.LeavingHeader;
 import io.masticpond.core.statement.PauseHeader;
 import io.masticpond.core.statement.ServerStatement;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.Optional;
 
 /** Reader of the statements of a backend server in the headers of an answer. */
 final class StatementReader {
@@ -28,6 +31,11 @@
         return status != MISDIRECTED && ReportedLoad.isMalformed(headers.get(mNames.serverLoad()));
     }
 
+    /** Reads for how long a server is cold from its answer to a health check. */
+    Optional<Duration> readColdTime(HttpHeaders headers) {
+        return ColdHeader.parse(headers.getAll(mNames.serverColdMillis()));
+    }
+
     /**
      * Reads the statements of an answer. Those of status 421 are ignored, since a misdirected
      * request was answered by another server.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param serverLimit the number of requests per second that a backend server accepts from all
  *     instances
  * @param serverLeaving states that a backend server is leaving
+ * @param serverColdMillis the number of milliseconds for which a backend server is cold, in answers
+ *     to health checks
  * @param notExecuted states that the backend server did not run the request
  * @param retryAfter the number of seconds after which a client may retry, or an instance may send
  *     to a backend server again
@@ -31,6 +33,7 @@
         String serverLoad,
         String serverLimit,
         String serverLeaving,
+        String serverColdMillis,
         String notExecuted,
         String retryAfter,
         String credential,
@@ -46,6 +49,7 @@
         Assert.hasText(serverLoad, "The header of the server's load");
         Assert.hasText(serverLimit, "The header of the server's limit");
         Assert.hasText(serverLeaving, "The header of the server's leaving");
+        Assert.hasText(serverColdMillis, "The header of the server's cold time");
         Assert.hasText(notExecuted, "The header of what was not executed");
         Assert.hasText(retryAfter, "The header of the retry delay");
         Assert.hasText(credential, "The header of the credential");
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.request.RequestFlow;
+import io.masticpond.entry.request.ServerRestarts;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoop;
@@ -37,6 +38,7 @@
     private final LoadControlWiring mLoadControl;
     private final Probing mProbing;
     private final Reachability mReachability;
+    private final ServerRestarts mServerRestarts;
 
     @Inject
     EntryInstance(
@@ -56,7 +58,8 @@
             LimitSharing limitSharing,
             LoadControlWiring loadControl,
             Probing probing,
-            Reachability reachability) {
+            Reachability reachability,
+            ServerRestarts serverRestarts) {
         mProcessChanges = processChanges;
         mTraffic = traffic;
         mControl = control;
@@ -74,6 +77,7 @@
         mLoadControl = loadControl;
         mProbing = probing;
         mReachability = reachability;
+        mServerRestarts = serverRestarts;
     }
 
     /** Starts all parts. The instance becomes ready once routes and backend servers are known. */
@@ -87,6 +91,7 @@
         mLoadControl.start();
         mProbing.start();
         mReachability.start();
+        mServerRestarts.start();
         if (mFlow.spending().isPresent()) {
             SpendingCheck spending = mFlow.spending().get();
             mTraffic.execute(spending::start);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/TrafficModule.java
@@ -22,6 +22,7 @@
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.ConnectionOptions;
 import io.masticpond.entry.backend.NettyBackendConnections;
+import io.masticpond.entry.backend.ProbeClient;
 import io.masticpond.entry.forward.ForwardHeaders;
 import io.masticpond.entry.forward.PeerRequests;
 import io.masticpond.entry.log.DecisionLog;
@@ -32,6 +33,7 @@
 import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.ServerLimitGate;
+import io.masticpond.entry.request.ServerRestarts;
 import io.masticpond.entry.request.ServerStatements;
 import io.masticpond.entry.request.SpendingCheck;
 import io.masticpond.entry.request.WorkspaceAuthenticator;
@@ -220,6 +222,25 @@
         return new ServerStatements(names, limits, settings.withdrawals(), timeSource, log);
     }
 
+    @Provides
+    @Singleton
+    static ServerRestarts serverRestarts(
+            @TrafficThread EventLoop traffic,
+            TimeSource timeSource,
+            RequestFlow flow,
+            NettyBackendConnections connections,
+            PeerInstance self,
+            DecisionLog log) {
+        String idPrefix = "restart-" + self.id().value() + "-" + self.incarnation() + "-";
+        return new ServerRestarts(
+                traffic,
+                timeSource,
+                flow,
+                new ProbeClient(connections, traffic, timeSource, idPrefix),
+                log,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation() + 6));
+    }
+
     @Provides
     @Singleton
     static RequestFlow flow(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -53,6 +53,7 @@
                     "Load",
                     "Limit",
                     "Leaving",
+                    "Cold",
                     "Not-Run",
                     "Retry-After",
                     "Credential",
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
@@ -23,6 +23,7 @@
     final List<Call> mCalls = new ArrayList<>();
     final List<Check> mChecks = new ArrayList<>();
     final List<RegisteredServer> mRemoved = new ArrayList<>();
+    Consumer<RegisteredServer> mIdleResetListener;
 
     @Override
     public BackendCall send(
@@ -46,6 +47,11 @@
         mChecks.add(new Check(server, listener));
     }
 
+    @Override
+    public void setIdleResetListener(Consumer<RegisteredServer> listener) {
+        mIdleResetListener = listener;
+    }
+
     @Override
     public void removeServer(RegisteredServer server) {
         mRemoved.add(server);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -251,6 +251,7 @@
                     "Load",
                     "Limit",
                     "Leaving",
+                    "Cold",
                     "Not-Run",
                     "Come-Back",
                     "Credential",
