Split the registration of a server from its load

ServerRegistration holds the registered server and all that was observed of its cold time; the load refers to it. Two tests are named by the rule of Checkstyle. No change of behavior; Checkstyle and the tests of core and entry that concern servers pass.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerLoad.java
@@ -32,10 +32,7 @@
     private static final long IDLE_CONNECTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final long mHash;
-    private RegisteredServer mRegistered;
-    private RegisteredServer mServer;
-    private boolean mMayHaveRestarted;
-    private long mAssumedColdUntilNanos;
+    private final ServerRegistration mRegistration;
     private Distance mDistance;
     private int mOwnRequests;
     private double mOtherRequests;
@@ -59,8 +56,7 @@
      * @param distance the distance of the server
      */
     public ServerLoad(RegisteredServer server, Distance distance) {
-        mRegistered = Assert.notNull(server, "A backend server");
-        mServer = mRegistered;
+        mRegistration = new ServerRegistration(server);
         mDistance = Assert.notNull(distance, "A distance");
         mHash = HashMixer.hash(server.id().value());
     }
@@ -72,20 +68,8 @@
      * @param distance the distance of the server
      */
     public void update(RegisteredServer server, Distance distance) {
-        long coldUntilNanos = mRegistered.coldUntilNanos();
-        mRegistered = server;
+        mRegistration.update(server);
         mDistance = distance;
-        if (!server.leaving()) {
-            coldUntil(coldUntilNanos);
-        }
-        updateEffective();
-    }
-
-    /** Applies the assumption that the server has restarted, if there is one. */
-    private void updateEffective() {
-        boolean isAssumedCold =
-                mMayHaveRestarted && mRegistered.coldUntilNanos() - mAssumedColdUntilNanos < 0;
-        mServer = isAssumedCold ? mRegistered.withColdUntil(mAssumedColdUntilNanos) : mRegistered;
     }
 
     /**
@@ -95,7 +79,7 @@
      *     may have restarted
      */
     public RegisteredServer server() {
-        return mServer;
+        return mRegistration.server();
     }
 
     /**
@@ -240,10 +224,10 @@
         if (mIsReported && nowNanos - mOtherRequestsNanos < PEER_REPORT_AGE_NANOS) {
             return;
         }
-        int maximum = MAXIMUM_REQUESTS_PER_SLOT * mServer.slots();
+        int maximum = MAXIMUM_REQUESTS_PER_SLOT * server().slots();
         int running = Math.min(load.running(), maximum);
         int waiting = Math.min(load.waiting(), maximum - running);
-        recordReport(new ReportedLoad(running, waiting, mServer.slots()), nowNanos);
+        recordReport(new ReportedLoad(running, waiting, server().slots()), nowNanos);
     }
 
     /**
@@ -326,49 +310,12 @@
     }
 
     /**
-     * Treats the server as cold at least until a time, regardless of the registry.
-     *
-     * @param untilNanos the end on the monotonic clock
-     */
-    public void coldUntil(long untilNanos) {
-        if (mRegistered.coldUntilNanos() - untilNanos < 0) {
-            mRegistered = mRegistered.withColdUntil(untilNanos);
-            updateEffective();
-        }
-    }
-
-    /**
-     * Treats the server as cold, since it terminated and a later run with the same id and address
-     * may not be registered yet. Lasts until a time or until the server itself states whether it is
-     * cold.
-     *
-     * @param coldUntilNanos the end on the monotonic clock
-     */
-    public void assumeRestart(long coldUntilNanos) {
-        mMayHaveRestarted = true;
-        mAssumedColdUntilNanos = coldUntilNanos;
-        updateEffective();
-    }
-
-    /**
-     * Determines whether the server terminated and has not stated since whether it is cold.
-     *
-     * @return whether it may have restarted
-     */
-    public boolean mayHaveRestarted() {
-        return mMayHaveRestarted;
-    }
-
-    /**
-     * Records that the server itself stated until when it is cold, which ends the assumption that
-     * it has restarted.
+     * Returns the registration of the server, with what was observed of this run.
      *
-     * @param untilNanos the end on the monotonic clock, in the past or present if it is warm
+     * @return the registration
      */
-    public void statedColdUntil(long untilNanos) {
-        mMayHaveRestarted = false;
-        coldUntil(untilNanos);
-        updateEffective();
+    public ServerRegistration registration() {
+        return mRegistration;
     }
 
     /**
@@ -400,7 +347,7 @@
      * @return the estimate
      */
     double expectedInFlight(double meanPerSlot, long nowNanos) {
-        double mean = Math.max(0, meanPerSlot * mServer.slots() - mOwnRequests);
+        double mean = Math.max(0, meanPerSlot * server().slots() - mOwnRequests);
         double remaining =
                 mIsReported ? Math.exp(-(nowNanos - mOtherRequestsNanos) / DECAY_NANOS) : 0;
         return mOwnRequests + mean + (mOtherRequests - mean) * remaining;
--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -152,7 +152,8 @@
             }
             for (ServerLoad load : mLoads.values()) {
                 if (load.server().zone().equals(zone)) {
-                    load.coldUntil(nowNanos + warmUp(snapshot, load.server()).toNanos());
+                    load.registration()
+                            .coldUntil(nowNanos + warmUp(snapshot, load.server()).toNanos());
                 }
             }
         }
--- a/masticpond-core/src/test/java/io/masticpond/core/capacity/BaselineDemandTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/capacity/BaselineDemandTest.java
@@ -42,7 +42,7 @@
 
     /** An instance with few requests per second must also notice a burst within a second. */
     @Property(seed = "2", generation = GenerationMode.EXHAUSTIVE, shrinking = ShrinkingMode.OFF)
-    void burstIsExcessWithinASecond(@ForAll @IntRange(min = 2, max = 40) int perSecond) {
+    void burstIsExcessWithinOneSecond(@ForAll @IntRange(min = 2, max = 40) int perSecond) {
         Random random = new Random(perSecond);
         send(random, perSecond, 20, 0);
         send(random, 8 * perSecond, 1, 0);
@@ -53,7 +53,7 @@
 
     /** The usual demand of a group that sends a burst is not refused with the burst. */
     @Example
-    void usualPartOfABurstIsNoExcess() {
+    void usualPartOfBurstIsNoExcess() {
         Random random = new Random(3);
         send(random, 10, 20, 0);
         int sent = send(random, 80, 5, 0);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ProbedServers.java
@@ -150,7 +150,7 @@
         if (stated.isPresent()) {
             Duration warmUp = mFlow.state().warmUp(server.server().service());
             Duration cold = stated.get().compareTo(warmUp) < 0 ? stated.get() : warmUp;
-            server.statedColdUntil(mFlow.nowNanos() + cold.toNanos());
+            server.registration().statedColdUntil(mFlow.nowNanos() + cold.toNanos());
         }
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerRestarts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerRestarts.java
@@ -82,7 +82,7 @@
 
     private void assumeRestart(ServerLoad load) {
         long warmUpNanos = mFlow.state().warmUp(load.server().service()).toNanos();
-        load.assumeRestart(mTimeSource.monotonicNanos() + warmUpNanos);
+        load.registration().assumeRestart(mTimeSource.monotonicNanos() + warmUpNanos);
     }
 
     /** Schedules a probe; the jitter keeps instances from probing at the same time. */
@@ -116,7 +116,7 @@
     private void answered(ServerLoad load, int probe, ProbeAnswer answer) {
         mTerminated.remove(load);
         mServers.applyAnswer(load, answer.status(), answer.headers(), answer.sentNanos());
-        if (load.mayHaveRestarted()) {
+        if (load.registration().mayHaveRestarted()) {
             assumeRestart(load);
         }
         long coldNanos = load.server().coldUntilNanos() - mTimeSource.monotonicNanos();
