Verify by other instances that a server ended during a request

What callers would have seen: an instance whose links to some servers are reset and refused again and again takes them for ended; a request that broke off there three times in a row is rejected for two hours at this instance, and not retried from the second time on.

Cause: a server counts as ended if it refuses one instance. Evidence: the new test connectionsThatAreCutAtOneInstanceRejectNoRequest, which failed before.

Change: from the second consecutive end that one instance reports, the aggregators of the request try a connection to the server themselves and refute the end at all instances if it opens.

Measured: the test passes; a request that crashes other servers meanwhile is still rejected by all.

Ruled out: to count ends only where most servers of a zone are well, since a kill of half of the servers looks the same; to wait for the registry, which is later than the bound for the third server.

--- a/masticpond-core/src/main/java/io/masticpond/core/crash/CrashMessage.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashMessage.java
@@ -57,6 +57,23 @@
         }
     }
 
+    /**
+     * A server that was reported to have ended accepts connections of the sender, so only the
+     * connections of the reporter were cut.
+     *
+     * @param request the request
+     * @param serverHash the hash of the server's id
+     * @param endedAgoNanos the time since the refuted end
+     */
+    record Refutation(RequestFingerprint request, long serverHash, long endedAgoNanos)
+            implements CrashMessage {
+
+        /** Validates the time. */
+        public Refutation {
+            Assert.isTrue(endedAgoNanos >= 0, "A refuted end must be in the past.");
+        }
+    }
+
     /**
      * The request was answered, or an operator released it: all earlier conclusions are void.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/crash/CrashOutput.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashOutput.java
@@ -23,6 +23,14 @@
      */
     void sendToAll(CrashMessage message);
 
+    /**
+     * Verifies an end that another instance reported. If the server accepts a connection of this
+     * instance, {@link CrashingRequests#refute} is to be called.
+     *
+     * @param end the end, with ages as of now
+     */
+    void verify(CrashMessage.ServerEnd end);
+
     /**
      * Notifies that this instance's view of a request has changed.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/crash/CrashSuspect.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashSuspect.java
@@ -16,6 +16,9 @@
     /** Time for which another instance's suspicion is considered. */
     private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Time after a refutation within which a suspicion was sent before it. */
+    private static final long TRANSMISSION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /**
      * Maximum number of instances whose conclusions are kept; further ones would not change the
      * result.
@@ -40,11 +43,18 @@
     private final ServerEndHistory mServerEnds = new ServerEndHistory();
     private final Map<String, ReceivedVerdict> mVerdicts = new HashMap<>();
 
+    private boolean mIsRefuted;
+    private long mRefutedNanos;
     private boolean mIsSuspected;
     private long mSuspectedNanos;
     private boolean mIsCleared;
     private long mClearedNanos;
 
+    /**
+     * Maximum number of doublings; ten doublings of two hours exceed the lifetime of any process.
+     */
+    private static final int MAXIMUM_DOUBLINGS = 10;
+
     /** Number of ends that were reported to all instances. */
     int mAnnouncedEnds;
 
@@ -66,8 +76,36 @@
         return mServerEnds;
     }
 
+    /**
+     * Returns the number of ends from which the request is suspected. A trial is one send: a
+     * request that crashes a server then is not sent to a second one.
+     */
+    int suspicionThreshold() {
+        return mRejections > 0 ? 0 : SUSPICIOUS_ENDS;
+    }
+
+    /** Returns how long the latest rejection lasts. */
+    long rejectionNanos(CrashSettings settings) {
+        int doublings = Math.min(MAXIMUM_DOUBLINGS, mRejections - 1);
+        return settings.hold().toNanos() << doublings;
+    }
+
+    /** Returns what this instance concludes, as reported to others. */
+    CrashMessage.Verdict verdict(CrashSettings settings, long nowNanos) {
+        long sinceNanos = mIsRejected ? mRejectedNanos : nowNanos;
+        return new CrashMessage.Verdict(
+                mRequest,
+                mIsRejected ? Math.max(settings.ends(), ends()) : ends(),
+                mIsRejected ? mRejections : 0,
+                Math.max(0, nowNanos - sinceNanos));
+    }
+
     /** Records the conclusion of another instance; only its latest one is kept. */
     void addVerdict(String sender, CrashMessage.Verdict verdict, long nowNanos) {
+        boolean isOvertaken = mIsRefuted && nowNanos - mRefutedNanos < TRANSMISSION_NANOS;
+        if (isOvertaken && verdict.rejections() == 0) {
+            return;
+        }
         if (mVerdicts.size() < MAXIMUM_VERDICTS || mVerdicts.containsKey(sender)) {
             mVerdicts.put(sender, new ReceivedVerdict(verdict, nowNanos));
         }
@@ -99,6 +137,11 @@
         return mServerEnds.consecutive(mRejections > 0 ? 1 : REQUIRED_REPORTERS);
     }
 
+    /** Returns the number of consecutive ends if every instance that reports one is believed. */
+    int reportedByAny() {
+        return mServerEnds.consecutive(1);
+    }
+
     private int reportedEnds() {
         int required = mServerEnds.own() > 0 || mRejections > 0 ? 1 : REQUIRED_REPORTERS;
         if (mVerdicts.size() < required) {
@@ -166,6 +209,19 @@
         mVerdicts.clear();
     }
 
+    /**
+     * Discards the end of a server that turned out to be running, and the suspicions of other
+     * instances, which report them again with the next end.
+     */
+    void discardEnd(long serverHash, long endedNanos, long nowNanos) {
+        mServerEnds.remove(serverHash, endedNanos);
+        mIsRefuted = true;
+        mRefutedNanos = nowNanos;
+        mVerdicts.values().removeIf(received -> !received.isRejection());
+        mAnnouncedEnds = Math.min(mAnnouncedEnds, observedEnds());
+        setSuspected(ends() >= SUSPICIOUS_ENDS, nowNanos);
+    }
+
     /** Discards everything that was found before now, including the number of rejections. */
     void clear(long nowNanos) {
         discardBefore(nowNanos);
--- a/masticpond-core/src/main/java/io/masticpond/core/crash/CrashingRequests.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/CrashingRequests.java
@@ -38,15 +38,7 @@
      */
     private static final long CONFIRMATION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /**
-     * Maximum number of doublings; ten doublings of two hours exceed the lifetime of any process.
-     */
-    private static final int MAXIMUM_DOUBLINGS = 10;
-
-    /**
-     * Minimum interval between clearances sent in reply to instances that still report a cleared
-     * request.
-     */
+    /** Minimum interval between clearances in reply to instances that still report a request. */
     private static final long CLEARANCE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private static final String OWN = "";
@@ -116,7 +108,7 @@
     public boolean isSuspected(RequestFingerprint request, long nowNanos) {
         CrashSuspect suspect = current(request, nowNanos);
         return suspect != null
-                && (suspect.mIsRejected || suspect.ends() >= suspicionThreshold(suspect));
+                && (suspect.mIsRejected || suspect.ends() >= suspect.suspicionThreshold());
     }
 
     /**
@@ -154,6 +146,8 @@
             add(sender, end, nowNanos);
         } else if (message instanceof CrashMessage.Verdict verdict) {
             receiveVerdict(sender, verdict, nowNanos);
+        } else if (message instanceof CrashMessage.Refutation refutation) {
+            receiveRefutation(refutation, nowNanos);
         } else {
             CrashSuspect suspect = mSuspects.get(message.request());
             if (suspect != null) {
@@ -209,7 +203,7 @@
             if (current(suspect.request(), nowNanos) == suspect
                     && suspect.mIsRejected
                     && rejections.size() < MAXIMUM_REJECTIONS_PER_MESSAGE) {
-                rejections.add(verdict(suspect, nowNanos));
+                rejections.add(suspect.verdict(mSettings, nowNanos));
                 sent.add(suspect);
             }
         }
@@ -245,6 +239,34 @@
         suspect.serverEnds()
                 .add(reporter, end.serverHash(), nowNanos - end.sentAgoNanos(), endedNanos);
         evaluate(suspect, nowNanos);
+        if (!reporter.equals(OWN) && suspect.reportedByAny() >= suspect.suspicionThreshold()) {
+            mOutput.verify(end);
+        }
+    }
+
+    /**
+     * Refutes the end of a server that another instance reported, here and at all other instances:
+     * the server accepts connections of this instance.
+     *
+     * @param end the end, with its ages as they were received
+     * @param receivedNanos the monotonic time at which it was received
+     * @param nowNanos the monotonic time
+     */
+    public void refute(CrashMessage.ServerEnd end, long receivedNanos, long nowNanos) {
+        long endedAgoNanos = end.endedAgoNanos() + nowNanos - receivedNanos;
+        CrashMessage.Refutation refutation =
+                new CrashMessage.Refutation(end.request(), end.serverHash(), endedAgoNanos);
+        mOutput.sendToAll(refutation);
+        receiveRefutation(refutation, nowNanos);
+    }
+
+    /** Discards a refuted end with the suspicions that other instances based on it. */
+    private void receiveRefutation(CrashMessage.Refutation refutation, long nowNanos) {
+        CrashSuspect suspect = current(refutation.request(), nowNanos);
+        if (suspect != null && !suspect.mIsRejected) {
+            suspect.discardEnd(
+                    refutation.serverHash(), nowNanos - refutation.endedAgoNanos(), nowNanos);
+        }
     }
 
     private void receiveVerdict(String sender, CrashMessage.Verdict verdict, long nowNanos) {
@@ -270,9 +292,9 @@
         rejectIfProven(suspect, nowNanos);
         int observed = suspect.observedEnds();
         if (observed > suspect.mAnnouncedEnds
-                && (observed >= suspicionThreshold(suspect) || suspect.mIsRejected)) {
+                && (observed >= suspect.suspicionThreshold() || suspect.mIsRejected)) {
             suspect.mAnnouncedEnds = observed;
-            mOutput.sendToAll(verdict(suspect, nowNanos));
+            mOutput.sendToAll(suspect.verdict(mSettings, nowNanos));
             if (!suspect.mIsRejected) {
                 mOutput.viewChanged(suspect.view(suspect.state(), nowNanos));
             }
@@ -298,20 +320,12 @@
         }
     }
 
-    /**
-     * Returns the number of ends from which a request is suspected. A trial is one send: a request
-     * that crashes a server then is not sent to a second one.
-     */
-    private static int suspicionThreshold(CrashSuspect suspect) {
-        return suspect.mRejections > 0 ? 0 : CrashSuspect.SUSPICIOUS_ENDS;
-    }
-
     private void reject(CrashSuspect suspect, long nowNanos) {
         boolean isOwn = !suspect.isReportedRejected();
         suspect.mRejections = Math.max(suspect.mRejections + 1, suspect.reportedRejections());
         suspect.mIsRejected = true;
         suspect.mRejectedNanos = nowNanos - (isOwn ? 0 : suspect.reportedAgoNanos());
-        suspect.mRejectedUntilNanos = suspect.mRejectedNanos + rejectionNanos(suspect);
+        suspect.mRejectedUntilNanos = suspect.mRejectedNanos + suspect.rejectionNanos(mSettings);
         if (suspect.mRejectedUntilNanos - nowNanos <= 0) {
             expireRejection(suspect);
             return;
@@ -319,15 +333,10 @@
         mOutput.viewChanged(suspect.view(CrashView.State.REJECTED, nowNanos));
         if (isOwn) {
             suspect.mAnnouncedEnds = Math.max(suspect.mAnnouncedEnds, suspect.observedEnds());
-            mOutput.sendToAll(verdict(suspect, nowNanos));
+            mOutput.sendToAll(suspect.verdict(mSettings, nowNanos));
         }
     }
 
-    private long rejectionNanos(CrashSuspect suspect) {
-        int doublings = Math.min(MAXIMUM_DOUBLINGS, suspect.mRejections - 1);
-        return mSettings.hold().toNanos() << doublings;
-    }
-
     private void expireRejection(CrashSuspect suspect) {
         suspect.discardBefore(suspect.mRejectedUntilNanos);
     }
@@ -378,7 +387,7 @@
      */
     private boolean isExpired(CrashSuspect suspect, long nowNanos) {
         if (suspect.mRejections > 0) {
-            return nowNanos - suspect.mRejectedUntilNanos > rejectionNanos(suspect);
+            return nowNanos - suspect.mRejectedUntilNanos > suspect.rejectionNanos(mSettings);
         }
         suspect.serverEnds().removeBefore(nowNanos - mSettings.memory().toNanos());
         return nowNanos - suspect.mLastUpdateNanos > mSettings.memory().toNanos();
@@ -388,13 +397,4 @@
         CrashSuspect suspect = current(request, nowNanos);
         return suspect != null ? suspect : mSuspects.add(request, nowNanos);
     }
-
-    private CrashMessage.Verdict verdict(CrashSuspect suspect, long nowNanos) {
-        long sinceNanos = suspect.mIsRejected ? suspect.mRejectedNanos : nowNanos;
-        return new CrashMessage.Verdict(
-                suspect.request(),
-                suspect.mIsRejected ? Math.max(mSettings.ends(), suspect.ends()) : suspect.ends(),
-                suspect.mIsRejected ? suspect.mRejections : 0,
-                Math.max(0, nowNanos - sinceNanos));
-    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/crash/ServerEndHistory.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/crash/ServerEndHistory.java
@@ -66,6 +66,11 @@
         mEnds.removeIf(end -> end.endedNanos - nanos < 0);
     }
 
+    /** Removes an end of a server, whoever observed it. */
+    void remove(long serverHash, long endedNanos) {
+        mEnds.removeIf(end -> end.serverHash == serverHash && isSameEnd(end, endedNanos));
+    }
+
     boolean isEmpty() {
         return mEnds.isEmpty();
     }
--- a/masticpond-core/src/test/java/io/masticpond/core/crash/CrashFleet.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/crash/CrashFleet.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -65,6 +67,16 @@
             mInstances.forEach(each -> send(each, message));
         }
 
+        @Override
+        public void verify(CrashMessage.ServerEnd end) {
+            long receivedNanos = nowNanos();
+            if (mRunningServers.contains(end.serverHash())) {
+                after(
+                        Duration.ofMillis(1 + mRandom.nextInt(40)).toNanos(),
+                        () -> mRequests.refute(end, receivedNanos, nowNanos()));
+            }
+        }
+
         @Override
         public void viewChanged(CrashView view) {
             mViews.add(view);
@@ -87,6 +99,10 @@
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
     private Predicate<CrashMessage> mIsLost = message -> false;
+
+    /** Hashes of servers that run although an instance observes that they end. */
+    final Set<Long> mRunningServers = new HashSet<>();
+
     private long mNowNanos;
     private long mOrder;
 
--- a/masticpond-core/src/test/java/io/masticpond/core/crash/CrashingRequestsTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/crash/CrashingRequestsTest.java
@@ -204,4 +204,35 @@
         assertThat(instances).allMatch(each -> each.mRequests.views(fleet.nowNanos()).isEmpty());
         assertThat(instances).allMatch(each -> each.mRequests.isEmpty());
     }
+
+    /** Connections of one instance that are cut again and again look like servers that end. */
+    @Example
+    void connectionsThatAreCutAtOneInstanceRejectNoRequest() {
+        CrashFleet fleet = fleet(10);
+        Instance cut = fleet.instances().get(0);
+        for (int time = 0; time < 8; time++) {
+            fleet.mRunningServers.add((long) mServers);
+            end(fleet, cut, INNOCENT, WORK);
+            fleet.advance(Duration.ofMillis(600));
+            assertThat(fleet.instances())
+                    .noneMatch(each -> each.mRequests.isSuspected(INNOCENT, fleet.nowNanos()));
+        }
+        fleet.advance(PROPAGATION_TIME);
+        assertThat(fleet.instances()).noneMatch(each -> each.rejects(INNOCENT));
+    }
+
+    /** A refuted end must not keep a request from being rejected that crashes other servers. */
+    @Example
+    void crashingRequestIsRejectedBesidesConnectionsThatAreCut() {
+        CrashFleet fleet = fleet(10);
+        for (int time = 0; time < 6; time++) {
+            fleet.mRunningServers.add((long) mServers);
+            end(fleet, fleet.randomInstance(), CRASHING, WORK);
+            fleet.advance(Duration.ofMillis(300));
+            crash(fleet, fleet.randomInstance());
+            fleet.advance(Duration.ofMillis(300));
+        }
+        fleet.advance(PROPAGATION_TIME);
+        assertThat(fleet.instances()).allMatch(each -> each.rejects(CRASHING));
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/CrashMessageCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/CrashMessageCodec.java
@@ -34,6 +34,7 @@
     private static final byte END = 1;
     private static final byte VERDICT = 2;
     private static final byte CLEARANCE = 3;
+    private static final byte REFUTATION = 4;
 
     private CrashMessageCodec() {}
 
@@ -56,6 +57,10 @@
                 out.writeByte(Math.min(MAXIMUM_COUNTED, verdict.ends()));
                 out.writeByte(Math.min(MAXIMUM_COUNTED, verdict.rejections()));
                 out.writeInt(millis(verdict.agoNanos()));
+            } else if (each instanceof CrashMessage.Refutation refutation) {
+                writeHead(REFUTATION, refutation, out);
+                out.writeLong(refutation.serverHash());
+                out.writeInt(millis(refutation.endedAgoNanos()));
             } else {
                 writeHead(CLEARANCE, each, out);
             }
@@ -100,6 +105,8 @@
                                     in.readUnsignedByte(),
                                     in.readUnsignedByte(),
                                     readAge(in)));
+            case REFUTATION ->
+                    Optional.of(new CrashMessage.Refutation(request, in.readLong(), readAge(in)));
             case CLEARANCE -> Optional.of(new CrashMessage.Clearance(request));
             default -> Optional.empty();
         };
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
@@ -13,13 +13,16 @@
 import io.masticpond.core.support.HashMixer;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.backend.BackendConnections;
+import io.masticpond.entry.backend.ServerReachability;
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.ViewChange;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 
 /**
  * Guard that keeps requests which crash the servers that run them away from further servers. It
@@ -30,6 +33,12 @@
  */
 public final class CrashGuard {
 
+    /**
+     * Maximum number of connections that verify reported ends at a time. Further ends count without
+     * verification.
+     */
+    private static final int MAXIMUM_VERIFICATIONS = 32;
+
     private final TimeSource mTimeSource;
     private final DecisionLog mLog;
     private final ServerChecks mChecks;
@@ -38,6 +47,9 @@
     private final CrashingRequests mRequests;
     private final Consumer<RequestFingerprint> mRejectionListener;
     private CrashMessageSender mMessageSender = CrashMessageSender.NONE;
+    private final BackendConnections mConnections;
+    private final LongFunction<Optional<RegisteredServer>> mServerLookup;
+    private int mVerifications;
     private Consumer<RegisteredServer> mServerEndListener = server -> {};
     private long mServerEnds;
 
@@ -46,10 +58,13 @@
             TimeSource timeSource,
             BackendConnections connections,
             Function<ServiceId, ReachabilityState> reachability,
+            LongFunction<Optional<RegisteredServer>> serverLookup,
             DecisionLog log,
             Consumer<RequestFingerprint> rejectionListener) {
         mTimeSource = timeSource;
         mLog = log;
+        mConnections = connections;
+        mServerLookup = serverLookup;
         mChecks =
                 new ServerChecks(
                         eventLoop,
@@ -224,6 +239,27 @@
             mMessageSender.send(message, true);
         }
 
+        @Override
+        public void verify(CrashMessage.ServerEnd end) {
+            mServerLookup.apply(end.serverHash()).ifPresent(server -> verify(end, server));
+        }
+
+        private void verify(CrashMessage.ServerEnd end, RegisteredServer server) {
+            if (mVerifications >= MAXIMUM_VERIFICATIONS) {
+                return;
+            }
+            mVerifications++;
+            long receivedNanos = now();
+            mConnections.check(
+                    server,
+                    reachability -> {
+                        mVerifications--;
+                        if (reachability == ServerReachability.OPEN) {
+                            mRequests.refute(end, receivedNanos, now());
+                        }
+                    });
+        }
+
         @Override
         public void viewChanged(CrashView view) {
             mLog.viewChanged(new ViewChange.CrashingRequest(view));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.placement.RequestPlacer;
+import io.masticpond.core.placement.ServerLoad;
 import io.masticpond.core.placement.ServerTable;
 import io.masticpond.core.reachability.ReachabilityEvidence;
 import io.masticpond.core.reachability.ReachabilityView;
@@ -115,6 +116,7 @@
                         timeSource,
                         connections,
                         mForwarding.monitor()::state,
+                        hash -> Optional.ofNullable(mServers.byHash(hash)).map(ServerLoad::server),
                         log,
                         this::onRejected);
         mHeld = new HeldRequests(eventLoop, this::onHoldTimeout, this::onHeldClientDisconnected);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/CrashSharing.java
@@ -9,6 +9,7 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -126,6 +127,10 @@
     private void sendPending() {
         mPending.forEach(
                 (receiver, messages) -> {
+                    // An instance of a version without refutations ignores what follows one.
+                    messages.sort(
+                            Comparator.comparing(
+                                    message -> message instanceof CrashMessage.Refutation));
                     for (int from = 0; from < messages.size(); ) {
                         int to =
                                 Math.min(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/peer/CrashMessageCodecTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/CrashMessageCodecTest.java
@@ -26,6 +26,7 @@
                         END,
                         new CrashMessage.Verdict(REQUEST, 3, 0, 0),
                         new CrashMessage.Verdict(REQUEST, 4, 2, millis(7_000_000)),
+                        new CrashMessage.Refutation(REQUEST, 12, 30 * 1_000_000L),
                         new CrashMessage.Clearance(REQUEST));
         assertThat(read(messages)).isEqualTo(messages);
     }
