--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -20,11 +20,11 @@
         permits BodyChange,
                 LoadChange,
                 ReachabilityChange,
+                ServerRestart,
                 ViewChange.Routing,
                 ViewChange.Registry,
                 ViewChange.Server,
                 ViewChange.ServerCheck,
-                ViewChange.ServerRestart,
                 ViewChange.CrashingRequest,
                 ViewChange.ServerLimit,
                 ViewChange.MalformedLimit,
@@ -161,31 +161,6 @@
         }
     }
 
-    /**
-     * Answer of a backend server that had terminated to a health check.
-     *
-     * @param server the server
-     * @param coldMillis the time for which the server is treated as cold from now on, 0 if it is
-     *     warm
-     * @param probes the number of health checks until the answer
-     */
-    record ServerRestart(BackendServerId server, long coldMillis, int probes)
-            implements ViewChange {
-
-        @Override
-        public String event() {
-            return "server-restart";
-        }
-
-        @Override
-        public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", server.value());
-            line.writeStringField("state", coldMillis > 0 ? "cold" : "warm");
-            line.writeNumberField("coldMillis", coldMillis);
-            line.writeNumberField("probes", probes);
-        }
-    }
-
     /**
      * Change of the view of a request during which servers terminated.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
@@ -46,11 +46,11 @@
     private final Fingerprints mFingerprints = new Fingerprints();
     private final CrashingRequests mRequests;
     private final Consumer<RequestFingerprint> mRejectionListener;
-    private CrashMessageSender mMessageSender = CrashMessageSender.NONE;
     private final BackendConnections mConnections;
     private final LongFunction<Optional<RegisteredServer>> mServerLookup;
-    private int mVerifications;
+    private CrashMessageSender mMessageSender = CrashMessageSender.NONE;
     private Consumer<RegisteredServer> mServerEndListener = server -> {};
+    private int mVerifications;
     private long mServerEnds;
 
     CrashGuard(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerRestarts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerRestarts.java
@@ -7,7 +7,7 @@
 import io.masticpond.entry.backend.ProbeAnswer;
 import io.masticpond.entry.backend.ProbeClient;
 import io.masticpond.entry.log.DecisionLog;
-import io.masticpond.entry.log.ViewChange;
+import io.masticpond.entry.log.ServerRestart;
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
 import java.util.Optional;
@@ -121,7 +121,7 @@
         }
         long coldNanos = load.server().coldUntilNanos() - mTimeSource.monotonicNanos();
         mLog.viewChanged(
-                new ViewChange.ServerRestart(
+                new ServerRestart(
                         load.server().id(),
                         Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldNanos)),
                         probe));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerRestartsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerRestartsTest.java
@@ -32,7 +32,7 @@
     private ServerLoad mServer;
 
     @Example
-    void serverThatBrokeOffARequestAndRefusesIsCold() {
+    void serverThatBreaksOffRequestAndRefusesIsCold() {
         start();
         send(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
         check(ServerReachability.REFUSED);
