Log the open requests and connections at the end of accepting and at the exit

A planned stop logged neither the counts on which its end rested nor when the listeners were closed, so the hypotheses of the incident could not be told apart. Three lines state them now, one of them from the traffic thread. No other change of behaviour.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -171,10 +171,18 @@
     public void stopAccepting() {
         Channel channel = mChannel;
         if (channel != null) {
-            channel.close();
+            channel.close().addListener(future -> logStopped());
         }
     }
 
+    private void logStopped() {
+        sLogger.info(
+                "ENTRY  Stopped listening on {}: {} requests and {} connections are open.",
+                mAddress,
+                openRequests(),
+                openConnections());
+    }
+
     /**
      * Begins a planned stop: from now on a connection is closed after the answer to its last
      * pending request, and idle connections are closed after a short pause. Requests already read
--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -105,29 +105,43 @@
         mPhase = Phase.FINISHING;
         mActions.stopAccepting();
         mActions.closeIdleConnections();
+        sLogger.info(
+                "STOP  Accepting ends {} ms after the stop began: {} requests and {} connections"
+                        + " are open.",
+                elapsed().toMillis(),
+                mWork.requests(),
+                mWork.connections());
         check();
     }
 
     private void check() {
-        Duration elapsed = Duration.ofNanos(mTimeSource.monotonicNanos() - mStartNanos);
-        Duration remaining = mSettings.endBy().minus(elapsed);
+        Duration remaining = mSettings.endBy().minus(elapsed());
         if (mWork.requests() == 0 && mWork.connections() == 0 && !mWork.isWithdrawalPending()) {
-            end(elapsed);
+            end();
         } else if (remaining.toNanos() <= 0) {
             mPhase = Phase.ENDING;
             sLogger.warn(
                     "STOP  {} unfinished requests are answered at the deadline.", mWork.requests());
             mActions.answerUnfinished();
-            mRunner.after(mSettings.flushFor(), () -> end(elapsed.plus(mSettings.flushFor())));
+            mRunner.after(mSettings.flushFor(), this::end);
         } else {
             Duration interval = mSettings.checkEvery();
             mRunner.after(remaining.compareTo(interval) < 0 ? remaining : interval, this::check);
         }
     }
 
-    private void end(Duration elapsed) {
+    private void end() {
         mPhase = Phase.ENDED;
-        sLogger.info("STOP  This instance ends {} ms after the stop began.", elapsed.toMillis());
+        sLogger.info(
+                "STOP  This instance ends {} ms after the stop began: {} requests and {} connections"
+                        + " are open.",
+                elapsed().toMillis(),
+                mWork.requests(),
+                mWork.connections());
         mActions.exit();
     }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(mTimeSource.monotonicNanos() - mStartNanos);
+    }
 }
