Add failing tests of connections that arrive as accepting ends

Two faults at the end of a planned stop, each with a failing test: - EntryInstanceTest: the traffic thread is busy while accepting ends. The control thread reads no request and no connection and ends the process 2.25 s after the stop began, though a connection with a request waits to be accepted. - HttpEntryServerTest: 40 connections wait in the queue of the listening socket when it is closed. They are reset.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -133,8 +133,8 @@
     private void end() {
         mPhase = Phase.ENDED;
         sLogger.info(
-                "STOP  This instance ends {} ms after the stop began: {} requests and {} connections"
-                        + " are open.",
+                "STOP  This instance ends {} ms after the stop began: {} requests and {}"
+                        + " connections are open.",
                 elapsed().toMillis(),
                 mWork.requests(),
                 mWork.connections());
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
@@ -17,7 +17,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +32,9 @@
     private static final String GET = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final int TIMEOUT_SECONDS = 60;
 
+    /** More connections than Netty accepts in one pass. */
+    private static final int QUEUED_CONNECTIONS = 40;
+
     private final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
     private final BlockingQueue<Responder> mResponders = new LinkedBlockingQueue<>();
     private final CountDownLatch mDisconnected = new CountDownLatch(1);
@@ -185,6 +191,26 @@
         }
     }
 
+    /** Guards against a reset of connections that wait to be accepted when listening ends. */
+    @Example
+    void servesConnectionsThatWaitInTheQueueWhenItStopsAccepting() throws Exception {
+        CompletableFuture<Void> release = new CompletableFuture<>();
+        mTraffic.execute(release::join);
+        List<Socket> clients = new ArrayList<>();
+        for (int number = 0; number < QUEUED_CONNECTIONS; number++) {
+            clients.add(connect());
+            send(clients.get(number), GET);
+        }
+        mServer.stopAccepting();
+        release.complete(null);
+        for (Socket client : clients) {
+            answer(takeResponder(), 0);
+            assertThat(client.getInputStream().read()).isEqualTo('H');
+            client.close();
+        }
+        awaitNoConnection();
+    }
+
     @Example
     void closesOpenConnectionsInOrderDuringPlannedStops() throws Exception {
         try (Socket idle = connect();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.wiring;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,11 +13,9 @@
 import io.masticpond.entry.http.RequestHandler;
 import io.masticpond.entry.log.DecisionLog;
 import io.masticpond.entry.log.LineCounts;
-import io.masticpond.entry.replica.Category;
 import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.DocumentTranslator;
 import io.masticpond.entry.replica.FeedError;
-import io.masticpond.entry.replica.FeedResult;
 import io.masticpond.entry.replica.StoreFeed;
 import io.masticpond.entry.replica.StoreProbe;
 import io.masticpond.entry.settings.EntrySettings;
@@ -28,15 +27,19 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
@@ -47,6 +50,13 @@
 
     private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** Longer than an instance accepts connections once its stop has begun. */
+    private static final int ACCEPT_SECONDS = 4;
+
+    private static final byte[] REQUEST =
+            "GET /any HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII);
+
     private static final int PORTS = 5;
     private static final int OCTET_VALUES = 250;
 
@@ -59,8 +69,11 @@
     private final HttpClient mClient = HttpClient.newHttpClient();
     private final InMemoryLedgerStore mLedgers = new InMemoryLedgerStore();
     private final CompletableFuture<Void> mEnded = new CompletableFuture<>();
+    private final CountDownLatch mTrafficBlocked = new CountDownLatch(1);
+    private final CompletableFuture<Void> mTrafficRelease = new CompletableFuture<>();
     private EntryInstance mInstance;
     private int mEntryPort;
+    private int mDirectoryPort;
 
     @Example
     void metricsCoverAllPartsOfTheInstance() throws IOException, InterruptedException {
@@ -154,6 +167,43 @@
         assertThat(mLedgers.mAllotted.get()).as("the allotment is returned completely").isZero();
     }
 
+    /** Guards against a process that ends while a connection waits to be accepted. */
+    @Example
+    void processDoesNotEndWhileAConnectionWaitsForTheTrafficThread() throws Exception {
+        start();
+        try (Socket first = send(mEntryPort)) {
+            assertThat(first.getInputStream().readAllBytes()).asString().contains(" 503 ");
+        }
+        try (Socket blocking = send(mDirectoryPort)) {
+            assertThat(mTrafficBlocked.await(TIMEOUT_NANOS, TimeUnit.NANOSECONDS)).isTrue();
+            mInstance.stop();
+            try (Socket waiting = send(mEntryPort)) {
+                assertThatThrownBy(() -> mEnded.get(ACCEPT_SECONDS, TimeUnit.SECONDS))
+                        .isInstanceOf(TimeoutException.class);
+                mTrafficRelease.complete(null);
+                assertThat(waiting.getInputStream().readAllBytes()).asString().contains(" 503 ");
+            }
+        }
+        mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /** Connects once the instance listens, and sends a request that closes its connection. */
+    private static Socket send(int port) throws IOException {
+        long begin = System.nanoTime();
+        while (true) {
+            try {
+                Socket socket = new Socket(HOST, port);
+                socket.getOutputStream().write(REQUEST);
+                return socket;
+            } catch (ConnectException exception) {
+                if (System.nanoTime() - begin > TIMEOUT_NANOS) {
+                    throw exception;
+                }
+                Thread.yield();
+            }
+        }
+    }
+
     private JsonNode document(int port, String path) throws IOException, InterruptedException {
         HttpResponse<String> answer = get(port, path);
         assertThat(answer.statusCode()).as(path).isEqualTo(200);
@@ -167,6 +217,7 @@
     private int start(String remainingSettings) throws IOException {
         List<Integer> ports = freePorts();
         mEntryPort = ports.get(0);
+        mDirectoryPort = ports.get(3);
         int metrics = ports.get(1);
         String settings =
                 String.format(
@@ -285,7 +336,11 @@
 
         @Override
         public RequestHandler directoryHandler(DirectoryDecider directory, EntrySettings settings) {
-            return (request, responder) -> responder.abort();
+            return (request, responder) -> {
+                mTrafficBlocked.countDown();
+                mTrafficRelease.join();
+                responder.abort();
+            };
         }
 
         @Override
@@ -294,46 +349,6 @@
         }
     }
 
-    private record UnreachableStore(EventLoop control) implements StoreFeed {
-
-        @Override
-        public void list(
-                Category category,
-                Duration timeout,
-                Consumer<Either<FeedError, FeedResult>> result) {
-            fail(result);
-        }
-
-        @Override
-        public Runnable watch(
-                Category category,
-                long afterRevision,
-                Duration wait,
-                Consumer<Either<FeedError, FeedResult>> result) {
-            fail(result);
-            return () -> {};
-        }
-
-        @Override
-        public void put(
-                Category category,
-                String name,
-                JsonNode content,
-                Consumer<Either<FeedError, Void>> result) {
-            fail(result);
-        }
-
-        @Override
-        public void delete(
-                Category category, String name, Consumer<Either<FeedError, Void>> result) {
-            fail(result);
-        }
-
-        private <T> void fail(Consumer<Either<FeedError, T>> result) {
-            control.execute(() -> result.accept(Either.left(FeedError.UNREACHABLE)));
-        }
-    }
-
     private record UnreachableProbe(EventLoop control) implements StoreProbe {
 
         @Override
