Accept the connections in the queue before a listening socket is closed

Callers whose connection had been completed by the system, but not yet accepted, got a reset when a planned stop closed the listening socket, and repeated their request elsewhere. The busier the traffic thread, the longer the queue.

Cause: stopAccepting posted a close, which drops the queue. A closed socket that is registered with a selector is moreover released only at the next selection; until then the system completes connections that nobody accepts.

The channel is now deregistered first; once the selector has released it, its queue is accepted and the socket is closed in the same task. What remains is a connection whose handshake is under way at that moment.

Ruled out: a second call of listen with a backlog of 0, which leaves clients waiting for a handshake instead of refusing them.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -7,18 +7,14 @@
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.SocketProtocolFamily;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.net.Inet4Address;
 import java.net.InetSocketAddress;
-import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -42,7 +38,7 @@
     private final EventLoop mLoop;
     private final InetSocketAddress mAddress;
     private final EntryConnections mConnections;
-    private volatile Channel mChannel;
+    private volatile ListeningChannel mChannel;
     private volatile Predicate<String> mAcceptedClients = ip -> true;
 
     /**
@@ -121,7 +117,7 @@
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(mLoop, mLoop)
-                        .channelFactory(this::openChannel)
+                        .channelFactory(() -> ListeningChannel.open(mAddress.getAddress()))
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
@@ -138,7 +134,9 @@
                                     }
                                 })
                         .bind(mAddress);
-        mChannel = bound.channel();
+        if (bound.channel() instanceof ListeningChannel channel) {
+            mChannel = channel;
+        }
         bound.addListener(
                 future ->
                         sLogger.info(
@@ -161,18 +159,30 @@
         return mAcceptedClients.test(channel.remoteAddress().getAddress().getHostAddress());
     }
 
-    private NioServerSocketChannel openChannel() {
-        return mAddress.getAddress() instanceof Inet4Address
-                ? new NioServerSocketChannel(SelectorProvider.provider(), SocketProtocolFamily.INET)
-                : new NioServerSocketChannel();
+    /**
+     * Accepts the connections that wait in the queue of the listening socket and closes the socket.
+     * Open connections are kept.
+     *
+     * @return a future that completes on the traffic thread once no connection can be added
+     */
+    public CompletableFuture<Void> stopAccepting() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        mLoop.execute(() -> closeListener(stopped));
+        return stopped;
     }
 
-    /** Closes the listening socket; open connections are kept. */
-    public void stopAccepting() {
-        Channel channel = mChannel;
-        if (channel != null) {
-            channel.close().addListener(future -> logStopped());
+    private void closeListener(CompletableFuture<Void> stopped) {
+        ListeningChannel channel = mChannel;
+        if (channel == null) {
+            stopped.complete(null);
+            return;
         }
+        channel.closeAfterAccepting()
+                .addListener(
+                        future -> {
+                            logStopped();
+                            stopped.complete(null);
+                        });
     }
 
     private void logStopped() {
