End a planned stop only after accepting has stopped

Callers saw a request that was passed on to a backend server, and whose connection was closed without an answer (LOST), 2.26 s after the SIGTERM of its instance, under planned work only.

Cause: PlannedStop runs on the control thread. At the end of accepting it posted the close of the listeners to the traffic thread and read the counts of open requests and connections right after that, before the traffic thread had closed them. On an instance that was idle at that moment both were 0 and the process ended, while the traffic thread went on accepting, reading and passing on. The JVM does not end at once: at its exit HotSpot stops all Java threads and waits up to 300 ms for those in native code, such as an event loop in epoll. In that time the system still completes connections, and nobody passes an answer on.

Evidence: a program of three threads in a select needs 325 to 331 ms from halt to its end, without such threads 14 to 20 ms (three runs each, JDK 17, the flags of the deployment). The record has 312 ms between the end of the run and that of the connection, and the request was passed on 11 ms after the end of accepting. EntryInstanceTest.processDoesNotEndWhileAConnectionWaitsForTheTrafficThread failed before: with a busy traffic thread the process ended 2.25 s after the stop began, while a connection with a request waited.

Change: accepting stops on the traffic thread, which reports it to the control thread; the end is decided only after that report. Connections come from listeners alone and requests from connections, so counts of 0 are final then and need no barrier at the exit. Allotments are returned under the same condition. A unit test of PlannedStop states the order.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -46,6 +46,7 @@
     private final TimeSource mTimeSource;
     private volatile Phase mPhase = Phase.SERVING;
     private long mStartNanos;
+    private boolean mAccepting = true;
 
     /**
      * Creates a planned stop.
@@ -103,20 +104,24 @@
 
     private void finish() {
         mPhase = Phase.FINISHING;
-        mActions.stopAccepting();
+        mActions.stopAccepting(this::onAcceptingStopped);
         mActions.closeIdleConnections();
+        check();
+    }
+
+    private void onAcceptingStopped() {
+        mAccepting = false;
         sLogger.info(
-                "STOP  Accepting ends {} ms after the stop began: {} requests and {} connections"
+                "STOP  Accepting ended {} ms after the stop began: {} requests and {} connections"
                         + " are open.",
                 elapsed().toMillis(),
                 mWork.requests(),
                 mWork.connections());
-        check();
     }
 
     private void check() {
         Duration remaining = mSettings.endBy().minus(elapsed());
-        if (mWork.requests() == 0 && mWork.connections() == 0 && !mWork.isWithdrawalPending()) {
+        if (!mAccepting && !isWorkOpen() && !mWork.isWithdrawalPending()) {
             end();
         } else if (remaining.toNanos() <= 0) {
             mPhase = Phase.ENDING;
@@ -130,6 +135,11 @@
         }
     }
 
+    /** Returns whether work is open; once accepting has stopped, none is added. */
+    private boolean isWorkOpen() {
+        return mWork.requests() > 0 || mWork.connections() > 0;
+    }
+
     private void end() {
         mPhase = Phase.ENDED;
         sLogger.info(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/StopActions.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/StopActions.java
@@ -14,8 +14,13 @@
     /** Removes the record of this instance from the platform's store. */
     void withdrawRecord();
 
-    /** Stops accepting connections. */
-    void stopAccepting();
+    /**
+     * Stops accepting connections.
+     *
+     * @param onStopped runs on the thread of the planned stop once no connection can be added; the
+     *     work that is open then includes every connection that was accepted
+     */
+    void stopAccepting(Runnable onStopped);
 
     /**
      * Closes connections without a request, and from now on each connection after its last answer.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -17,6 +17,7 @@
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoopGroup;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -163,11 +164,17 @@
         mForward.ifPresent(HttpEntryServer::drain);
     }
 
-    /** Closes the listening sockets, except that for readiness checks. */
-    void stopAccepting() {
-        mEntry.stopAccepting();
-        mDirectory.stopAccepting();
-        mForward.ifPresent(HttpEntryServer::stopAccepting);
+    /**
+     * Closes the listening sockets, except that for readiness checks.
+     *
+     * @return a future that completes once no server accepts a connection
+     */
+    CompletableFuture<Void> stopAccepting() {
+        return CompletableFuture.allOf(
+                mEntry.stopAccepting(),
+                mDirectory.stopAccepting(),
+                mForward.map(HttpEntryServer::stopAccepting)
+                        .orElseGet(() -> CompletableFuture.completedFuture(null)));
     }
 
     /** Returns the number of requests of clients and other instances without an answer. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -17,6 +17,7 @@
 final class EntryStop implements StopActions, OpenWork {
 
     private final EventLoop mTraffic;
+    private final EventLoop mControl;
     private final HeartbeatService mHeartbeats;
     private final FleetReplica mReplica;
     private final InstanceRegistration mRegistration;
@@ -29,6 +30,7 @@
     @Inject
     EntryStop(
             @TrafficThread EventLoop traffic,
+            @ControlThread EventLoop control,
             HeartbeatService heartbeats,
             FleetReplica replica,
             InstanceRegistration registration,
@@ -37,6 +39,7 @@
             ProcessChangeLog processChanges,
             @ProcessEnd Runnable exit) {
         mTraffic = traffic;
+        mControl = control;
         mHeartbeats = heartbeats;
         mReplica = replica;
         mRegistration = registration;
@@ -60,8 +63,8 @@
     }
 
     @Override
-    public void stopAccepting() {
-        mListeners.stopAccepting();
+    public void stopAccepting(Runnable onStopped) {
+        mListeners.stopAccepting().thenRunAsync(onStopped, mControl);
     }
 
     @Override
@@ -97,16 +100,14 @@
     }
 
     /**
-     * Determines whether allotments must still be returned. Starts their return once no request is
-     * open.
+     * Determines whether allotments must still be returned. Starts their return, so it must be
+     * called only once no request can be read.
      */
     private boolean mustReturnAllotments(SpendingCheck spending) {
         if (spending.isStopped()) {
             return false;
         }
-        if (requests() == 0) {
-            mTraffic.execute(spending::stop);
-        }
+        mTraffic.execute(spending::stop);
         return true;
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
@@ -32,6 +32,8 @@
     private int mRequests;
     private int mConnections;
     private boolean mWithdrawing;
+    private boolean mIsTrafficThreadBusy;
+    private Runnable mPendingCallback;
 
     private void after(Duration delay, Runnable work) {
         mScheduled.add(new ScheduledWork(mTime.monotonicNanos() + delay.toNanos(), work));
@@ -55,6 +57,14 @@
         mActions.add(elapsed() + " " + what);
     }
 
+    private void complete(Runnable callback) {
+        if (mIsTrafficThreadBusy) {
+            mPendingCallback = callback;
+        } else {
+            callback.run();
+        }
+    }
+
     @Override
     public void announceLeaving() {
         record("announce");
@@ -66,8 +76,9 @@
     }
 
     @Override
-    public void stopAccepting() {
+    public void stopAccepting(Runnable onStopped) {
         record("refuse");
+        complete(onStopped);
     }
 
     @Override
@@ -138,6 +149,23 @@
         assertThat(mActions).endsWith("5300 answer", "5475 exit");
     }
 
+    /** Guards against an end that is decided on counts to which connections are still added. */
+    @Example
+    void doesNotEndBeforeAcceptingHasStopped() {
+        mIsTrafficThreadBusy = true;
+        mStop.begin();
+        advance(Duration.ofMillis(2400));
+        mConnections = 1;
+        mRequests = 1;
+        mPendingCallback.run();
+        advance(Duration.ofMillis(600));
+        assertThat(mActions).endsWith("2250 refuse", "2250 close");
+        mConnections = 0;
+        mRequests = 0;
+        advance(GRACE);
+        assertThat(mActions).endsWith("2250 close", "3050 exit");
+    }
+
     @Example
     void waitsForRemovalFromStoreUpToTheDeadline() {
         mWithdrawing = true;
