End a planned stop at its deadline only after the last requests are answered

At the deadline of a stop the control thread posted the answers of unfinished requests to the traffic thread and ended the process a fixed time later, whether the traffic thread had run them or not. With a busy traffic thread callers would get a closed connection in place of a truthful answer.

The time for the last answers now starts when the traffic thread has written them. Requests that are read after that are refused and not passed on, as before.

EntryInstanceTest.processDoesNotEndBeforeTheTrafficThreadHasAnsweredAtTheDeadline failed before: the process ended 0.9 s after the start of a stop of one second, while the traffic thread was busy. If the traffic thread never answers, the process now lives until it is killed; its callers lose the same.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -127,8 +127,7 @@
             mPhase = Phase.ENDING;
             sLogger.warn(
                     "STOP  {} unfinished requests are answered at the deadline.", mWork.requests());
-            mActions.answerUnfinished();
-            mRunner.after(mSettings.flushFor(), this::end);
+            mActions.answerUnfinished(() -> mRunner.after(mSettings.flushFor(), this::end));
         } else {
             Duration interval = mSettings.checkEvery();
             mRunner.after(remaining.compareTo(interval) < 0 ? remaining : interval, this::check);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/StopActions.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/StopActions.java
@@ -27,8 +27,13 @@
      */
     void closeIdleConnections();
 
-    /** Answers the remaining requests truthfully: whether they may have run or were not run. */
-    void answerUnfinished();
+    /**
+     * Answers the remaining requests truthfully: whether they may have run or were not run.
+     * Requests that are read later are not run.
+     *
+     * @param onAnswered runs on the thread of the planned stop once all are answered
+     */
+    void answerUnfinished(Runnable onAnswered);
 
     /** Exits the process with the status of success. */
     void exit();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -9,6 +9,7 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.SpendingCheck;
 import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -73,8 +74,8 @@
     }
 
     @Override
-    public void answerUnfinished() {
-        mTraffic.execute(mFlow::endAll);
+    public void answerUnfinished(Runnable onAnswered) {
+        CompletableFuture.runAsync(mFlow::endAll, mTraffic).thenRunAsync(onAnswered, mControl);
     }
 
     @Override
--- a/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
@@ -88,9 +88,10 @@
     }
 
     @Override
-    public void answerUnfinished() {
+    public void answerUnfinished(Runnable onAnswered) {
         record("answer");
         mRequests = 0;
+        complete(onAnswered);
     }
 
     @Override
@@ -166,6 +167,20 @@
         assertThat(mActions).endsWith("2250 close", "3050 exit");
     }
 
+    /** Guards against a process that ends before its last requests are answered. */
+    @Example
+    void doesNotEndBeforeUnfinishedRequestsAreAnswered() {
+        mRequests = 1;
+        mStop.begin();
+        advance(Duration.ofMillis(2500));
+        mIsTrafficThreadBusy = true;
+        advance(Duration.ofMillis(3200));
+        assertThat(mActions).endsWith("5300 answer");
+        mPendingCallback.run();
+        advance(GRACE);
+        assertThat(mActions).endsWith("5300 answer", "5875 exit");
+    }
+
     @Example
     void waitsForRemovalFromStoreUpToTheDeadline() {
         mWithdrawing = true;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -74,6 +74,7 @@
     private EntryInstance mInstance;
     private int mEntryPort;
     private int mDirectoryPort;
+    private String mBounds = "{}";
 
     @Example
     void metricsCoverAllPartsOfTheInstance() throws IOException, InterruptedException {
@@ -187,6 +188,21 @@
         mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
     }
 
+    /** Guards against a process that ends at its deadline while requests are unanswered. */
+    @Example
+    void processDoesNotEndBeforeTheTrafficThreadHasAnsweredAtTheDeadline() throws Exception {
+        mBounds = "{\"stop\": \"1s\"}";
+        start();
+        try (Socket blocking = send(mDirectoryPort)) {
+            assertThat(mTrafficBlocked.await(TIMEOUT_NANOS, TimeUnit.NANOSECONDS)).isTrue();
+            mInstance.stop();
+            assertThatThrownBy(() -> mEnded.get(ACCEPT_SECONDS, TimeUnit.SECONDS))
+                    .isInstanceOf(TimeoutException.class);
+            mTrafficRelease.complete(null);
+            mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+        }
+    }
+
     /** Connects once the instance listens, and sends a request that closes its connection. */
     private static Socket send(int port) throws IOException {
         long begin = System.nanoTime();
@@ -227,11 +243,12 @@
                         "listen": {"entry": "HOST:%d", "readiness": "HOST:%d",
                         "directory": "HOST:%d", "internal": "HOST:%d",
                         "metrics": "HOST:%d"},
-                        "seeds": [], "store": {"address": "127.0.0.1:1"}, "bounds": {},
+                        "seeds": [], "store": {"address": "127.0.0.1:1"}, "bounds": BOUNDS,
                         "tolerance": {}, "resources": {}
                         """,
                         mEntryPort, ports.get(2), ports.get(3), ports.get(4), metrics);
-        String completeSettings = settings.replace("HOST", HOST) + remainingSettings;
+        String completeSettings =
+                settings.replace("HOST", HOST).replace("BOUNDS", mBounds) + remainingSettings;
         mInstance =
                 DaggerEntryComponent.factory()
                         .create(
