Complete look-ups before a planned stop ends the process

The connections of the directory were neither counted as open work nor closed in order at a planned stop: a look-up that crossed the end of the process was cut, and its client waited up to its time-out before it asked another instance.

The servers for clients, for other instances and for look-ups are now drained, closed and counted alike. The server for readiness checks still answers until the process ends, since a check without an answer means the same as a negative one.

EntryInstanceTest.closesConnectionsToTheDirectoryBeforeTheProcessEnds failed before: an idle connection to the directory was still open when the process ended.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -16,8 +16,10 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -36,6 +38,10 @@
     private final Optional<HttpEntryServer> mForward;
     private final HttpEntryServer mDirectory;
     private final HttpEntryServer mReadiness;
+
+    /** The servers whose requests a planned stop completes: all but that for readiness checks. */
+    private final List<HttpEntryServer> mDrained;
+
     private volatile boolean mListening;
     private volatile RequestLimits mRequestLimits = RequestLimits.DEFAULT;
 
@@ -75,6 +81,7 @@
                                                 budget,
                                                 peers));
         mDirectory = server(trafficGroup, mAddresses.directory(), directory, budget);
+        mDrained = Stream.concat(Stream.of(mEntry, mDirectory), mForward.stream()).toList();
         mReadiness =
                 server(
                         trafficGroup,
@@ -160,8 +167,7 @@
 
     /** Begins to close the connections of clients and of other instances. */
     void drain() {
-        mEntry.drain();
-        mForward.ifPresent(HttpEntryServer::drain);
+        mDrained.forEach(HttpEntryServer::drain);
     }
 
     /**
@@ -171,20 +177,19 @@
      */
     CompletableFuture<Void> stopAccepting() {
         return CompletableFuture.allOf(
-                mEntry.stopAccepting(),
-                mDirectory.stopAccepting(),
-                mForward.map(HttpEntryServer::stopAccepting)
-                        .orElseGet(() -> CompletableFuture.completedFuture(null)));
+                mDrained.stream()
+                        .map(HttpEntryServer::stopAccepting)
+                        .toArray(CompletableFuture[]::new));
     }
 
-    /** Returns the number of requests of clients and other instances without an answer. */
+    /** Returns the number of requests and look-ups of clients and instances without an answer. */
     int openRequests() {
-        return mEntry.openRequests() + mForward.map(HttpEntryServer::openRequests).orElse(0);
+        return mDrained.stream().mapToInt(HttpEntryServer::openRequests).sum();
     }
 
     /** Returns the number of connections of clients and other instances. */
     int openConnections() {
-        return mEntry.openConnections() + mForward.map(HttpEntryServer::openConnections).orElse(0);
+        return mDrained.stream().mapToInt(HttpEntryServer::openConnections).sum();
     }
 
     HttpEntryServer directory() {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -5,8 +5,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.masticpond.core.fleet.RegisteredServer;
-import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.time.SystemTimeSource;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.directory.DirectoryDecider;
@@ -203,6 +201,20 @@
         }
     }
 
+    /** Guards against look-ups that are cut by the end of the process. */
+    @Example
+    void closesConnectionsToTheDirectoryBeforeTheProcessEnds() throws Exception {
+        start();
+        send(mEntryPort).close();
+        try (Socket idle = new Socket(HOST, mDirectoryPort)) {
+            idle.setSoTimeout(ACCEPT_SECONDS * 1000);
+            mInstance.stop();
+            assertThat(idle.getInputStream().read()).as("the end of the connection").isEqualTo(-1);
+            assertThat(mEnded).isNotDone();
+        }
+        mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+    }
+
     /** Connects once the instance listens, and sends a request that closes its connection. */
     private static Socket send(int port) throws IOException {
         long begin = System.nanoTime();
@@ -378,18 +390,4 @@
             return true;
         }
     }
-
-    private static final class RejectingTranslator implements DocumentTranslator {
-
-        @Override
-        public Either<String, RoutingConfiguration> routing(JsonNode content) {
-            return Either.left("There are no documents.");
-        }
-
-        @Override
-        public Either<String, RegisteredServer> server(
-                String name, JsonNode content, long nowNanos) {
-            return Either.left("There are no documents.");
-        }
-    }
 }
