Close idle connections of a planned stop when accepting ends

A planned stop closed idle connections 500 ms after it began, while clients kept the address of the instance for 1.5 s and more: a request that crossed the close had to be sent again elsewhere. Answers close their connections from the start of a stop, so an idle connection costs nothing until accepting ends, 2.25 s after the start at the bounds of the deployments; by then most clients have a newer answer of the directory. Connections that were used in the last 500 ms are kept for the rest of that pause.

ConnectionTimesTest.keepsIdleConnectionsWhileDrainingUntilTheyAreToBeClosed failed before: the connection was closed when the request came, 2 s after the drain began. The tests of the pause call closeIdle besides drain; their times are as before.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
@@ -347,15 +347,11 @@
     }
 
     private long checkIdle(long nowNanos, long idleNanos) {
-        long remainingNanos = idleNanos - (nowNanos - mOutput.idleSinceNanos());
-        if (mConnections.isDraining()) {
-            long pauseNanos = mConnections.options().drainPause().toNanos();
-            long beginNanos =
-                    Math.max(
-                            mConnections.drainBeginNanos() - nowNanos,
-                            mOutput.idleSinceNanos() - nowNanos);
-            remainingNanos = pauseNanos + beginNanos;
-        }
+        long maximumNanos =
+                mConnections.isClosingIdle()
+                        ? mConnections.options().drainPause().toNanos()
+                        : idleNanos;
+        long remainingNanos = maximumNanos - (nowNanos - mOutput.idleSinceNanos());
         if (remainingNanos <= 0) {
             beginClose();
             return Long.MAX_VALUE;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/EntryConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/EntryConnections.java
@@ -47,8 +47,8 @@
 
     private byte[] mHeadBytes = new byte[RequestLimits.DEFAULT.headerBytes()];
     private boolean mIsDraining;
+    private boolean mIsClosingIdle;
     private boolean mIsClosed;
-    private long mDrainBeginNanos;
     private ScheduledFuture<?> mCheckTimer;
     private long mCheckDueNanos;
 
@@ -92,12 +92,13 @@
      * pending request.
      */
     void drain() {
-        if (mIsDraining) {
-            return;
-        }
         mIsDraining = true;
-        mDrainBeginNanos = nowNanos();
-        scheduleCheckWithin(mOptions.drainPause().toNanos());
+    }
+
+    /** Closes connections from now on once they have been idle for the drain pause. */
+    void closeIdle() {
+        mIsClosingIdle = true;
+        checkConnections();
     }
 
     /** Closes all connections immediately. */
@@ -130,7 +131,10 @@
 
     /** Checks the timeouts of all connections now. */
     void checkConnections() {
-        mCheckTimer = null;
+        if (mCheckTimer != null) {
+            mCheckTimer.cancel(false);
+            mCheckTimer = null;
+        }
         long nowNanos = nowNanos();
         long next = limits().idleTimeout().toNanos() / CHECKS_PER_IDLE_TIMEOUT;
         for (int i = mClientConnections.size() - 1; i >= 0; i--) {
@@ -169,8 +173,8 @@
         return mIsDraining;
     }
 
-    long drainBeginNanos() {
-        return mDrainBeginNanos;
+    boolean isClosingIdle() {
+        return mIsClosingIdle;
     }
 
     long nowNanos() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryOptions.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryOptions.java
@@ -12,7 +12,8 @@
  * @param writeStall how long a client may read nothing of an answer before its connection is closed
  * @param lingerTimeout how long a connection is still read from after its output was closed, so
  *     that the last answer arrives
- * @param drainPause how long an idle connection is kept open once a planned stop has begun
+ * @param drainPause how long a connection is kept open without a request once a planned stop closes
+ *     idle connections
  * @since 0.2
  */
 public record HttpEntryOptions(
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -23,9 +23,9 @@
 /**
  * HTTP/1.1 server on one address, based on Netty.
  *
- * <p>For a planned stop, call {@link #stopAccepting} and {@link #drain}, wait until {@link
- * #openConnections} is 0 or a timeout has elapsed, and call {@link #close}. All methods may be
- * called from any thread.
+ * <p>For a planned stop, call {@link #drain}, later {@link #stopAccepting} and {@link #closeIdle},
+ * wait until {@link #openConnections} is 0 or a timeout has elapsed, and call {@link #close}. All
+ * methods may be called from any thread.
  *
  * @since 0.2
  */
@@ -195,13 +195,18 @@
 
     /**
      * Begins a planned stop: from now on a connection is closed after the answer to its last
-     * pending request, and idle connections are closed after a short pause. Requests already read
-     * are answered.
+     * pending request. Idle connections are kept until {@link #closeIdle}, for clients that are
+     * about to use them.
      */
     public void drain() {
         mLoop.execute(mConnections::drain);
     }
 
+    /** Closes connections from now on after a short pause without a request. */
+    public void closeIdle() {
+        mLoop.execute(mConnections::closeIdle);
+    }
+
     /**
      * Returns the number of requests that were read completely and whose answer has not been
      * written yet.
--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/StopActions.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/StopActions.java
@@ -8,7 +8,10 @@
  */
 public interface StopActions {
 
-    /** Reports to peers and in readiness checks that this instance is leaving. */
+    /**
+     * Reports to peers and in readiness checks that this instance is leaving, and closes each
+     * connection after its last answer from now on.
+     */
     void announceLeaving();
 
     /** Removes the record of this instance from the platform's store. */
@@ -22,9 +25,7 @@
      */
     void stopAccepting(Runnable onStopped);
 
-    /**
-     * Closes connections without a request, and from now on each connection after its last answer.
-     */
+    /** Closes connections without a request after a short pause. */
     void closeIdleConnections();
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -165,11 +165,16 @@
         return mEntry;
     }
 
-    /** Begins to close the connections of clients and of other instances. */
+    /** Closes the connections of clients and of other instances after their last answers. */
     void drain() {
         mDrained.forEach(HttpEntryServer::drain);
     }
 
+    /** Closes the connections of clients and of other instances that are idle. */
+    void closeIdle() {
+        mDrained.forEach(HttpEntryServer::closeIdle);
+    }
+
     /**
      * Closes the listening sockets, except that for readiness checks.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -70,7 +70,7 @@
 
     @Override
     public void closeIdleConnections() {
-        mListeners.drain();
+        mListeners.closeIdle();
     }
 
     @Override
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/ConnectionTimesTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/ConnectionTimesTest.java
@@ -71,6 +71,7 @@
     void closesIdleConnectionsAfterThePauseWhenDraining() {
         EntryFixture fixture = new EntryFixture();
         fixture.mConnections.drain();
+        fixture.mConnections.closeIdle();
         fixture.advance(Duration.ofMillis(400));
         assertThat(fixture.mChannel.isOpen()).isTrue();
 
@@ -79,10 +80,25 @@
         assertThat(fixture.mChannel.isOpen()).isFalse();
     }
 
+    /** Guards against requests that cross the close of connections that clients still use. */
+    @Example
+    void keepsIdleConnectionsWhileDrainingUntilTheyAreToBeClosed() {
+        EntryFixture fixture = new EntryFixture();
+        fixture.mConnections.drain();
+        fixture.advance(Duration.ofSeconds(2));
+        fixture.send(GET);
+
+        fixture.answer(0, 200, "");
+
+        assertThat(fixture.sent()).contains("HTTP/1.1 200 ", "Connection: close\r\n");
+        assertThat(fixture.mChannel.isOpen()).isFalse();
+    }
+
     @Example
     void handlesRequestsReceivedBeforeTheCloseAndClosesAfterTheirAnswer() {
         EntryFixture fixture = new EntryFixture();
         fixture.mConnections.drain();
+        fixture.mConnections.closeIdle();
         fixture.advance(Duration.ofMillis(300));
         fixture.send(GET);
         fixture.advance(Duration.ofSeconds(5));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
@@ -220,6 +220,7 @@
             send(busy, GET);
             Responder pending = takeResponder();
             mServer.drain();
+            mServer.closeIdle();
             advance(EntryFixture.OPTIONS.drainPause());
             assertThat(new String(idle.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
                     .isEqualTo("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
