Add a failing test of an idle connection that is accepted during a drain

EntryConnections.add schedules the next check of timeouts within the idle timeout of 15 s, also while a planned stop drains. If the check at the end of the pause found no connection, none follows, so an idle connection that is accepted later stays open until the process ends at its deadline.

ConnectionTimesTest.closesIdleConnectionsThatAreAcceptedWhileDrainingAfterThePause fails: 600 ms after it was accepted, at a pause of 500 ms, the connection is open.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/ConnectionTimesTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/ConnectionTimesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import net.jqwik.api.Example;
 
@@ -79,6 +80,19 @@
         assertThat(fixture.mChannel.isOpen()).isFalse();
     }
 
+    /** Guards against a planned stop that waits for an idle connection until its deadline. */
+    @Example
+    void closesIdleConnectionsThatAreAcceptedWhileDrainingAfterThePause() {
+        EntryFixture fixture = new EntryFixture();
+        fixture.mConnections.drain();
+        fixture.advance(Duration.ofSeconds(2));
+        EmbeddedChannel late = fixture.open(new EmbeddedChannel());
+
+        fixture.advance(Duration.ofMillis(600));
+
+        assertThat(late.isOpen()).isFalse();
+    }
+
     @Example
     void handlesRequestsReceivedBeforeTheCloseAndClosesAfterTheirAnswer() {
         EntryFixture fixture = new EntryFixture();
