Add a failing test of a request that waits to be read as a drain closes idle connections

If the traffic thread is busy with one connection when the pause of a drain ends, the timer runs before the next selection. It closes connections as idle though requests have arrived on them, and discards these requests.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
@@ -31,6 +31,7 @@
 
     private static final String GET = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final int TIMEOUT_SECONDS = 60;
+    private static final int ACCEPTED_SECONDS = 5;
 
     /** More connections than Netty accepts in one pass. */
     private static final int QUEUED_CONNECTIONS = 40;
@@ -38,6 +39,10 @@
     private final ManualTimeSource mTime = new ManualTimeSource(Instant.EPOCH);
     private final BlockingQueue<Responder> mResponders = new LinkedBlockingQueue<>();
     private final CountDownLatch mDisconnected = new CountDownLatch(1);
+
+    /** While this is incomplete, the handler blocks the traffic thread. */
+    private volatile CompletableFuture<Void> mRelease = CompletableFuture.completedFuture(null);
+
     private final MultiThreadIoEventLoopGroup mTraffic =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpEntryServer mServer =
@@ -64,6 +69,7 @@
         request.body().release();
         responder.onClientDisconnected(mDisconnected::countDown);
         mResponders.add(responder);
+        mRelease.join();
     }
 
     private Socket connect() throws IOException {
@@ -211,6 +217,31 @@
         awaitNoConnection();
     }
 
+    /** Guards against a close by the timer of a connection whose request waits to be read. */
+    @Example
+    void servesRequestsThatArriveBeforeIdleConnectionsAreClosed() throws Exception {
+        try (Socket idle = connect();
+                Socket busy = connect()) {
+            send(idle, GET);
+            answer(takeResponder(), 0);
+            assertThat(idle.getInputStream().read()).isEqualTo('H');
+            mServer.drain();
+            mTraffic.submit(() -> {}).syncUninterruptibly();
+            mRelease = new CompletableFuture<>();
+            send(busy, GET);
+            takeResponder();
+            send(idle, GET);
+            mTime.advance(EntryFixture.OPTIONS.drainPause());
+            TimeUnit.MILLISECONDS.sleep(2 * EntryFixture.OPTIONS.drainPause().toMillis());
+
+            mRelease.complete(null);
+
+            assertThat(mResponders.poll(ACCEPTED_SECONDS, TimeUnit.SECONDS))
+                    .as("the request on the idle connection")
+                    .isNotNull();
+        }
+    }
+
     @Example
     void closesOpenConnectionsInOrderDuringPlannedStops() throws Exception {
         try (Socket idle = connect();
