Add a failing test of an allotment at a stop that ends at its deadline

Allotments are returned only once no connection is open. A connection without a complete request that stays open until the deadline prevents that, and the allotment counts as spent for the rest of the shift.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -13,14 +13,12 @@
 import io.masticpond.entry.log.LineCounts;
 import io.masticpond.entry.replica.ConditionalStore;
 import io.masticpond.entry.replica.DocumentTranslator;
-import io.masticpond.entry.replica.FeedError;
 import io.masticpond.entry.replica.StoreFeed;
 import io.masticpond.entry.replica.StoreProbe;
 import io.masticpond.entry.settings.EntrySettings;
 import io.masticpond.entry.settings.EntrySettingsReader;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.channel.EventLoop;
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
@@ -31,7 +29,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -39,7 +36,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import net.jqwik.api.Example;
 
@@ -72,6 +68,7 @@
     private EntryInstance mInstance;
     private int mEntryPort;
     private int mDirectoryPort;
+    private int mMetricsPort;
     private String mBounds = "{}";
 
     @Example
@@ -135,13 +132,40 @@
 
     @Example
     void instanceWithSpendingCapTakesAnAllotmentAtItsStartAndReturnsItAtItsStop() throws Exception {
+        JsonNode spending = startWithSpendingCap();
+        assertThat(spending.path("service").asText()).isEqualTo("orders");
+        assertThat(spending.path("capMicros").asInt()).isEqualTo(9_000);
+        assertThat(spending.path("heldMicros")).isEqualTo(spending.path("allottedMicros"));
+        assertThat(get(mMetricsPort, "/metrics").body())
+                .contains("masticpond_entry_spending_cap_micros 9000.0");
+        assertThat(mLedgers.mAllotted.get()).isPositive();
+        mInstance.stop();
+        mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+        assertThat(mLedgers.mAllotted.get()).as("the allotment is returned completely").isZero();
+    }
+
+    /** Guards against an allotment that is lost because a client keeps its connection open. */
+    @Example
+    void returnsTheAllotmentOfAStopThatEndsAtItsDeadline() throws Exception {
+        mBounds = "{\"stop\": \"3s\"}";
+        startWithSpendingCap();
+        try (Socket incomplete = new Socket(HOST, mEntryPort)) {
+            incomplete.getOutputStream().write("GET ".getBytes(StandardCharsets.US_ASCII));
+            mInstance.stop();
+            mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+        }
+        assertThat(mLedgers.mAllotted.get()).as("the allotment is returned completely").isZero();
+    }
+
+    /** Starts with a spending cap and returns its state once an allotment is held. */
+    private JsonNode startWithSpendingCap() throws IOException, InterruptedException {
         String shift =
                 "{\"name\": \"%s\", \"start\": \"%s\", \"end\": \"%s\", \"capMicros\": 9000}";
         String shifts =
                 String.format(shift, "early", "00:00", "12:00")
                         + ", "
                         + String.format(shift, "late", "12:00", "00:00");
-        int metrics =
+        mMetricsPort =
                 start(
                         """
                         , "spending": {"version": 1, "services": [{"service": "orders",
@@ -150,20 +174,10 @@
                         """
                                 .replace("SHIFTS", shifts));
         Pattern held = Pattern.compile("\"heldMicros\":[1-9].*\"state\":\"open\"");
-        JsonNode spending =
-                new ObjectMapper()
-                        .readTree(getUntil(metrics, "/v1/budget", held).body())
-                        .path("spendings")
-                        .get(0);
-        assertThat(spending.path("service").asText()).isEqualTo("orders");
-        assertThat(spending.path("capMicros").asInt()).isEqualTo(9_000);
-        assertThat(spending.path("heldMicros")).isEqualTo(spending.path("allottedMicros"));
-        assertThat(get(metrics, "/metrics").body())
-                .contains("masticpond_entry_spending_cap_micros 9000.0");
-        assertThat(mLedgers.mAllotted.get()).isPositive();
-        mInstance.stop();
-        mEnded.get(TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
-        assertThat(mLedgers.mAllotted.get()).as("the allotment is returned completely").isZero();
+        return new ObjectMapper()
+                .readTree(getUntil(mMetricsPort, "/v1/budget", held).body())
+                .path("spendings")
+                .get(0);
     }
 
     /** Guards against a process that ends while a connection waits to be accepted. */
@@ -377,17 +391,4 @@
             return (request, responder) -> responder.abort();
         }
     }
-
-    private record UnreachableProbe(EventLoop control) implements StoreProbe {
-
-        @Override
-        public void probe(Duration timeout, Consumer<Either<FeedError, Void>> result) {
-            control.execute(() -> result.accept(Either.left(FeedError.UNREACHABLE)));
-        }
-
-        @Override
-        public boolean isCheap() {
-            return true;
-        }
-    }
 }
