Close an idle connection that is accepted while idle ones are closed

A planned stop waited for an idle connection until its deadline, and then cut what was open, if the connection was accepted after idle connections had been closed: the next check of timeouts was scheduled within the idle timeout of the operator, not within the pause of a drain.

ConnectionTimesTest.closesIdleConnectionsThatAreAcceptedWhileDrainingAfterThePause failed before: open 600 ms after it was accepted, at a pause of 500 ms.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
@@ -343,20 +343,17 @@
                     ? Long.MAX_VALUE
                     : rejectIfDue(idleNanos - (nowNanos - mLastReadNanos), REQUEST_TIMEOUT);
         }
-        return mPendingExchanges.isEmpty() ? checkIdle(nowNanos, idleNanos) : Long.MAX_VALUE;
+        return mPendingExchanges.isEmpty() ? checkIdle(nowNanos) : Long.MAX_VALUE;
     }
 
-    private long checkIdle(long nowNanos, long idleNanos) {
-        long maximumNanos =
-                mConnections.isClosingIdle()
-                        ? mConnections.options().drainPause().toNanos()
-                        : idleNanos;
+    private long checkIdle(long nowNanos) {
+        long maximumNanos = mConnections.maximumIdleNanos();
         long remainingNanos = maximumNanos - (nowNanos - mOutput.idleSinceNanos());
-        if (remainingNanos <= 0) {
-            beginClose();
-            return Long.MAX_VALUE;
+        if (remainingNanos > 0) {
+            return remainingNanos;
         }
-        return remainingNanos;
+        beginClose();
+        return Long.MAX_VALUE;
     }
 
     private long rejectIfDue(long remainingNanos, HttpResponseStatus status) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/EntryConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/EntryConnections.java
@@ -9,6 +9,7 @@
 import io.masticpond.core.time.TimeSource;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -75,7 +76,7 @@
         connection.setIndex(mClientConnections.size());
         mClientConnections.add(connection);
         mOpenConnections.incrementAndGet();
-        scheduleCheckWithin(limits().idleTimeout().toNanos());
+        scheduleCheckWithin(maximumIdleNanos());
     }
 
     void remove(ClientConnection connection) {
@@ -173,8 +174,10 @@
         return mIsDraining;
     }
 
-    boolean isClosingIdle() {
-        return mIsClosingIdle;
+    /** Returns for how long a connection may be idle before it is closed, in nanoseconds. */
+    long maximumIdleNanos() {
+        Duration maximum = mIsClosingIdle ? mOptions.drainPause() : limits().idleTimeout();
+        return maximum.toNanos();
     }
 
     long nowNanos() {
