Read what has arrived before an idle connection is closed

A request was discarded and had to be sent again if the traffic thread was busy when an idle timeout or the pause of a planned stop ran out: timers that are due run before the next selection, so the connection was closed as idle although the request lay in its receive buffer.

Before it closes, the connection now reads once. HttpEntryServerTest. servesRequestsThatArriveBeforeIdleConnectionsAreClosed failed before: the request, sent about a second before the timer ran, never reached the handler. Weighed: a second check 50 ms later, which closes later and relies on a selection between.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -42,6 +43,7 @@
     private long mLastReadNanos;
     private long mHeadBeginNanos = UNSET;
     private boolean mIsReading;
+    private boolean mHasRead;
     private boolean mIsProcessing;
     private boolean mIsContinueDue;
     private boolean mIsInputStopped;
@@ -86,6 +88,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf in = (ByteBuf) message;
         mIsReading = true;
+        mHasRead = true;
         if (mIsInputStopped) {
             in.release();
             mOutput.recordDiscardedBytes();
@@ -352,10 +355,25 @@
         if (remainingNanos > 0) {
             return remainingNanos;
         }
+        if (readArrivedBytes()) {
+            return maximumNanos;
+        }
         beginClose();
         return Long.MAX_VALUE;
     }
 
+    /**
+     * Reads what has arrived since the last selection, and returns whether anything had. A timer
+     * may run before the selection that would have found it.
+     */
+    private boolean readArrivedBytes() {
+        mHasRead = false;
+        if (mContext.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        return mHasRead;
+    }
+
     private long rejectIfDue(long remainingNanos, HttpResponseStatus status) {
         if (remainingNanos <= 0) {
             reject(status);
