Return allotments at a stop that ends at its deadline

A planned stop returned the allotments of spending only once no connection was open. If a client kept one open until the deadline, for example with an incomplete request, the allotment counted as spent for the rest of the shift.

At the deadline all requests are answered and no other is passed on, so the return starts in the same task of the traffic thread. EntryInstanceTest. returnsTheAllotmentOfAStopThatEndsAtItsDeadline failed before: 187 micros were allotted after the end, expected 0.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -75,7 +75,12 @@
 
     @Override
     public void answerUnfinished(Runnable onAnswered) {
-        CompletableFuture.runAsync(mFlow::endAll, mTraffic).thenRunAsync(onAnswered, mControl);
+        CompletableFuture.runAsync(this::endAll, mTraffic).thenRunAsync(onAnswered, mControl);
+    }
+
+    private void endAll() {
+        mFlow.endAll();
+        mFlow.spending().ifPresent(SpendingCheck::stop);
     }
 
     @Override
