Wait in a test until accepting has stopped

The listening socket is closed about a millisecond later since its queue is accepted first, so HttpEntryServerTest.servesOpenConnectionsAfterItStoppedAccepting could still connect: 16 failures in 20 runs in one JVM on a busy machine. It now waits for the future that stopAccepting returns; what it checks is unchanged.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
@@ -187,7 +187,7 @@
         try (Socket socket = connect()) {
             send(socket, GET);
             takeResponder();
-            mServer.stopAccepting();
+            mServer.stopAccepting().join();
             advance(Duration.ZERO);
 
             send(socket, GET);
