End a planned stop though an answer at its deadline failed

If the answer of one request threw an exception at the deadline of a stop, the thread of the stop was never told, and only a kill ended the process. Read in a review, without a test; requests behind the one that failed are still closed without an answer.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryStop.java
@@ -75,7 +75,8 @@
 
     @Override
     public void answerUnfinished(Runnable onAnswered) {
-        CompletableFuture.runAsync(this::endAll, mTraffic).thenRunAsync(onAnswered, mControl);
+        CompletableFuture.runAsync(this::endAll, mTraffic)
+                .whenCompleteAsync((nothing, failure) -> onAnswered.run(), mControl);
     }
 
     private void endAll() {
