--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/ListeningChannel.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/ListeningChannel.java
@@ -3,12 +3,12 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.socket.SocketProtocolFamily;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.Inet4Address;
 import java.net.InetAddress;
+import java.nio.channels.SocketChannel;
 import java.nio.channels.spi.SelectorProvider;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,7 +22,10 @@
 final class ListeningChannel extends NioServerSocketChannel {
 
     private static final Logger sLogger = LoggerFactory.getLogger(ListeningChannel.class);
-    private static final long CHECK_MILLIS = 1;
+    private static final long RETRY_MILLIS = 1;
+
+    /** Failures to accept, one per millisecond, after which the queue is given up. */
+    private static final int MAXIMUM_FAILURES = 250;
 
     private ListeningChannel() {}
 
@@ -58,23 +61,37 @@
      */
     private void closeOnceDeregistered() {
         if (isOpen() && javaChannel().isRegistered()) {
-            eventLoop().schedule(this::closeOnceDeregistered, CHECK_MILLIS, TimeUnit.MILLISECONDS);
-            return;
+            schedule(this::closeOnceDeregistered);
+        } else {
+            acceptQueuedAndClose(MAXIMUM_FAILURES);
         }
-        acceptQueued();
-        close();
     }
 
-    private void acceptQueued() {
-        List<Object> accepted = new ArrayList<>();
+    /** Accepts what is in the queue, and waits for a file descriptor if there is none left. */
+    private void acceptQueuedAndClose(int remainingFailures) {
         try {
-            while (isActive() && doReadMessages(accepted) > 0) {
-                pipeline().fireChannelRead(accepted.remove(0));
-            }
+            acceptQueued();
         } catch (IOException failure) {
-            sLogger.warn("ENTRY  A connection in the queue could not be accepted.", failure);
-        } catch (Exception failure) {
-            throw new IllegalStateException("The queue of connections can't be read.", failure);
+            if (remainingFailures > 0) {
+                schedule(() -> acceptQueuedAndClose(remainingFailures - 1));
+                return;
+            }
+            sLogger.warn("ENTRY  A connection in the queue can't be accepted.", failure);
         }
+        close();
+    }
+
+    private void acceptQueued() throws IOException {
+        while (true) {
+            SocketChannel accepted = isActive() ? javaChannel().accept() : null;
+            if (accepted == null) {
+                return;
+            }
+            pipeline().fireChannelRead(new NioSocketChannel(this, accepted));
+        }
+    }
+
+    private void schedule(Runnable task) {
+        eventLoop().schedule(task, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
