Count the durations of a planned stop from its request

A stop counted its durations from the moment at which the control thread began it. If that thread was busy when the signal came, for example with a large configuration, the last answers came later than planned, and the process could be killed before them. The time of the signal is now passed on, and the end of accepting is scheduled before the other actions, so that a failure in one of them does not leave the stop without an end.

PlannedStopTest.countsFromTheRequestToStopIfItsThreadWasBusy guards it; before, a stop that began 0.8 s late answered at 6.1 s of 6 s (worked out; the test did not compile before, as begin had no parameter).

--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -70,17 +70,23 @@
         mTimeSource = timeSource;
     }
 
-    /** Begins the stop; further calls have no effect. */
-    public void begin() {
+    /**
+     * Begins the stop; further calls have no effect.
+     *
+     * @param requestedNanos the monotonic time at which the stop was requested, from which its
+     *     durations count
+     */
+    public void begin(long requestedNanos) {
         if (mPhase != Phase.SERVING) {
             return;
         }
         mPhase = Phase.LEAVING;
-        mStartNanos = mTimeSource.monotonicNanos();
+        mStartNanos = requestedNanos;
         sLogger.info("STOP  This instance is leaving; {} requests are open.", mWork.requests());
+        Duration remaining = mSettings.acceptFor().minus(elapsed());
+        mRunner.after(remaining.isNegative() ? Duration.ZERO : remaining, this::finish);
         mActions.announceLeaving();
         mActions.withdrawRecord();
-        mRunner.after(mSettings.acceptFor(), this::finish);
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.wiring;
 
+import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.log.ProcessChange;
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.request.ServerRestarts;
@@ -21,6 +22,7 @@
 
     private static final long STATUS_PERIOD_MILLIS = 100;
 
+    private final TimeSource mTimeSource;
     private final EventLoop mTraffic;
     private final EventLoop mControl;
     private final ControlComponents mControlComponents;
@@ -42,6 +44,7 @@
 
     @Inject
     EntryInstance(
+            TimeSource timeSource,
             ProcessChangeLog processChanges,
             @TrafficThread EventLoop traffic,
             @ControlThread EventLoop control,
@@ -60,6 +63,7 @@
             Probing probing,
             Reachability reachability,
             ServerRestarts serverRestarts) {
+        mTimeSource = timeSource;
         mProcessChanges = processChanges;
         mTraffic = traffic;
         mControl = control;
@@ -115,7 +119,8 @@
 
     /** Begins a planned stop, at whose end the {@link ProcessEnd} action runs. */
     public void stop() {
-        mControl.execute(mStop::begin);
+        long requestedNanos = mTimeSource.monotonicNanos();
+        mControl.execute(() -> mStop.begin(requestedNanos));
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/StopSwitch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/StopSwitch.java
@@ -42,8 +42,12 @@
         mBounds = bounds;
     }
 
-    /** Begins the stop; further calls have no effect. Must be called on the control thread. */
-    void begin() {
+    /**
+     * Begins the stop; further calls have no effect. Must be called on the control thread.
+     *
+     * @param requestedNanos the monotonic time at which the stop was requested
+     */
+    void begin(long requestedNanos) {
         if (isStopping()) {
             return;
         }
@@ -57,7 +61,7 @@
                                 mControl.schedule(work, delay.toNanos(), TimeUnit.NANOSECONDS),
                         mTimeSource);
         mStop = stop;
-        stop.begin();
+        stop.begin(requestedNanos);
     }
 
     boolean isStopping() {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/lifecycle/PlannedStopTest.java
@@ -49,6 +49,10 @@
         mTime.advance(Duration.ofNanos(end - mTime.monotonicNanos()));
     }
 
+    private void begin() {
+        mStop.begin(mTime.monotonicNanos());
+    }
+
     private long elapsed() {
         return Duration.ofNanos(mTime.monotonicNanos()).toMillis();
     }
@@ -117,8 +121,8 @@
     @Example
     void idleInstanceServesClientsThatKnowItsAddressAndEnds() {
         mConnections = 5;
-        mStop.begin();
-        mStop.begin();
+        begin();
+        begin();
         assertThat(mStop.isStopping()).isTrue();
         assertThat(mStop.phase()).isEqualTo(PlannedStop.Phase.LEAVING);
         advance(GRACE);
@@ -128,10 +132,21 @@
         assertThat(mStop.phase()).isEqualTo(PlannedStop.Phase.ENDED);
     }
 
+    /** Guards against a process that is killed before its last answers, as its stop began late. */
+    @Example
+    void countsFromTheRequestToStopIfItsThreadWasBusy() {
+        mRequests = 1;
+        advance(Duration.ofMillis(800));
+        mStop.begin(0);
+        advance(GRACE);
+        assertThat(mActions).startsWith("800 announce").endsWith("5300 answer", "5475 exit");
+        assertThat(mActions).contains("2250 refuse");
+    }
+
     @Example
     void endsWhenTheLastRequestIsFinished() {
         mRequests = 1;
-        mStop.begin();
+        begin();
         advance(Duration.ofSeconds(4));
         assertThat(mStop.phase()).isEqualTo(PlannedStop.Phase.FINISHING);
         mRequests = 0;
@@ -145,7 +160,7 @@
     @Example
     void answersUnfinishedRequestsBeforeTheProcessIsKilled() {
         mRequests = 2;
-        mStop.begin();
+        begin();
         advance(GRACE);
         assertThat(mActions).endsWith("5300 answer", "5475 exit");
     }
@@ -154,7 +169,7 @@
     @Example
     void doesNotEndBeforeAcceptingHasStopped() {
         mIsTrafficThreadBusy = true;
-        mStop.begin();
+        begin();
         advance(Duration.ofMillis(2400));
         mConnections = 1;
         mRequests = 1;
@@ -171,7 +186,7 @@
     @Example
     void doesNotEndBeforeUnfinishedRequestsAreAnswered() {
         mRequests = 1;
-        mStop.begin();
+        begin();
         advance(Duration.ofMillis(2500));
         mIsTrafficThreadBusy = true;
         advance(Duration.ofMillis(3200));
@@ -184,7 +199,7 @@
     @Example
     void waitsForRemovalFromStoreUpToTheDeadline() {
         mWithdrawing = true;
-        mStop.begin();
+        begin();
         advance(Duration.ofSeconds(5));
         assertThat(mStop.phase()).isEqualTo(PlannedStop.Phase.FINISHING);
         advance(Duration.ofSeconds(1));
@@ -204,7 +219,7 @@
         assertThat(new Readiness(() -> true, () -> true, mStop::isStopping).isReady()).isTrue();
         assertThat(new Readiness(() -> false, () -> true, () -> false).isReady()).isFalse();
         assertThat(new Readiness(() -> true, () -> false, () -> false).isReady()).isFalse();
-        mStop.begin();
+        begin();
         assertThat(new Readiness(() -> true, () -> true, mStop::isStopping).isReady()).isFalse();
     }
 }
