--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/HeldRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/HeldRequests.java
@@ -14,8 +14,8 @@
  * Queue of requests that reached an instance before it received its first routes and servers.
  * Clients connect as soon as an instance listens, some tenths of a second before it has its
  * snapshot. Refusing them would use up one of their few attempts, and all would retry at the same
- * time. Therefore each request waits for the snapshot for a short time, whatever its deadline, and
- * is refused if the snapshot does not arrive. For use on the traffic thread only.
+ * time. Therefore each request waits for the snapshot for a short time, but not beyond its
+ * deadline, and is refused if the snapshot does not arrive. For use on the traffic thread only.
  */
 final class HeldRequests {
 
@@ -56,9 +56,14 @@
         mDisconnectHandler = disconnectHandler;
     }
 
-    /** Holds a request, or passes it to the timeout handler at once if there are too many. */
-    void hold(IncomingRequest request, Responder responder, RequestRecord facts) {
-        if (mHeld.size() >= MAXIMUM_REQUESTS) {
+    /**
+     * Holds a request, or passes it to the timeout handler at once if there are too many or its
+     * deadline has passed.
+     *
+     * @param leftNanos the time until the deadline of the request
+     */
+    void hold(IncomingRequest request, Responder responder, RequestRecord facts, long leftNanos) {
+        if (mHeld.size() >= MAXIMUM_REQUESTS || leftNanos <= 0) {
             mTimeoutHandler.handle(request, responder, facts);
             return;
         }
@@ -66,8 +71,8 @@
         mHeld.add(held);
         mEventLoop.schedule(
                 () -> removeAndHandle(held, mTimeoutHandler),
-                MAXIMUM_WAIT.toMillis(),
-                TimeUnit.MILLISECONDS);
+                Math.min(MAXIMUM_WAIT.toNanos(), leftNanos),
+                TimeUnit.NANOSECONDS);
         responder.onClientDisconnected(() -> removeAndHandle(held, mDisconnectHandler));
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -189,7 +189,8 @@
         } else if (isReady()) {
             process(request, responder, facts);
         } else {
-            mHeld.hold(request, responder, facts);
+            long left = RequestTimes.untilDeadlineNanos(request, mNames, nowNanos());
+            mHeld.hold(request, responder, facts, left);
         }
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestTimes.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestTimes.java
@@ -1,6 +1,8 @@
 package io.masticpond.entry.request;
 
 import io.masticpond.core.routing.Route;
+import io.masticpond.entry.http.IncomingRequest;
+import io.masticpond.entry.settings.HeaderNames;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -46,6 +48,22 @@
         }
     }
 
+    /**
+     * Returns the time until the deadline that the client of a request has stated.
+     *
+     * @param request the request
+     * @param names the names of the headers
+     * @param nowNanos the monotonic time
+     * @return the time in nanoseconds, negative if it has passed; {@link Long#MAX_VALUE} if the
+     *     client has stated no deadline
+     */
+    static long untilDeadlineNanos(IncomingRequest request, HeaderNames names, long nowNanos) {
+        Long wait = parseDeadlineMillis(request.headers().get(names.deadlineMillis()));
+        return wait == null
+                ? Long.MAX_VALUE
+                : TimeUnit.MILLISECONDS.toNanos(wait) - (nowNanos - request.beginNanos());
+    }
+
     /**
      * Returns the time left until this instance answers at the latest.
      *
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/HeldRequestsTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/HeldRequestsTest.java
@@ -89,7 +89,7 @@
                         Unpooled.EMPTY_BUFFER,
                         0,
                         0);
-        mHeld.hold(request, responder, new RequestRecord(target, 0));
+        mHeld.hold(request, responder, new RequestRecord(target, 0), Long.MAX_VALUE);
         return responder;
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestFlowTest.java
@@ -227,6 +227,30 @@
         assertThat(flow.openRequests()).isZero();
     }
 
+    /**
+     * Guards against a client that gets no answer within its deadline, because its request waits
+     * for the first snapshot for longer.
+     */
+    @Example
+    void answersRequestThatWaitsForSnapshotByItsDeadline() {
+        RequestFlow flow = flow(true, 2);
+        flow.update(EntryState.EMPTY);
+        IncomingRequest urgent = request();
+        urgent.headers().set("Wait", "150");
+        mTime.advance(Duration.ofMillis(50));
+        flow.handle(urgent, mResponder);
+        passTime(Duration.ofMillis(99));
+        assertThat(mResponder.mAnswers).as("a snapshot may still come").isEmpty();
+        passTime(Duration.ofMillis(1));
+        assertThat(mResponder.mAnswers).as("150 ms after the arrival").hasSize(1);
+        assertThat(mResponder.status()).isEqualTo(503);
+        FakeResponder late = new FakeResponder();
+        urgent.headers().set("Wait", "0");
+        flow.handle(urgent, late);
+        assertThat(late.mAnswers).as("its deadline has passed").hasSize(1);
+        assertThat(flow.openRequests()).isZero();
+    }
+
     @Example
     void keepsKeysInPlaceWhenAllServersRejectDespiteCapacity() {
         RequestFlow flow = flow(true, 1);
