Test that a limited cold server loses no cold permit

ServerSearch.tryPermit takes the permit of a cold server before that of a limited one and was listed as losing the first if the second is refused. It is not refused: isUsable asks ServerLimits.hasPermit for each limited server at the same time value, on the same thread, and nothing takes a permit in between, so tryPermit at that time succeeds. A server that is not limited is granted without a permit.

No change of product code.

--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/AbstractRequestFlowTest.java
@@ -68,6 +68,7 @@
     final RecentDecisions mDecisions = new RecentDecisions(DecisionLog.NONE, mTime);
     LoadGate mLoadGate = LoadGate.OPEN;
     Set<BackendServerId> mColdServers = Set.of();
+    int mColdPermits;
     boolean mHasBudget = true;
     int mRequestCount;
     Optional<SpendingCheck> mSpending = Optional.empty();
@@ -120,7 +121,7 @@
                                         new CallOutlierDetector(
                                                 CallOutlierDetectorSettings.DEFAULT)),
                                 mLoadGate),
-                        new ColdWithoutPermit(),
+                        new CountedColdGate(),
                         new FixedBudget(() -> mHasBudget),
                         route -> SERVICE,
                         () -> 1,
@@ -167,8 +168,10 @@
                 HttpMethod.GET, target, headers, Unpooled.EMPTY_BUFFER, now, now);
     }
 
-    /** Cold gate that grants no permit for a cold server. */
-    private final class ColdWithoutPermit implements ColdGate {
+    /**
+     * Cold gate that grants as many permits for cold servers as the test has left, at first none.
+     */
+    private final class CountedColdGate implements ColdGate {
 
         @Override
         public boolean isCold(RegisteredServer server, long nowNanos) {
@@ -177,7 +180,7 @@
 
         @Override
         public boolean tryAcquire(RegisteredServer server, ServiceRules rules, long nowNanos) {
-            return !isCold(server, nowNanos);
+            return !isCold(server, nowNanos) || mColdPermits-- > 0;
         }
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerLimitFlowTest.java
@@ -108,6 +108,29 @@
         assertThat(mAnswers).allMatch(answer -> answer.status() == 200);
     }
 
+    /**
+     * Guards against a permit of a cold server that is lost, because the limit that the server has
+     * stated allows no request.
+     */
+    @Example
+    void takesPermitOfColdServerOnlyForRequestThatItsLimitAllows() {
+        RequestFlow flow = settledFlow(true);
+        applyLoad(flow, Duration.ofSeconds(1), Set.of("server-0"), "2.5");
+        mColdServers = Set.of(new BackendServerId("server-0"));
+        mColdPermits = 1_000;
+        int firstLine = mRequestCount;
+        long[] calls = applyLoad(flow, Duration.ofSeconds(4), Set.of("server-0"), "2.5");
+        assertThat(calls[0]).isGreaterThanOrEqualTo(5);
+        assertThat(1_000 - mColdPermits).isEqualTo((int) calls[0]);
+        long excludedAsCold =
+                IntStream.range(firstLine, mRequestCount)
+                        .mapToObj(number -> mDecisions.requestLines("r" + number))
+                        .flatMap(List::stream)
+                        .filter(line -> line.path("excluded").has("cold"))
+                        .count();
+        assertThat(excludedAsCold).as("excluded for its limit, not as cold").isZero();
+    }
+
     @Example
     void countsRetriesAndRequestsWithoutKey() {
         RequestFlow flow = settledFlow(true);
