Reset the failures of a registration after its success

After a loss of the store the entry of an instance may be missing for up to 5 s longer than at the start: instances that start meanwhile do not find it.

Cause: the number of failed writes, from which the retry delay is computed, was never reset, so a single failure after an earlier outage waited 2.5 to 5 s in place of 1 to 2 s.

InstanceRegistrationTest.firstRetryAfterSuccessIsAsSoonAsAtTheStart failed before: no write 2 s after the first failure that follows eight failures and a success. The count is now reset by each success. The list is read once, so its failures need no reset.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
@@ -117,6 +117,7 @@
 
     private void put(Either<FeedError, Void> result) {
         if (result.isRight()) {
+            mPutFailures = 0;
             sLogger.info("STORE  registered as {}", mName);
             return;
         }
--- /dev/null
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/InstanceRegistrationTest.java
@@ -0,0 +1,109 @@
+package io.masticpond.entry.replica;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Tests that the entry of an instance is written again in time, and not after its deletion. */
+class InstanceRegistrationTest implements StoreFeed {
+
+    private static final Either<FeedError, Void> FAILURE = Either.left(FeedError.TURNED_AWAY);
+    private static final Either<FeedError, Void> SUCCESS = Either.right(null);
+
+    /** Write that the store has not answered yet. */
+    private record PendingWrite(long era, Consumer<Either<FeedError, Void>> result) {}
+
+    private final ManualScheduler mScheduler = new ManualScheduler();
+    private final List<PendingWrite> mPending = new ArrayList<>();
+    private final List<String> mEvents = new ArrayList<>();
+    private int mPuts;
+    private Long mStoredEra;
+    private final InstanceRegistration mRegistration =
+            new InstanceRegistration(
+                    new ReplicaContext(
+                            this,
+                            mScheduler,
+                            mScheduler.time(),
+                            RandomSource.SPLIT_MIX_64.create(3L),
+                            ReplicaSettings.DEFAULT),
+                    "i-1",
+                    JsonNodeFactory.instance::numberNode,
+                    listed -> {});
+
+    /**
+     * Guards against a long first delay after a loss of the store, because failures before an
+     * earlier success still count.
+     */
+    @Example
+    void firstRetryAfterSuccessIsAsSoonAsAtTheStart() {
+        mRegistration.register(0);
+        for (int failure = 0; failure < 8; failure++) {
+            answer(FAILURE);
+            mScheduler.pass(Duration.ofSeconds(5));
+        }
+        answer(SUCCESS);
+        for (int era = 1; era <= 8; era++) {
+            mRegistration.register(era);
+            answer(FAILURE);
+            mScheduler.pass(Duration.ofSeconds(2));
+            assertThat(mPending).as("retried within 2 s in era %d", era).hasSize(1);
+            answer(SUCCESS);
+        }
+    }
+
+    /** Answers the oldest write that is pending. */
+    private void answer(Either<FeedError, Void> result) {
+        PendingWrite write = mPending.remove(0);
+        if (result.isRight()) {
+            mStoredEra = write.era();
+            mEvents.add("put");
+        }
+        write.result().accept(result);
+    }
+
+    private void answerAll(Either<FeedError, Void> result) {
+        while (!mPending.isEmpty()) {
+            answer(result);
+        }
+    }
+
+    @Override
+    public void put(
+            Category category,
+            String name,
+            JsonNode content,
+            Consumer<Either<FeedError, Void>> result) {
+        mPuts++;
+        mPending.add(new PendingWrite(content.asLong(), result));
+    }
+
+    @Override
+    public void delete(Category category, String name, Consumer<Either<FeedError, Void>> result) {
+        mStoredEra = null;
+        mEvents.add("delete");
+        result.accept(SUCCESS);
+    }
+
+    @Override
+    public void list(
+            Category category, Duration timeout, Consumer<Either<FeedError, FeedResult>> result) {
+        throw new UnsupportedOperationException("No list is expected.");
+    }
+
+    @Override
+    public Runnable watch(
+            Category category,
+            long afterRevision,
+            Duration wait,
+            Consumer<Either<FeedError, FeedResult>> result) {
+        throw new UnsupportedOperationException("No watch is expected.");
+    }
+}
