Keep one write of an instance's entry in flight

An instance whose store had come back from a copy during a retry wrote its entry in two series until both succeeded, and two writes could be in flight at the same time, of which the store may apply the older one last. The entry then states an era in which the instance had settled before the restore, and instances that start take no read for a proof for 2.5 s.

Cause: register began a write without regard to one in flight or a retry that was scheduled.

InstanceRegistrationTest.registrationDuringRetryStartsNoSecondSeries failed before (29 writes in 60 s against a store that refuses all, bound 22), and registrationDuringWriteIsWrittenAfterIt (2 writes in flight). A registration now cancels the scheduled retry, and waits for the end of a write in flight.

Ruled out: the retry of the list, which is started once.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
@@ -32,6 +32,9 @@
     private long mEra;
     private int mListFailures;
     private int mPutFailures;
+    private boolean mPutInFlight;
+    private boolean mPutRequested;
+    private Runnable mPutRetry = () -> {};
     private boolean mStopped;
 
     /**
@@ -61,12 +64,19 @@
 
     /**
      * Writes this instance's object, at the start and again whenever the store may have lost it.
+     * During a write the next one waits for its end, since the store may apply two writes in either
+     * order.
      *
      * @param era the era of the store in which this instance has settled
      */
     public void register(long era) {
         mEra = era;
-        put();
+        mPutRetry.run();
+        if (mPutInFlight) {
+            mPutRequested = true;
+        } else {
+            put();
+        }
     }
 
     /**
@@ -112,16 +122,22 @@
         if (mStopped) {
             return;
         }
-        mContext.feed().put(Category.INSTANCES, mName, mContent.apply(mEra), this::put);
+        mPutInFlight = true;
+        mPutRequested = false;
+        mContext.feed().put(Category.INSTANCES, mName, mContent.apply(mEra), this::putEnded);
     }
 
-    private void put(Either<FeedError, Void> result) {
-        if (result.isRight()) {
-            mPutFailures = 0;
-            sLogger.info("STORE  registered as {}", mName);
+    private void putEnded(Either<FeedError, Void> result) {
+        mPutInFlight = false;
+        if (result.isLeft()) {
+            mPutFailures++;
+            mPutRetry = mContext.scheduler().schedule(mRetries.after(mPutFailures), this::put);
             return;
         }
-        mPutFailures++;
-        mContext.scheduler().schedule(mRetries.after(mPutFailures), this::put);
+        mPutFailures = 0;
+        sLogger.info("STORE  registered as {}", mName);
+        if (mPutRequested) {
+            put();
+        }
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/InstanceRegistrationTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/InstanceRegistrationTest.java
@@ -59,6 +59,40 @@
         }
     }
 
+    /** Guards against a second series of writes, which doubles the load on a store in trouble. */
+    @Example
+    void registrationDuringRetryStartsNoSecondSeries() {
+        mRegistration.register(0);
+        answer(FAILURE);
+        mRegistration.register(1);
+        answer(FAILURE);
+        int puts = mPuts;
+        for (int second = 0; second < 60; second++) {
+            mScheduler.pass(Duration.ofSeconds(1));
+            assertThat(mPending).hasSizeLessThanOrEqualTo(1);
+            answerAll(FAILURE);
+        }
+        assertThat(mPuts - puts).isBetween(9, 22);
+        mScheduler.pass(Duration.ofSeconds(5));
+        answer(SUCCESS);
+        assertThat(mStoredEra).isEqualTo(1);
+    }
+
+    /**
+     * Guards against two writes at the same time, of which the store may apply the older one last.
+     */
+    @Example
+    void registrationDuringWriteIsWrittenAfterIt() {
+        mRegistration.register(0);
+        mRegistration.register(1);
+        assertThat(mPending).hasSize(1);
+        answer(SUCCESS);
+        answer(SUCCESS);
+        assertThat(mStoredEra).isEqualTo(1);
+        mScheduler.pass(Duration.ofMinutes(1));
+        assertThat(mPending).isEmpty();
+    }
+
     /** Answers the oldest write that is pending. */
     private void answer(Either<FeedError, Void> result) {
         PendingWrite write = mPending.remove(0);
