Delete an instance's entry after the write in flight

The entry of an instance could remain in the store after a planned stop, and instances that start then took it for one that may be alive, which counts as a holder of a share of common limits for a minute.

Cause: stop deleted the entry at once while a write was in flight, and the store may apply the write after the deletion.

InstanceRegistrationTest.stopDeletesEntryAfterWriteInFlight failed before (the deletion came before the end of the write).

Left: a write that timed out here may still be applied by the store later.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
@@ -35,6 +35,7 @@
     private boolean mPutInFlight;
     private boolean mPutRequested;
     private Runnable mPutRetry = () -> {};
+    private Runnable mPendingDelete = () -> {};
     private boolean mStopped;
 
     /**
@@ -80,12 +81,22 @@
     }
 
     /**
-     * Deletes this instance's object on a planned stop; not retried.
+     * Deletes this instance's object on a planned stop; not retried. Waits for the end of a write
+     * in flight, which the store may otherwise apply after the deletion.
      *
      * @param done runs when the call has succeeded or failed
      */
     public void stop(Runnable done) {
         mStopped = true;
+        mPutRetry.run();
+        if (mPutInFlight) {
+            mPendingDelete = () -> delete(done);
+        } else {
+            delete(done);
+        }
+    }
+
+    private void delete(Runnable done) {
         mContext.feed()
                 .delete(
                         Category.INSTANCES,
@@ -129,6 +140,10 @@
 
     private void putEnded(Either<FeedError, Void> result) {
         mPutInFlight = false;
+        if (mStopped) {
+            mPendingDelete.run();
+            return;
+        }
         if (result.isLeft()) {
             mPutFailures++;
             mPutRetry = mContext.scheduler().schedule(mRetries.after(mPutFailures), this::put);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/InstanceRegistrationTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/InstanceRegistrationTest.java
@@ -93,6 +93,31 @@
         assertThat(mPending).isEmpty();
     }
 
+    /**
+     * Guards against an entry that remains in the store after a planned stop, because a write in
+     * flight is applied after the deletion.
+     */
+    @Example
+    void stopDeletesEntryAfterWriteInFlight() {
+        mRegistration.register(0);
+        mRegistration.stop(() -> mEvents.add("done"));
+        assertThat(mEvents).isEmpty();
+        answer(SUCCESS);
+        assertThat(mEvents).containsExactly("put", "delete", "done");
+        assertThat(mStoredEra).isNull();
+    }
+
+    /** Guards against a planned stop that waits for a write that has failed. */
+    @Example
+    void stopDeletesEntryAfterFailedWrite() {
+        mRegistration.register(0);
+        mRegistration.stop(() -> mEvents.add("done"));
+        answer(FAILURE);
+        assertThat(mEvents).containsExactly("delete", "done");
+        mScheduler.pass(Duration.ofMinutes(1));
+        assertThat(mPending).isEmpty();
+    }
+
     /** Answers the oldest write that is pending. */
     private void answer(Either<FeedError, Void> result) {
         PendingWrite write = mPending.remove(0);
