Ignore updates that give the address of their sender to another instance

A malformed datagram removed the record of its own sender: its heartbeat then failed with a NullPointerException, which is logged at DEBUG alone, the sender was reported as unreachable, and the other instance counted as alive.

Cause: an update of an unknown instance removes the record that has its address, also in the datagram of that record, and receive looked the sender up again afterwards.

PeerExchangeTest.datagramThatGivesTheAddressOfItsSenderToAnotherInstanceRemovesNoRecord failed before with that exception. Such an update is now ignored. A correct instance sends none, as it ignores updates that give its own address to another; an instance that replaces another at its address reports itself.

Ruled out: a null check alone, which would keep the wrong removal.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerExchange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerExchange.java
@@ -172,7 +172,11 @@
         if (!receiveSender(sender, from, now)) {
             return;
         }
-        message.updates().forEach(update -> receiveUpdate(update, from, now));
+        for (PeerUpdate update : message.updates()) {
+            if (!claimsAddressOf(mTable.get(sender.id()), update)) {
+                receiveUpdate(update, from, now);
+            }
+        }
         switch (message.kind()) {
             case HEARTBEAT -> mTable.get(sender.id()).recordPicked(now);
             case ANSWER -> {}
@@ -183,6 +187,17 @@
         }
     }
 
+    /**
+     * Determines whether an update gives the address of the sender of its datagram to another
+     * instance, which would remove the record of the sender.
+     */
+    private static boolean claimsAddressOf(PeerRecord sender, PeerUpdate update) {
+        return !update.id().equals(sender.id())
+                && update.place()
+                        .filter(place -> place.internal().equals(sender.place().internal()))
+                        .isPresent();
+    }
+
     private boolean receiveSender(PeerUpdate update, ServerAddress from, long now) {
         PeerRecord record = mTable.get(update.id());
         if (record == null && update.place().isEmpty()) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/peer/PeerExchangeTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/PeerExchangeTest.java
@@ -8,6 +8,7 @@
 import io.masticpond.core.id.InstanceId;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.Example;
 
 /** Tests of a few instances, all of which exchange heartbeats with each other. */
@@ -121,13 +122,43 @@
                         900,
                         0,
                         PeerUpdate.State.LEAVING,
-                        java.util.Optional.of(PeerPlace.of(old)));
+                        Optional.of(PeerPlace.of(old)));
         PeerMessage late = new PeerMessage(PeerMessage.Kind.HEARTBEAT, update, "", List.of());
         mSimulation.run(0).mExchange.receive(late, old.internal(), CONVERGENCE_TIME.toNanos() + 1);
         assertThat(seen(0, 1).incarnation()).isEqualTo(CLOCK);
         assertThat(seen(0, 1).ready()).isTrue();
     }
 
+    /**
+     * Guards against a malformed datagram that removes the record of its own sender, whose
+     * heartbeat then fails.
+     */
+    @Example
+    void datagramThatGivesTheAddressOfItsSenderToAnotherInstanceRemovesNoRecord() {
+        mSimulation.startAll(2).advance(CONVERGENCE_TIME);
+        PeerInstance sender = instance(name(1), 1, CLOCK);
+        PeerInstance other = instance("edge-other", 1, CLOCK + 1);
+        PeerMessage message =
+                new PeerMessage(
+                        PeerMessage.Kind.HEARTBEAT,
+                        update(sender, 900),
+                        "",
+                        List.of(update(other, 1)));
+        long now = CONVERGENCE_TIME.toNanos() + 1;
+        mSimulation.run(0).mExchange.receive(message, sender.internal(), now);
+        assertThat(names(0)).containsExactly(name(0), name(1));
+    }
+
+    private static PeerUpdate update(PeerInstance instance, long sequence) {
+        return new PeerUpdate(
+                instance.id(),
+                instance.incarnation(),
+                sequence,
+                0,
+                PeerUpdate.State.READY,
+                Optional.of(PeerPlace.of(instance)));
+    }
+
     @Example
     void oneWayPartitionAffectsOnlyTheReceivingSide() {
         mSimulation.startAll(4).advance(CONVERGENCE_TIME);
