Count no withdrawn request as a failed connection

A request whose servers stopped taking requests while it waited for a connection was refused with "not-connected" after four of them, although other servers were left, as when many servers of a service leave at once.

Cause: RequestRun.reconnect counted each request that was not written as a failed connection, of which a request may have four.

ServerWithdrawalFlowTest.triesAllRemainingServersWhenWaitingRequestIsWithdrawn failed before (4 calls, 6 expected). A withdrawal is no longer counted. The attempts stay bounded, since no server is tried twice and the deadline ends them. Calls that find no free connection are counted as before, since they say that this instance is at its own bound.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -30,7 +30,7 @@
 
     private static final int MISDIRECTED = 421;
 
-    /** Bounds the servers that a request tries, as failed connections do not count as attempts. */
+    /** Bounds the failed connections of a request, as they do not count as attempts. */
     private static final int MAXIMUM_CONNECT_FAILURES = 4;
 
     private static final Duration DEFAULT_RETRY_DELAY = Duration.ofMillis(100);
@@ -217,7 +217,7 @@
         mFeedback.failed(server, failure, mSentNanos, now);
         if (failure.verdict() == Verdict.DID_NOT_RUN) {
             mAttemptCharge.refund();
-            reconnect();
+            reconnect(failure.kind());
             return;
         }
         mMayHaveRun = true;
@@ -291,9 +291,9 @@
     }
 
     /** Tries another server or ends. Nothing reached this one, so no attempt or budget is used. */
-    private void reconnect() {
+    private void reconnect(CallFailure.Kind kind) {
         mAttemptCount--;
-        mConnectFailureCount++;
+        mConnectFailureCount += kind == CallFailure.Kind.WITHDRAWN ? 0 : 1;
         if (mConnectFailureCount >= MAXIMUM_CONNECT_FAILURES
                 || mTimes.leftNanos(mFlow.nowNanos()) <= 0) {
             endUnsent("not-connected");
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeSnapshot.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeSnapshot.java
@@ -19,11 +19,12 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Factory of snapshots with one route and its three backend servers. */
+/** Factory of snapshots with one route and its backend servers, three if not stated otherwise. */
 final class FakeSnapshot {
 
     static final ServiceId SERVICE = new ServiceId("reader");
     static final ZoneId ZONE = new ZoneId("a");
+    private static final int SERVERS = 3;
 
     private FakeSnapshot() {}
 
@@ -35,6 +36,15 @@
 
     static FleetSnapshot of(
             boolean idempotent, int attempts, boolean leaving, Set<ZoneId> evacuated) {
+        return of(idempotent, attempts, leaving, evacuated, SERVERS);
+    }
+
+    static FleetSnapshot of(
+            boolean idempotent,
+            int attempts,
+            boolean leaving,
+            Set<ZoneId> evacuated,
+            int serverCount) {
         Route route =
                 new Route(
                         new RouteId("route"),
@@ -50,7 +60,7 @@
                         List.of(new WeightedService(SERVICE, 1)));
         ServiceRules rules = new ServiceRules(SERVICE, "/health", 10, Duration.ofSeconds(1), 5);
         Map<BackendServerId, RegisteredServer> servers = new HashMap<>();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < serverCount; i++) {
             BackendServerId id = new BackendServerId("server-" + i);
             ServerAddress address = new ServerAddress("127.0.0.1", 1_000 + i);
             servers.put(id, new RegisteredServer(id, SERVICE, address, ZONE, 2, leaving, 0));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/ServerWithdrawalFlowTest.java
@@ -198,6 +198,24 @@
         assertThat(mConnections.last().mServer.id()).isNotEqualTo(leaving);
     }
 
+    /**
+     * Guards against a request that is refused although servers are left, because withdrawals
+     * before it was written count as failed connections.
+     */
+    @Example
+    void triesAllRemainingServersWhenWaitingRequestIsWithdrawn() {
+        RequestFlow flow = flow(true, 2);
+        FleetSnapshot six = FakeSnapshot.of(true, 2, false, Set.of(), 6);
+        flow.update(EntryState.of(six, flow.state()));
+        FakeResponder responder = handleRequest(flow, "k");
+        for (int server = 0; server < 5; server++) {
+            mConnections.last().fail(Verdict.DID_NOT_RUN, CallFailure.Kind.WITHDRAWN);
+        }
+        assertThat(mConnections.mCalls).hasSize(6);
+        mConnections.last().answer(200, "Seal", "s");
+        assertThat(responder.status()).isEqualTo(200);
+    }
+
     @Example
     void rejectsRequestsAtOnceWhenAllServersLeave() {
         RequestFlow flow = flow(true, 4);
