Poll the settings file on after settings could not be applied

If one part threw an exception on new settings, no later change of the file was applied until the instance was restarted, and no line said so.

Cause: the exception of the listener ended the periodic task, since executors end such a task without a log line; and the settings counted as in force, so that a reload of the same file did nothing.

The exception is now logged as an error, and whatever is read next is applied, also the settings that were in force before.

Ruled out: errors of reading, which come back as a value.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsWatch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SettingsWatch.java
@@ -41,7 +41,10 @@
     private final Path mFile;
     private final EntrySettingsReader mReader;
     private final Consumer<EntrySettings> mListener;
+
+    /** The settings in force, or null if the last change could not be applied completely. */
     private EntrySettings mCurrent;
+
     private Stamp mStamp;
 
     /**
@@ -92,8 +95,16 @@
         if (read.get().equals(mCurrent)) {
             return;
         }
-        mCurrent = read.get();
-        mListener.accept(mCurrent);
+        try {
+            mListener.accept(read.get());
+            mCurrent = read.get();
+        } catch (RuntimeException e) {
+            // An exception would end the polling. What is read next is applied in any case, as it
+            // is
+            // unknown what is in force.
+            mCurrent = null;
+            sLogger.error("SETTINGS  could not be applied completely.", e);
+        }
     }
 
     private Stamp stamp() {
