Ask callers without an allowed region to retry after 5 s

A caller of a workspace that may use none of the regions of a route was asked to retry after 100 ms, ten times per second, although only a change of the configuration helps.

Cause: WorkspaceAuthenticator.admit used the delay for an instance without a current proof, where another instance may serve the caller at once.

WorkspaceAuthenticatorTest.asksCallerWithoutAllowedRegionToWaitForChangeOfConfiguration failed before (Retry-After 0.1). The delay is now 5 s, since a change is in force within 4 s. The status stays 503: the request did not run, and a later configuration may allow it.

Left as it is: forwarded requests. The instance that forwards has admitted the caller, so the configurations differ and 100 ms fits.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
@@ -35,11 +35,17 @@
 
     /**
      * Retry delay without a current proof. Another instance may have a proof, so the client need
-     * not wait for the next proof of this one. It also applies if the workspace may use none of the
-     * regions of the route.
+     * not wait for the next proof of this one. It also applies to a forwarded request whose
+     * configuration differs here.
      */
     private static final Duration UNPROVEN_RETRY_DELAY = Duration.ofMillis(100);
 
+    /**
+     * Retry delay if the workspace may use none of the regions of the route. Only a change of the
+     * configuration helps, which is in force within 4 s.
+     */
+    private static final Duration NO_REGION_RETRY_DELAY = Duration.ofSeconds(5);
+
     /**
      * Maximum age of the proof on which an unknown key is answered as unauthorized. With an older
      * proof the key may have been added since, so the client is asked to retry.
@@ -196,7 +202,7 @@
     private Either<Rejection, Caller> admit(Workspace workspace, KeyDigest key, Route route) {
         Optional<Route> restrictedRoute = route.restrictTo(workspace);
         if (restrictedRoute.isEmpty()) {
-            return Either.left(Rejection.unavailable("no-allowed-region", UNPROVEN_RETRY_DELAY));
+            return Either.left(Rejection.unavailable("no-allowed-region", NO_REGION_RETRY_DELAY));
         }
         long now = mTimeSource.monotonicNanos();
         if (!mRates.tryAdmit(workspace.id(), mRandom.getAsDouble(), now)) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.masticpond.core.fleet.FleetSnapshot;
+import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.limit.SharedRateSettings;
 import io.masticpond.core.limit.SharedRates;
+import io.masticpond.core.routing.Route;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.time.Moment;
 import io.masticpond.core.workspace.KeyDigest;
@@ -18,6 +20,7 @@
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.http.OutgoingAnswer;
 import io.masticpond.entry.settings.WorkspaceSettings;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -47,6 +50,15 @@
     }
 
     private void applyState(RequestFlow flow, Optional<RateLimit> limit, String... keys) {
+        applyState(flow, limit, Set.of(), Set.of(), keys);
+    }
+
+    private void applyState(
+            RequestFlow flow,
+            Optional<RateLimit> limit,
+            Set<RegionId> routeRegions,
+            Set<RegionId> workspaceRegions,
+            String... keys) {
         FleetSnapshot plain = FakeSnapshot.of(true, 2, false, Set.of());
         RoutingConfiguration routing = plain.routing().orElseThrow();
         Workspace shop =
@@ -55,14 +67,16 @@
                         Set.copyOf(List.of(keys).stream().map(KeyDigest::of).toList()),
                         limit,
                         OptionalInt.empty(),
-                        Set.of());
+                        workspaceRegions);
         FleetSnapshot stated =
                 new FleetSnapshot(
                         plain.revision(),
                         Optional.of(
                                 new RoutingConfiguration(
                                         ++mVersion,
-                                        routing.routes(),
+                                        routing.routes().stream()
+                                                .map(route -> in(routeRegions, route))
+                                                .toList(),
                                         routing.services(),
                                         routing.limits(),
                                         new WorkspaceTable(List.of(shop)))),
@@ -71,6 +85,21 @@
         flow.update(EntryState.of(stated, flow.state()));
     }
 
+    private static Route in(Set<RegionId> regions, Route route) {
+        return new Route(
+                route.id(),
+                route.host(),
+                route.pathPrefix(),
+                route.idempotent(),
+                route.timeout(),
+                route.targetLatency(),
+                route.priority(),
+                route.maximumAttempts(),
+                route.affinity(),
+                regions,
+                route.services());
+    }
+
     private OutgoingAnswer last() {
         return mResponder.mAnswers.get(mResponder.mAnswers.size() - 1);
     }
@@ -201,6 +230,25 @@
         assertThat(Double.parseDouble(last().headers().get("Retry-After"))).isGreaterThan(0.2);
     }
 
+    /**
+     * Guards against clients that retry ten times per second, although only a change of the
+     * configuration, which takes seconds, can help them.
+     */
+    @Example
+    void asksCallerWithoutAllowedRegionToWaitForChangeOfConfiguration() {
+        RequestFlow flow = flow(true, 2);
+        Set<RegionId> routeRegions = Set.of(new RegionId("r"));
+        Set<RegionId> workspaceRegions = Set.of(new RegionId("other"));
+        applyState(flow, Optional.empty(), routeRegions, workspaceRegions, KEY);
+        recordProof();
+        sendRequest(flow, KEY);
+        assertThat(mConnections.mCalls).isEmpty();
+        assertThat(last().status()).isEqualTo(503);
+        assertThat(last().body().toString(StandardCharsets.UTF_8)).contains("no-allowed-region");
+        assertThat(Double.parseDouble(last().headers().get("Retry-After")))
+                .isGreaterThanOrEqualTo(4);
+    }
+
     @Example
     void logsProofAgeButNoKey() {
         RequestFlow flow = flow();
