Log an address that cannot be bound as an error with its cause

An instance whose port was taken ran on, and its log had a single line at INFO without the reason.

Cause: one statement logged success and failure at the same level.

HttpEntryServerTest.logsErrorWithCauseWhenItsAddressIsTaken failed before: no event at the level of the tests. The failure is now an error that names the address and has the exception.

Left: the process still goes on without the listener. An instance whose entry port is not bound is not ready; ending the process is a decision of the part that starts the listeners.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -139,15 +139,18 @@
                                 })
                         .bind(mAddress);
         mChannel = bound.channel();
-        bound.addListener(
-                future ->
-                        sLogger.info(
-                                "ENTRY  {} {}.",
-                                future.isSuccess() ? "Listening on" : "Can't listen on",
-                                mAddress));
+        bound.addListener(future -> logBound(future.cause()));
         return bound;
     }
 
+    private void logBound(Throwable failure) {
+        if (failure == null) {
+            sLogger.info("ENTRY  Listening on {}.", mAddress);
+        } else {
+            sLogger.error("ENTRY  Can't listen on {}, so it takes no client.", mAddress, failure);
+        }
+    }
+
     /**
      * Restricts the clients; connections of others are closed at once.
      *
--- a/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/http/HttpEntryServerTest.java
@@ -3,6 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.masticpond.core.body.BodyBudget;
 import io.masticpond.core.body.BodyBudgetSettings;
 import io.masticpond.core.time.ManualTimeSource;
@@ -11,6 +15,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -23,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.slf4j.LoggerFactory;
 
 class HttpEntryServerTest {
 
@@ -121,6 +127,33 @@
         }
     }
 
+    /** Guards against an instance that does not listen, whose log shows no error. */
+    @Example
+    void logsErrorWithCauseWhenItsAddressIsTaken() {
+        ListAppender<ILoggingEvent> events = new ListAppender<>();
+        events.start();
+        Logger logger = (Logger) LoggerFactory.getLogger(HttpEntryServer.class);
+        logger.addAppender(events);
+        HttpEntryServer second =
+                new HttpEntryServer(
+                        mTraffic,
+                        mServer.boundAddress(),
+                        this::handle,
+                        () -> EntryFixture.LIMITS,
+                        mTime,
+                        EntryFixture.OPTIONS,
+                        new BodyBudget(BodyBudgetSettings.ofMemory(256)));
+        assertThat(second.start().awaitUninterruptibly().isSuccess()).isFalse();
+        mTraffic.submit(() -> {}).syncUninterruptibly();
+        logger.detachAppender(events);
+        assertThat(events.list).hasSize(1);
+        assertThat(events.list.get(0).getLevel()).isEqualTo(Level.ERROR);
+        assertThat(events.list.get(0).getThrowableProxy().getClassName())
+                .isEqualTo(BindException.class.getName());
+        assertThat(events.list.get(0).getFormattedMessage())
+                .contains("" + mServer.boundAddress().getPort());
+    }
+
     @Example
     void deliversTheRejectionThoughTheClientIsStillSending() throws Exception {
         try (Socket socket = connect()) {
