Give no anti-entropy turn to the instance itself

In a fleet of two instances half of the turns that compensate for lost datagrams sent nothing, so a lost report of a limit or a crash was repeated after up to twice the time; in larger fleets one turn of each cycle was empty.

Cause: the turns went over all live instances, of which the instance is one, and datagrams to itself are left out.

AntiEntropyTargetsTest failed before: of four turns among three instances two fell on the instance itself, and an instance without others selected itself. The turns now go over the other instances.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/AntiEntropyTargets.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/AntiEntropyTargets.java
@@ -35,8 +35,12 @@
     /** Returns the targets of the next round, and begins that round. */
     List<PeerInstance> select(List<PeerInstance> alive) {
         List<PeerInstance> targets = new ArrayList<>(started(alive));
-        if (mRounds++ % ROUNDS_PER_REPEAT == 0 && !alive.isEmpty()) {
-            targets.add(alive.get(Math.floorMod(mNextIndex++, alive.size())));
+        if (mRounds++ % ROUNDS_PER_REPEAT == 0) {
+            List<PeerInstance> others =
+                    alive.stream().filter(each -> !each.id().equals(mSelf)).toList();
+            if (!others.isEmpty()) {
+                targets.add(others.get(Math.floorMod(mNextIndex++, others.size())));
+            }
         }
         return targets;
     }
