Query only other instances for a proof

The second instance of a region sent every other of its queries to itself, that is to nobody, and each instance did so with one query of each cycle over all regions. A renewal whose query fell on such a turn came 300 ms later.

Cause: the turns went over lists that contain the instance itself.

The selection is moved to ProofTargets without a change, with a test; ProofTargetsTest failed on it (the instance itself was among the targets, also when it knows no other). The instance is now left out of both lists. The second instance queries the first alone, not the third, since the third has its proof from the first.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProofSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProofSharing.java
@@ -16,7 +16,6 @@
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,15 +33,6 @@
 
     private static final long CHECK_PERIOD_MILLIS = 300;
 
-    /** The number of preferred instances of the own region that are queried in turn. */
-    private static final int REGION_TARGETS = 2;
-
-    /**
-     * The number of instances of any region that are queried in addition, when those of the own
-     * region have no proof.
-     */
-    private static final int ANY_REGION_TARGETS = 2;
-
     /**
      * The maximum number of requests that may still be answered; answers to older ones are ignored.
      */
@@ -55,15 +45,12 @@
     private final HeartbeatService mPeers;
     private final FleetReplica mReplica;
     private final RoutingReader mReader;
-    private final PeerInstance mSelf;
+    private final ProofTargets mTargets;
     private final DecisionLog mLog;
     private final long mLimitNanos;
     private final FreshnessTracker mFreshness = new FreshnessTracker();
     private final Map<Long, Moment> mRequests = new LinkedHashMap<>();
-    private List<PeerInstance> mAlive = List.of();
-    private List<PeerInstance> mRegionOrder = List.of();
     private long mNextRequestNumber;
-    private long mNextIndex;
     private boolean mReading;
     private boolean mProven;
     private Moment mReportedProof;
@@ -86,7 +73,7 @@
         mPeers = peers;
         mReplica = replica;
         mReader = replica.routingReader();
-        mSelf = self;
+        mTargets = new ProofTargets(self);
         mLog = log;
         mLimitNanos = settings.workspaces().proofLimit().toNanos();
     }
@@ -147,50 +134,17 @@
             return;
         }
         Moment now = now();
-        updateRegionOrder();
-        int rank = rank();
-        if (!mReading && mFreshness.mustReadStore(rank, now)) {
+        mTargets.update(mPeers.alive());
+        if (!mReading && mFreshness.mustReadStore(mTargets.rank(), now)) {
             mReading = true;
             mReader.read(isRead -> mReading = false);
         }
-        sendRequest(rank, now);
+        sendRequest(now);
         reportProof();
     }
 
-    private int rank() {
-        for (int rank = 0; rank < mRegionOrder.size(); rank++) {
-            if (mRegionOrder.get(rank).id().equals(mSelf.id())) {
-                return rank;
-            }
-        }
-        return mRegionOrder.size();
-    }
-
-    private void updateRegionOrder() {
-        List<PeerInstance> alive = mPeers.alive();
-        if (alive == mAlive) {
-            return;
-        }
-        mAlive = alive;
-        List<PeerInstance> inRegion =
-                alive.stream().filter(each -> each.region().equals(mSelf.region())).toList();
-        mRegionOrder = PeerOrder.of("proof/" + mSelf.region().value(), inRegion);
-    }
-
-    private void sendRequest(int rank, Moment now) {
-        List<PeerInstance> targets = new ArrayList<>();
-        if (rank != 0 && !mRegionOrder.isEmpty() && mFreshness.mustQueryRegion(now)) {
-            targets.add(
-                    mRegionOrder.get(
-                            (int)
-                                    (mNextRequestNumber
-                                            % Math.min(REGION_TARGETS, mRegionOrder.size()))));
-        }
-        if (mFreshness.mustQueryOtherRegions(now)) {
-            for (int i = 0; i < ANY_REGION_TARGETS && !mAlive.isEmpty(); i++) {
-                targets.add(mAlive.get((int) Math.floorMod(mNextIndex++, (long) mAlive.size())));
-            }
-        }
+    private void sendRequest(Moment now) {
+        List<PeerInstance> targets = mTargets.select(mFreshness, now);
         if (targets.isEmpty()) {
             return;
         }
