Reject the format of a ledger beyond 32 bits

Cause: the number was cut to an int before LedgerDocument checked it, and the checksum is computed from the cut number.

LedgerJsonTest.rejectsFormatBeyond32Bits failed before (the ledger was read). The field must now fit an int. The other fields are read as long and were not cut.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/spending/LedgerJson.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/spending/LedgerJson.java
@@ -69,7 +69,7 @@
                             readLong(holding, "revision")));
         }
         return new LedgerDocument(
-                (int) readLong(tree, "format"),
+                readInt(tree, "format"),
                 readText(tree, "service"),
                 readText(tree, "shift"),
                 readLong(tree, "capMicros"),
@@ -89,6 +89,15 @@
                 tree.size());
     }
 
+    private static int readInt(JsonNode tree, String field) {
+        JsonNode value = tree.path(field);
+        Assert.isTrue(
+                value.isIntegralNumber() && value.canConvertToInt(),
+                "The field '%s' must be a 32-bit integer.",
+                field);
+        return value.intValue();
+    }
+
     private static long readLong(JsonNode tree, String field) {
         JsonNode value = tree.path(field);
         Assert.isTrue(
--- a/masticpond-entry/src/test/java/io/masticpond/entry/spending/LedgerJsonTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/spending/LedgerJsonTest.java
@@ -51,6 +51,14 @@
         assertThat(fault(holding)).contains("checksum is wrong");
     }
 
+    /** Guards against a format beyond 32 bits that is cut to the supported one. */
+    @Example
+    void rejectsFormatBeyond32Bits() {
+        long format = (1L << 32) + 1;
+        assertThat(LedgerJson.read(KEY, mTree.deepCopy().put("format", format)).isLeft()).isTrue();
+        assertThat(fault(mTree.deepCopy().put("format", format))).contains("'format'");
+    }
+
     @Example
     void rejectsLedgerOfAnotherShift() {
         LedgerKey other = new LedgerKey(KEY.service(), new ShiftId("2026-12-03-morning"));
