Name all allowed methods in the Allow header of control answers

An operator who used a wrong method for the rejected requests was told that only GET is allowed, although DELETE releases one.

Cause: the header was a constant.

EntryInstanceTest.rejectedMethodNamesAllAllowedOnes failed before ("GET" for /v1/crashes). The problem now carries the methods of its view, from the same list that the check uses. The text of the detail named both already.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
@@ -14,8 +14,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Request handler that serves JSON documents to operators below {@code /v1/} and delegates all
@@ -28,7 +30,6 @@
 public final class ControlHandler implements RequestHandler {
 
     private static final int OK = 200;
-    private static final int METHOD_NOT_ALLOWED = 405;
     private static final int UNAVAILABLE = 503;
     private static final String JSON_TYPE = "application/json";
     private static final String PROBLEM_TYPE = "application/problem+json";
@@ -140,14 +141,20 @@
                         .put("cause", problem.cause())
                         .put("detail", problem.detail());
         OutgoingAnswer answer = answer(problem.status(), PROBLEM_TYPE, document);
-        if (problem.status() == METHOD_NOT_ALLOWED) {
-            answer.headers().set(HttpHeaderNames.ALLOW, "GET");
+        if (!problem.allowedMethods().isEmpty()) {
+            answer.headers().set(HttpHeaderNames.ALLOW, allowed(problem));
         } else if (problem.status() == UNAVAILABLE) {
             answer.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
         }
         responder.answer(answer);
     }
 
+    private static String allowed(ControlProblem problem) {
+        return problem.allowedMethods().stream()
+                .map(HttpMethod::name)
+                .collect(Collectors.joining(", "));
+    }
+
     private OutgoingAnswer answer(int status, String type, JsonNode document) {
         HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, type);
         return new OutgoingAnswer(status, headers, Unpooled.wrappedBuffer(bytes(document)));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlRequest.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlRequest.java
@@ -22,7 +22,6 @@
     /** Prefix of the paths of all control requests. */
     static final String PATH_PREFIX = "/v1/";
 
-    private static final int METHOD_NOT_ALLOWED = 405;
     private static final int MAXIMUM_VALUE_LENGTH = 256;
 
     ControlRequest {
@@ -49,11 +48,10 @@
                             decoder.path(),
                             String.join(", ", ControlView.paths())));
         }
-        if (!method.equals(HttpMethod.GET) && !method.equals(view.get().changeMethod())) {
+        if (!view.get().methods().contains(method)) {
             return Either.left(
-                    new ControlProblem(
-                            METHOD_NOT_ALLOWED,
-                            "method-not-allowed",
+                    ControlProblem.methodNotAllowed(
+                            view.get().methods(),
                             "%s is read with GET%s, but the method was "
                                             .formatted(view.get().path(), changeHint(view.get()))
                                     + method
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlView.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** The documents that an operator can request. */
 enum ControlView {
@@ -164,6 +165,11 @@
         return HttpMethod.GET;
     }
 
+    /** Returns the HTTP methods that this view allows. */
+    List<HttpMethod> methods() {
+        return Stream.of(HttpMethod.GET, changeMethod()).distinct().toList();
+    }
+
     /** Returns the names of the query parameters that this view accepts. */
     Set<String> parameters() {
         return mParameters;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryInstanceTest.java
@@ -121,6 +121,25 @@
         }
     }
 
+    /** Guards against operators who are not told that rejected requests can be released. */
+    @Example
+    void rejectedMethodNamesAllAllowedOnes() throws IOException, InterruptedException {
+        int metrics = start();
+        get(metrics, "/v1/status");
+        assertThat(allowedMethods(metrics, "/v1/status")).isEqualTo("GET");
+        assertThat(allowedMethods(metrics, "/v1/crashes")).isEqualTo("GET, DELETE");
+    }
+
+    private String allowedMethods(int port, String path) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + path))
+                        .POST(HttpRequest.BodyPublishers.noBody())
+                        .build();
+        HttpResponse<String> answer = mClient.send(request, HttpResponse.BodyHandlers.ofString());
+        assertThat(answer.statusCode()).isEqualTo(405);
+        return answer.headers().firstValue("Allow").orElse("");
+    }
+
     @Example
     void instanceWithSpendingCapTakesAnAllotmentAtItsStartAndReturnsItAtItsStop() throws Exception {
         String shift =
