Answer the release of a rejected request within a second

While the traffic thread was busy, an operator who released a rejected request waited without an end, as reads do not.

Cause: the release ran on the traffic thread, and nothing ended the wait for it.

It now answers 503 with Retry-After after a second, as reads do, and says that the release is pending: it is still carried out, so a repetition may find the request unknown.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
@@ -21,9 +21,9 @@
 
 /**
  * Request handler that serves JSON documents to operators below {@code /v1/} and delegates all
- * other paths. The only change that it allows is the release of a rejected request. Every read is
- * answered within about a second, and no control request blocks the requests of clients. Not
- * thread-safe: for the control thread only.
+ * other paths. The only change that it allows is the release of a rejected request. Every request
+ * is answered within about a second, and none blocks the requests of clients. Not thread-safe: for
+ * the control thread only.
  *
  * @since 0.2
  */
@@ -37,6 +37,7 @@
     private final ControlSources mSources;
     private final RequestHandler mNext;
     private final TrafficReader mReader;
+    private final RejectionRelease mRelease;
     private final JsonMapper mMapper = new JsonMapper();
 
     /**
@@ -56,6 +57,11 @@
                         now ->
                                 TrafficSnapshot.take(
                                         sources.flow(), sources.limits(), sources.loads(), now));
+        mRelease =
+                new RejectionRelease(
+                        sources.traffic(),
+                        sources.control(),
+                        fingerprint -> sources.flow().crashGuard().release(fingerprint));
     }
 
     @Override
@@ -92,17 +98,14 @@
                     responder);
             return;
         }
-        mSources.traffic()
-                .execute(
-                        () -> {
-                            boolean isKnown =
-                                    mSources.flow().crashGuard().release(fingerprint.get());
-                            mSources.control()
-                                    .execute(
-                                            () ->
-                                                    answerReleased(
-                                                            fingerprint.get(), isKnown, responder));
-                        });
+        mRelease.release(
+                fingerprint.get(),
+                released ->
+                        released.peek(
+                                        isKnown ->
+                                                answerReleased(
+                                                        fingerprint.get(), isKnown, responder))
+                                .peekLeft(problem -> answerProblem(problem, responder)));
     }
 
     private void answerReleased(
