Count log lines without a valid time in entry losses

One request line with a malformed time, as in a log that was cut or edited, ended `entry losses` with an exception in place of its tables.

Cause: LossCounts.add parsed the time without regard to a failure; the command passes over lines that are no JSON only.

EntryCommandsTest.countsLinesWithoutValidTimeAmongCausesOnly failed before (an exit code other than 0). Such a line now counts among the causes and workspaces, and the table by time has a row "without a time", so that the sums of the tables agree.

--- a/masticpond-command/src/main/java/io/masticpond/command/view/LossCounts.java
+++ b/masticpond-command/src/main/java/io/masticpond/command/view/LossCounts.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -62,6 +63,7 @@
                             .thenComparing(LossKey::service)
                             .thenComparing(LossKey::end));
     private final Map<String, Group> mGroupsByWorkspace = new TreeMap<>();
+    private final Group mWithoutTime = new Group();
     private int mRequestCount;
 
     /**
@@ -85,9 +87,8 @@
         String end = end(line);
         long millis = line.path("millis").asLong();
         int sends = line.path("attempts").size();
-        long window = Instant.parse(line.path("at").asText()).toEpochMilli() / mWindow.toMillis();
         mRequestCount++;
-        mGroupsByWindow.computeIfAbsent(window, key -> new Group()).add(end, millis, sends);
+        groupByTime(line).add(end, millis, sends);
         LossKey lossKey = new LossKey(text(line, "route"), text(line, "service"), end);
         mGroupsByLossKey.computeIfAbsent(lossKey, key -> new Group()).add(end, millis, sends);
         if (line.has("workspace")) {
@@ -97,6 +98,16 @@
         }
     }
 
+    /** Returns the group of the time of a line, or that of the lines without a valid time. */
+    private Group groupByTime(JsonNode line) {
+        try {
+            long millis = Instant.parse(text(line, "at")).toEpochMilli();
+            return mGroupsByWindow.computeIfAbsent(millis / mWindow.toMillis(), key -> new Group());
+        } catch (DateTimeParseException e) {
+            return mWithoutTime;
+        }
+    }
+
     /**
      * Returns the number of requests counted.
      *
@@ -128,6 +139,9 @@
                         table.add(
                                 endCells(
                                         Instant.ofEpochMilli(window * mWindow.toMillis()), group)));
+        if (!mWithoutTime.mDurationsMillis.isEmpty()) {
+            table.add(endCells("without a time", mWithoutTime));
+        }
         return table;
     }
 
--- a/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
+++ b/masticpond-command/src/test/java/io/masticpond/command/task/EntryCommandsTest.java
@@ -170,6 +170,22 @@
         }
     }
 
+    /** Guards against one line with a malformed time that hides the losses of all others. */
+    @Example
+    void countsLinesWithoutValidTimeAmongCausesOnly() throws IOException {
+        Path log = Files.createTempFile("instance", ".log");
+        Files.writeString(
+                log,
+                loss("06:00:00.100", "answered", "", 150)
+                        + loss("06:00", "refused", "overload", 0)
+                        + loss("06:00:00.300", "answered", "", 450));
+        assertThat(run(Map.of(), List.of("entry", "losses", log.toString()))).isZero();
+        assertThat(mTerminal.outputText())
+                .containsPattern("2026-12-02T06:00:00Z +2 +1 +1 +0 ")
+                .containsPattern("without a time +1 +0 +0 +1 ")
+                .containsPattern("r +s +refused: overload +1 +33.33 ");
+    }
+
     private static String loss(String time, String outcome, String cause, int millis) {
         return String.format(
                 "{\"at\":\"2026-12-02T%sZ\",\"event\":\"request\",\"route\":\"r\","
