Count refusals without a verdict or cause

A problem document without a cause ended the thread of a caller, and the load of a measure fell without a word.

Cause: LoadStatistics read both fields without regard to their absence.

LoadStatisticsTest.countsRefusalWithoutCause failed before with a NullPointerException. Missing fields are now counted as "no verdict" and "no cause". Documents that are no JSON were counted already.

--- a/masticpond-measure/src/main/java/io/masticpond/measure/fleet/LoadStatistics.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/fleet/LoadStatistics.java
@@ -154,7 +154,9 @@
     private static String refusalOutcome(HttpCalls.HttpReply reply) {
         try {
             JsonNode problem = reply.json();
-            return problem.get("verdict").asText() + ": " + problem.get("cause").asText();
+            return problem.path("verdict").asText("no verdict")
+                    + ": "
+                    + problem.path("cause").asText("no cause");
         } catch (IOException e) {
             return "unreadable refusal";
         }
--- a/masticpond-measure/src/test/java/io/masticpond/measure/fleet/LoadStatisticsTest.java
+++ b/masticpond-measure/src/test/java/io/masticpond/measure/fleet/LoadStatisticsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import net.jqwik.api.Example;
 import okhttp3.Headers;
 
@@ -46,6 +47,31 @@
         assertThat(mStatistics.mismatched()).isEqualTo(2);
     }
 
+    /** Guards against a caller's thread that ends at a problem document without a cause. */
+    @Example
+    void countsRefusalWithoutCause() {
+        Map<String, String> outcomes =
+                Map.of(
+                        "{\"verdict\":\"did not run\"}", "did not run: no cause",
+                        "{\"cause\":\"overload\"}", "no verdict: overload",
+                        "[]", "no verdict: no cause",
+                        "", "no verdict: no cause");
+        outcomes.forEach(
+                (body, outcome) -> assertThat(recordRefusal(body)).as(body).isEqualTo(outcome));
+        assertThat(mStatistics.requests()).isEqualTo(4);
+        assertThat(mStatistics.refusals()).containsEntry("no verdict: no cause", 2L);
+    }
+
+    private String recordRefusal(String body) {
+        HttpCalls.HttpReply reply =
+                new HttpCalls.HttpReply(
+                        503,
+                        Headers.of("Content-Type", "application/problem+json"),
+                        body.getBytes(StandardCharsets.UTF_8));
+        return mStatistics.recordReply(
+                reply, 1_000, new LoadStatistics.SentRequest(TARGET, DIGEST, 1));
+    }
+
     private void recordReply(String body, int attempts) {
         HttpCalls.HttpReply reply =
                 new HttpCalls.HttpReply(
