State that connection counts belong to the traffic thread

The type promised other threads slightly stale values, which plain fields do not give. No thread but the traffic thread reads them: the only reader is EntryMetricsCollector.readTraffic, which MetricsHandler runs on that thread and which copies the values into a volatile record. So no figure was wrong, and the comment alone is corrected; no test.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
@@ -1,8 +1,7 @@
 package io.masticpond.entry.backend;
 
 /**
- * Counters of the connections to backend servers. Written by the traffic thread only; other threads
- * may read slightly stale values.
+ * Counters of the connections to backend servers. For use on the traffic thread only.
  *
  * @since 0.2
  */
