Read IPv6 addresses in the datagrams of peers as they are written

A datagram with an IPv6 address could not be read: the address was written with 16 bytes and read with 4, and what followed was misread. No instance sends one today, since settings and entries accept numeric IPv4 addresses only; the fault would have shown with the first that does.

Cause: readAddress read an int whatever writeAddress had written.

PeerMessageCodecTest.readsAddressesOfBothFamilies failed before (no message was read). Two unused bits of the flags now state the family of each address, so datagrams with IPv4 addresses are the same as before and instances of both versions understand each other.

The length of a text is no fault: ids have at most 64 ASCII characters by their constructors; readsLongestNames passes on the code as it was.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerMessageCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerMessageCodec.java
@@ -18,9 +18,9 @@
  *
  * <p>A datagram is a version byte; the kind; the sender; in a list request, the id after which the
  * list is requested; and updates up to the end. Numbers are little-endian groups of 7 bits, texts
- * have a length byte. It is encoded by hand, unlike the frames of the links: a heartbeat has five
- * fields, is sent all the time, and must not cost a restarted process the initialization of a
- * message library.
+ * have a length byte, and flags state the address family. It is encoded by hand, unlike the frames
+ * of the links: a heartbeat has five fields, is sent all the time, and must not cost a restarted
+ * process the initialization of a message library.
  */
 final class PeerMessageCodec {
 
@@ -30,6 +30,10 @@
     private static final int VERSION = 1;
     private static final int STATE_MASK = 0x0f;
     private static final int FLAG_PLACE = 0x10;
+    private static final int FLAG_ENTRY_IPV6 = 0x20;
+    private static final int FLAG_INTERNAL_IPV6 = 0x40;
+    private static final int IPV4_BYTES = 4;
+    private static final int IPV6_BYTES = 16;
     private static final int GROUP_BITS = 7;
     private static final int GROUP_MASK = 0x7f;
     private static final int MORE = 0x80;
@@ -82,7 +86,8 @@
     }
 
     private static void writeUpdate(PeerUpdate update, ByteBuf out) {
-        out.writeByte(update.state().ordinal() | (update.place().isPresent() ? FLAG_PLACE : 0));
+        out.writeByte(
+                update.state().ordinal() | update.place().map(PeerMessageCodec::flags).orElse(0));
         writeText(update.id().value(), out);
         writeNumber(update.incarnation(), out);
         writeNumber(update.sequence(), out);
@@ -96,6 +101,16 @@
         }
     }
 
+    private static int flags(PeerPlace place) {
+        return FLAG_PLACE
+                | (isIpv6(place.entry()) ? FLAG_ENTRY_IPV6 : 0)
+                | (isIpv6(place.internal()) ? FLAG_INTERNAL_IPV6 : 0);
+    }
+
+    private static boolean isIpv6(ServerAddress address) {
+        return address.ip().indexOf(':') >= 0;
+    }
+
     private static PeerUpdate readUpdate(ByteBuf in) {
         int flags = in.readByte();
         PeerUpdate.State state = valueOf(PeerUpdate.State.values(), flags & STATE_MASK);
@@ -104,14 +119,16 @@
         long sequence = readNumber(in);
         long revision = readNumber(in);
         Optional<PeerPlace> place =
-                (flags & FLAG_PLACE) != 0 ? Optional.of(readPlace(in)) : Optional.empty();
+                (flags & FLAG_PLACE) != 0 ? Optional.of(readPlace(flags, in)) : Optional.empty();
         return new PeerUpdate(id, incarnation, sequence, revision, state, place);
     }
 
-    private static PeerPlace readPlace(ByteBuf in) {
+    private static PeerPlace readPlace(int flags, ByteBuf in) {
         ZoneId zone = new ZoneId(readText(in));
         RegionId region = new RegionId(readText(in));
-        return new PeerPlace(zone, region, readAddress(in), readAddress(in));
+        ServerAddress entry = readAddress((flags & FLAG_ENTRY_IPV6) != 0, in);
+        ServerAddress internal = readAddress((flags & FLAG_INTERNAL_IPV6) != 0, in);
+        return new PeerPlace(zone, region, entry, internal);
     }
 
     private static void writeAddress(ServerAddress address, ByteBuf out) {
@@ -119,9 +136,10 @@
         out.writeShort(address.port());
     }
 
-    private static ServerAddress readAddress(ByteBuf in) {
-        String ip = NetUtil.intToIpAddress(in.readInt());
-        return new ServerAddress(ip, in.readUnsignedShort());
+    private static ServerAddress readAddress(boolean isIpv6, ByteBuf in) {
+        byte[] ip = new byte[isIpv6 ? IPV6_BYTES : IPV4_BYTES];
+        in.readBytes(ip);
+        return new ServerAddress(NetUtil.bytesToIpAddress(ip), in.readUnsignedShort());
     }
 
     private static void writeText(String text, ByteBuf out) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/peer/PeerMessageCodecTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/peer/PeerMessageCodecTest.java
@@ -1,7 +1,12 @@
 package io.masticpond.entry.peer;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.masticpond.core.fleet.ServerAddress;
+import io.masticpond.core.id.InstanceId;
+import io.masticpond.core.id.RegionId;
+import io.masticpond.core.id.ZoneId;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.Collections;
@@ -38,6 +43,57 @@
         }
     }
 
+    /**
+     * Guards against an IPv6 address that is written with 16 bytes and read with 4, so that the
+     * rest of the datagram is misread.
+     */
+    @Example
+    void readsAddressesOfBothFamilies() {
+        PeerInstance plain = PeerSimulation.instance("edge-casa-ain-1", 1, 1);
+        List<String> addresses = List.of("10.1.0.2", "2001:db8::1");
+        for (String entry : addresses) {
+            for (String internal : addresses) {
+                PeerPlace place =
+                        new PeerPlace(
+                                plain.zone(),
+                                plain.region(),
+                                new ServerAddress(entry, 8000),
+                                new ServerAddress(internal, 7100));
+                PeerUpdate sender = update(1, false).withPlace(Optional.of(place));
+                PeerMessage message =
+                        new PeerMessage(
+                                PeerMessage.Kind.HEARTBEAT, sender, "", List.of(update(3, true)));
+                assertThat(PeerMessageCodec.read(written(message))).contains(message);
+            }
+        }
+    }
+
+    /** Guards against texts longer than their length byte can state. */
+    @Example
+    void readsLongestNames() {
+        String longest = "x".repeat(64);
+        assertThatThrownBy(() -> new InstanceId(longest + "x"))
+                .isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new ZoneId(longest + "x"))
+                .isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new RegionId(longest + "x"))
+                .isInstanceOf(IllegalArgumentException.class);
+        ServerAddress address = new ServerAddress("10.1.0.2", 8000);
+        PeerPlace place =
+                new PeerPlace(new ZoneId(longest), new RegionId(longest), address, address);
+        PeerUpdate sender =
+                new PeerUpdate(
+                        new InstanceId(longest),
+                        1,
+                        1,
+                        1,
+                        PeerUpdate.State.READY,
+                        Optional.of(place));
+        PeerMessage message =
+                new PeerMessage(PeerMessage.Kind.LIST_ASK, sender, longest, List.of());
+        assertThat(PeerMessageCodec.read(written(message))).contains(message);
+    }
+
     @Example
     void heartbeatIsSmall() {
         PeerUpdate sender =
