Record unanswered calls in the simulated instances

The simulation showed nothing of the outlier detector for servers that do not answer: its instances went on to send to them as to all others.

Cause: the failure of a call was scheduled for the same time as the end of the client's request, which was scheduled first, and it was skipped once the request had ended. Had it run, it would also have counted calls that were answered.

LoadPatternTest.instancesRecordCallsThatWereNotAnsweredInTime failed before (no server with a share of failures above 0.5 after some had terminated). The failure no longer depends on the end of the request, and is left out for calls that were answered and instances that were stopped.

The other bounds of LoadPatternTest hold.

--- a/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/decision/ModelRequest.java
@@ -130,6 +130,7 @@
 
         private final ModelInstance mInstance;
         private final Set<BackendServerId> mTriedServers = new HashSet<>();
+        private final Set<BackendServerId> mAnsweredServers = new HashSet<>();
         private int mSends;
 
         Attempt(ModelInstance instance) {
@@ -189,7 +190,8 @@
             mSimulation.statistics().recordSend(load.distance() == Distance.OTHER_REGION);
             long delayNanos = mSimulation.delayNanos(mInstance.zone(), load.server().zone());
             ModelServer server = mSimulation.server(load.server().id());
-            after(mDeadlineNanos - sentNanos, () -> mInstance.placer().failed(load, now()));
+            // Not skipped when the client's request ends, which happens at the same time.
+            mSimulation.clock().after(mDeadlineNanos - sentNanos, () -> recordTimeout(load));
             if (server == null) {
                 return;
             }
@@ -203,7 +205,15 @@
                                     mObject, mKind.workMillis(), mDeadlineNanos, answerHandler));
         }
 
+        /** Records the failure of a server that has not answered by the deadline. */
+        private void recordTimeout(ServerLoad load) {
+            if (!mAnsweredServers.contains(load.server().id()) && mSimulation.isAlive(mInstance)) {
+                mInstance.placer().failed(load, now());
+            }
+        }
+
         private void receive(ServerLoad load, ModelServer.Answer answer, long sentNanos) {
+            mAnsweredServers.add(load.server().id());
             load.requestEnded();
             if (!mSimulation.isAlive(mInstance)) {
                 return;
--- a/masticpond-measure/src/test/java/io/masticpond/measure/decision/LoadPatternTest.java
+++ b/masticpond-measure/src/test/java/io/masticpond/measure/decision/LoadPatternTest.java
@@ -2,6 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.limit.ServerEvaluation;
+import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.Example;
 
 /**
@@ -52,6 +57,40 @@
         assertThat(statistics.otherRegionByteShare()).isLessThan(0.15);
     }
 
+    /**
+     * Guards against simulated instances that record no failure of a server which does not answer,
+     * so that the simulation shows nothing of the outlier detector.
+     */
+    @Example
+    void instancesRecordCallsThatWereNotAnsweredInTime() {
+        DecisionSimulation simulation =
+                new DecisionSimulation(
+                        DecisionScenario.TEN_INSTANCES,
+                        DecisionVariant.AS_IT_IS,
+                        LoadPattern.COLD_START,
+                        1);
+        simulation.atSecond(8, () -> simulation.terminateServers(0.12));
+        simulation.run();
+        ModelInstance instance = simulation.instance(new ZoneId("zone-0")).orElseThrow();
+        long nowNanos = simulation.clock().nowNanos();
+        List<ServerEvaluation> failing =
+                DecisionScenario.TEN_INSTANCES.serverGroups().stream()
+                        .flatMap(group -> instance.servers().of(group.service()).stream())
+                        .map(load -> evaluation(instance, load.server(), nowNanos))
+                        .flatMap(Optional::stream)
+                        .filter(each -> each.failureShare() > 0.5)
+                        .toList();
+        assertThat(failing).isNotEmpty();
+    }
+
+    private static Optional<ServerEvaluation> evaluation(
+            ModelInstance instance, RegisteredServer server, long nowNanos) {
+        return instance.placer()
+                .chooser()
+                .outlierDetector()
+                .evaluation(server.service(), server.id(), nowNanos);
+    }
+
     /** In the benchmark, utility is 0.547 and 0.470 with spreading and 0.613 and 0.573 without. */
     @Example
     void spreadingKeysByConstantsIsWorseWithFewServers() {
