--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlHandler.java
@@ -14,21 +14,22 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Request handler that serves JSON documents to operators below {@code /v1/} and delegates all
- * other paths. The only change that it allows is the release of a rejected request. Every read is
- * answered within about a second, and no control request blocks the requests of clients. Not
- * thread-safe: for the control thread only.
+ * other paths. The only change that it allows is the release of a rejected request. Every request
+ * is answered within about a second, and none blocks the requests of clients. Not thread-safe: for
+ * the control thread only.
  *
  * @since 0.2
  */
 public final class ControlHandler implements RequestHandler {
 
     private static final int OK = 200;
-    private static final int METHOD_NOT_ALLOWED = 405;
     private static final int UNAVAILABLE = 503;
     private static final String JSON_TYPE = "application/json";
     private static final String PROBLEM_TYPE = "application/problem+json";
@@ -36,6 +37,7 @@
     private final ControlSources mSources;
     private final RequestHandler mNext;
     private final TrafficReader mReader;
+    private final RejectionRelease mRelease;
     private final JsonMapper mMapper = new JsonMapper();
 
     /**
@@ -55,6 +57,11 @@
                         now ->
                                 TrafficSnapshot.take(
                                         sources.flow(), sources.limits(), sources.loads(), now));
+        mRelease =
+                new RejectionRelease(
+                        sources.traffic(),
+                        sources.control(),
+                        fingerprint -> sources.flow().crashGuard().release(fingerprint));
     }
 
     @Override
@@ -91,17 +98,14 @@
                     responder);
             return;
         }
-        mSources.traffic()
-                .execute(
-                        () -> {
-                            boolean isKnown =
-                                    mSources.flow().crashGuard().release(fingerprint.get());
-                            mSources.control()
-                                    .execute(
-                                            () ->
-                                                    answerReleased(
-                                                            fingerprint.get(), isKnown, responder));
-                        });
+        mRelease.release(
+                fingerprint.get(),
+                released ->
+                        released.peek(
+                                        isKnown ->
+                                                answerReleased(
+                                                        fingerprint.get(), isKnown, responder))
+                                .peekLeft(problem -> answerProblem(problem, responder)));
     }
 
     private void answerReleased(
@@ -140,14 +144,20 @@
                         .put("cause", problem.cause())
                         .put("detail", problem.detail());
         OutgoingAnswer answer = answer(problem.status(), PROBLEM_TYPE, document);
-        if (problem.status() == METHOD_NOT_ALLOWED) {
-            answer.headers().set(HttpHeaderNames.ALLOW, "GET");
+        if (!problem.allowedMethods().isEmpty()) {
+            answer.headers().set(HttpHeaderNames.ALLOW, allowed(problem));
         } else if (problem.status() == UNAVAILABLE) {
             answer.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
         }
         responder.answer(answer);
     }
 
+    private static String allowed(ControlProblem problem) {
+        return problem.allowedMethods().stream()
+                .map(HttpMethod::name)
+                .collect(Collectors.joining(", "));
+    }
+
     private OutgoingAnswer answer(int status, String type, JsonNode document) {
         HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, type);
         return new OutgoingAnswer(status, headers, Unpooled.wrappedBuffer(bytes(document)));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/http/HttpEntryServer.java
@@ -137,15 +137,18 @@
         if (bound.channel() instanceof ListeningChannel channel) {
             mChannel = channel;
         }
-        bound.addListener(
-                future ->
-                        sLogger.info(
-                                "ENTRY  {} {}.",
-                                future.isSuccess() ? "Listening on" : "Can't listen on",
-                                mAddress));
+        bound.addListener(future -> logBound(future.cause()));
         return bound;
     }
 
+    private void logBound(Throwable failure) {
+        if (failure == null) {
+            sLogger.info("ENTRY  Listening on {}.", mAddress);
+        } else {
+            sLogger.error("ENTRY  Can't listen on {}, so it takes no client.", mAddress, failure);
+        }
+    }
+
     /**
      * Restricts the clients; connections of others are closed at once.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/InstanceRegistration.java
@@ -32,6 +32,10 @@
     private long mEra;
     private int mListFailures;
     private int mPutFailures;
+    private boolean mPutInFlight;
+    private boolean mPutRequested;
+    private Runnable mPutRetry = () -> {};
+    private Runnable mPendingDelete = () -> {};
     private boolean mStopped;
 
     /**
@@ -61,21 +65,38 @@
 
     /**
      * Writes this instance's object, at the start and again whenever the store may have lost it.
+     * During a write the next one waits for its end, since the store may apply two writes in either
+     * order.
      *
      * @param era the era of the store in which this instance has settled
      */
     public void register(long era) {
         mEra = era;
-        put();
+        mPutRetry.run();
+        if (mPutInFlight) {
+            mPutRequested = true;
+        } else {
+            put();
+        }
     }
 
     /**
-     * Deletes this instance's object on a planned stop; not retried.
+     * Deletes this instance's object on a planned stop; not retried. Waits for the end of a write
+     * in flight, which the store may otherwise apply after the deletion.
      *
      * @param done runs when the call has succeeded or failed
      */
     public void stop(Runnable done) {
         mStopped = true;
+        mPutRetry.run();
+        if (mPutInFlight) {
+            mPendingDelete = () -> delete(done);
+        } else {
+            delete(done);
+        }
+    }
+
+    private void delete(Runnable done) {
         mContext.feed()
                 .delete(
                         Category.INSTANCES,
@@ -112,15 +133,26 @@
         if (mStopped) {
             return;
         }
-        mContext.feed().put(Category.INSTANCES, mName, mContent.apply(mEra), this::put);
+        mPutInFlight = true;
+        mPutRequested = false;
+        mContext.feed().put(Category.INSTANCES, mName, mContent.apply(mEra), this::putEnded);
     }
 
-    private void put(Either<FeedError, Void> result) {
-        if (result.isRight()) {
-            sLogger.info("STORE  registered as {}", mName);
+    private void putEnded(Either<FeedError, Void> result) {
+        mPutInFlight = false;
+        if (mStopped) {
+            mPendingDelete.run();
+            return;
+        }
+        if (result.isLeft()) {
+            mPutFailures++;
+            mPutRetry = mContext.scheduler().schedule(mRetries.after(mPutFailures), this::put);
             return;
         }
-        mPutFailures++;
-        mContext.scheduler().schedule(mRetries.after(mPutFailures), this::put);
+        mPutFailures = 0;
+        sLogger.info("STORE  registered as {}", mName);
+        if (mPutRequested) {
+            put();
+        }
     }
 }
