Count a caller's request until its answer has been written

Seen by callers: a planned stop could end a connection in the middle of an answer that a caller read slowly. Cause: CallerServer counted a request as ended before it began to write the answer. The stop read 0 requests in flight after that, waited 0.2 s, and closed the server and the process while bytes were still to be written. Evidence: CallerServerTest.requestIsInFlightUntilItsAnswerIsWritten is new. On the code before, the count was 0 with one byte of a 32 MiB answer read. Change: the count falls once the service has completed the request and Jetty has ended the exchange, which it does after the socket took the last byte or failed. Ruled out: counting at the end of Javalin's handler, which also returns before the bytes are written. A caller that reads nothing is ended by the idle timeout.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
@@ -26,11 +26,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -91,7 +93,16 @@
     }
 
     /**
-     * Returns the number of requests in flight.
+     * Returns the port, which the operating system chose if the settings have port 0.
+     *
+     * @return the port
+     */
+    public int port() {
+        return mServer.port();
+    }
+
+    /**
+     * Returns the number of requests that have not completed or whose answer has not been written.
      *
      * @return the number of requests
      */
@@ -203,17 +214,28 @@
 
     private void steer(Context context, SteeredRequest request, CallerService.OperationKeys keys) {
         CompletableFuture<RequestCompletion> future = new CompletableFuture<>();
+        CompletableFuture<Void> unused =
+                future.runAfterBoth(exchangeEnd(context), mInFlight::decrementAndGet);
         mService.submit(request, keys, future::complete);
         context.future(
                 () ->
                         future.thenAcceptAsync(
-                                completion -> {
-                                    mInFlight.decrementAndGet();
-                                    write(context, request, completion);
-                                },
+                                completion -> write(context, request, completion),
                                 mServer.jettyServer().threadPool()));
     }
 
+    /**
+     * Returns a future that completes once the answer has been written to the socket or can no
+     * longer be.
+     */
+    private static CompletableFuture<Void> exchangeEnd(Context context) {
+        CompletableFuture<Void> end = new CompletableFuture<>();
+        Request.addCompletionListener(
+                ServletContextRequest.getServletContextRequest(context.req()),
+                failure -> end.complete(null));
+        return end;
+    }
+
     private void write(Context context, SteeredRequest request, RequestCompletion completion) {
         String id = request.head().id().value();
         context.header(
--- /dev/null
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/caller/CallerServerTest.java
@@ -0,0 +1,160 @@
+package io.masticpond.daemon.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.masticpond.core.configuration.Configuration;
+import io.masticpond.core.configuration.ConfigurationContent;
+import io.masticpond.core.configuration.ServiceSpecification;
+import io.masticpond.core.id.ConfigurationVersion;
+import io.masticpond.core.id.RequestId;
+import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.lookup.LookupDecision;
+import io.masticpond.core.time.SystemTimeSource;
+import io.masticpond.daemon.settings.DaemonSettings.CallerSettings;
+import io.masticpond.daemon.steering.RequestCompletion;
+import io.masticpond.daemon.steering.SteeredRequest;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+/** Tests which requests of callers count as in flight, over real connections on loopback. */
+class CallerServerTest {
+
+    /** Timeout that only bounds a hang. */
+    private static final long TIMEOUT_SECONDS = 60;
+
+    /** More bytes than the buffers of both sockets hold. */
+    private static final int LARGE_BODY_BYTES = 32 << 20;
+
+    private static final String SERVICE = "plate-ledger";
+
+    private final HoldingCallerService mService = new HoldingCallerService();
+    private CallerServer mServer;
+    private Socket mCaller;
+
+    @BeforeTry
+    void start() throws IOException {
+        mServer =
+                new CallerServer(
+                        new CallerSettings("127.0.0.1:0", null, null, null, null, null, null),
+                        mService,
+                        new RequestIdGenerator(1),
+                        new SystemTimeSource());
+        mServer.start();
+        mCaller = new Socket();
+        mCaller.setReceiveBufferSize(4_096);
+        mCaller.connect(new InetSocketAddress("127.0.0.1", mServer.port()));
+    }
+
+    @AfterTry
+    void stop() throws IOException {
+        mCaller.close();
+        mServer.close();
+    }
+
+    /**
+     * Guards against a planned stop that cuts an answer, because the request no longer counted
+     * while its answer was still being written to a caller that reads slowly.
+     */
+    @Example
+    void requestIsInFlightUntilItsAnswerIsWritten() throws Exception {
+        send("GET /v1/services/" + SERVICE + "/plates HTTP/1.1\r\nHost: a\r\n\r\n");
+        Consumer<RequestCompletion> listener = mService.nextListener();
+        listener.accept(answer(LARGE_BODY_BYTES));
+        InputStream answer = mCaller.getInputStream();
+        assertThat(answer.read()).isEqualTo('H');
+        assertThat(mServer.inFlightCount()).isEqualTo(1);
+        assertThat(readToEndOfBody(answer, LARGE_BODY_BYTES)).isTrue();
+        awaitTrue("the request has ended", () -> mServer.inFlightCount() == 0);
+    }
+
+    private void send(String text) throws IOException {
+        mCaller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        mCaller.getOutputStream().flush();
+    }
+
+    private static RequestCompletion answer(int bytes) {
+        return new RequestCompletion.Answered(200, List.of(), new byte[bytes], "server-1");
+    }
+
+    /** Reads a head up to its empty line and a body, and returns whether both were complete. */
+    private static boolean readToEndOfBody(InputStream input, int bodyBytes) throws IOException {
+        int newlines = 0;
+        while (newlines < 2) {
+            int next = input.read();
+            if (next < 0) {
+                return false;
+            }
+            newlines = next == '\n' ? newlines + 1 : next == '\r' ? newlines : 0;
+        }
+        return input.readNBytes(bodyBytes).length == bodyBytes;
+    }
+
+    private static void awaitTrue(String description, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as(description).isLessThan(end);
+            Thread.yield();
+        }
+    }
+
+    /** Caller service whose requests complete when the test completes them. */
+    private static final class HoldingCallerService implements CallerService {
+
+        private final LinkedBlockingQueue<Consumer<RequestCompletion>> mListeners =
+                new LinkedBlockingQueue<>();
+
+        Consumer<RequestCompletion> nextListener() throws InterruptedException {
+            Consumer<RequestCompletion> listener =
+                    mListeners.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertThat(listener).as("a submitted request").isNotNull();
+            return listener;
+        }
+
+        @Override
+        public Configuration configuration() {
+            ServiceSpecification service =
+                    new ServiceSpecification(
+                            new ServiceId(SERVICE), 60_000, null, null, null, Optional.empty());
+            return new Configuration(
+                    new ConfigurationVersion(1),
+                    Optional.empty(),
+                    new ConfigurationContent(null, null, List.of(service), null, null));
+        }
+
+        @Override
+        public Optional<String> unreadyReason() {
+            return Optional.empty();
+        }
+
+        @Override
+        public LookupDecision lookup(ServiceId service, String clientAddress, long seenVersion) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Optional<String> operationKey(ServiceId service) {
+            return Optional.empty();
+        }
+
+        @Override
+        public void submit(
+                SteeredRequest request, OperationKeys keys, Consumer<RequestCompletion> listener) {
+            mListeners.add(listener);
+        }
+
+        @Override
+        public void cancel(RequestId request) {}
+    }
+}
