Select the neighbors anew when a dead member is removed

Seen: once a dead member that the platform no longer lists had been removed, the next member that fell silent made each tick of the membership end with a NullPointerException. No failure was detected any more, and no heartbeat was sent, so that others took this instance for dead. Cause: MembershipTable.remove left the removed member among the selected neighbors; requestUpdateFromNeighbors found no record for it. Evidence: MembershipTableTest.detectsFailureAfterRemovalOfUnlistedMember failed before with this exception. Change: a removal selects the neighbors anew, so that each has a record and no heartbeat goes to the removed one. Ruled out: a check for null at the one use, which leaves the heartbeats as they are.

--- a/masticpond-core/src/main/java/io/masticpond/core/membership/MembershipTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/membership/MembershipTable.java
@@ -373,6 +373,7 @@
     private void remove(MemberRecord record, long now) {
         mDigestComparison.remove(record.id());
         mRecords.remove(record.id());
+        mNeighborhood.membersChanged();
         if (record.isListed()) {
             add(record.expectedAgain(now));
         }
--- a/masticpond-core/src/test/java/io/masticpond/core/membership/MembershipTableTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/membership/MembershipTableTest.java
@@ -245,6 +245,23 @@
         assertThat(mFixture.view(A).member(C)).isEmpty();
     }
 
+    /**
+     * Guards against a removed member among the neighbors: each tick ended with a
+     * NullPointerException, so that no failure was detected and no heartbeat was sent.
+     */
+    @Example
+    void detectsFailureAfterRemovalOfUnlistedMember() {
+        settle();
+        mFixture.mPaused.add(C);
+        mFixture.run(DETECTION_TIME);
+        mFixture.mTables.get(A).updateListedMembers(List.of());
+        mFixture.run(BEYOND_FORGET_TIME);
+        mFixture.mPaused.add(B);
+        mFixture.run(DETECTION_TIME);
+        assertThat(mFixture.state(A, B)).isEqualTo(MemberState.DEAD);
+        assertThat(mFixture.mTables.get(A).neighbors()).doesNotContain(C);
+    }
+
     @Example
     void newInstanceDiscoversAllMembersFromOneMember() {
         settle();
