Replace an outcome in a full batcher

Seen by callers: a repeated request was told "may have run" after its home had ended, although the late answer had arrived there. Cause: OutcomeBatcher.add dropped every outcome while the maximum was reached, also one that replaces an outcome that is held and needs no room. Evidence: OutcomeBatcherTest.fullBatcherReplacesOutcomeThatItHolds failed before with one dropped outcome. Change: only an outcome of a new key counts against the maximum.

--- a/masticpond-core/src/main/java/io/masticpond/core/operation/OutcomeBatcher.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/operation/OutcomeBatcher.java
@@ -71,12 +71,13 @@
     }
 
     /**
-     * Adds an outcome to copy, or one that settles an outcome added before.
+     * Adds an outcome to copy, or one that settles an outcome added before. A further outcome is
+     * dropped if the maximum is reached; one that replaces another never is.
      *
      * @param outcome the outcome
      */
     public void add(KeptOutcome<A> outcome) {
-        if (mOutcomes >= mMaximumOutcomes) {
+        if (mOutcomes >= mMaximumOutcomes && !holds(outcome.key())) {
             mDropped++;
             return;
         }
@@ -93,6 +94,11 @@
         segment.mExpiresMillis = Math.max(segment.mExpiresMillis, outcome.key().expiresMillis());
     }
 
+    private boolean holds(OperationKey key) {
+        Segment<A> segment = mSegments.get(segment(key));
+        return segment != null && segment.mOutcomes.containsKey(key.sequence());
+    }
+
     /**
      * Returns the calls to make now; each must be followed by one call of {@link #onAnswer}.
      *
--- a/masticpond-core/src/test/java/io/masticpond/core/operation/OutcomeBatcherTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/operation/OutcomeBatcherTest.java
@@ -97,4 +97,21 @@
         assertThat(mBatcher.dropped()).isEqualTo(1);
         assertThat(mBatcher.unwrittenCount()).isEqualTo(MAXIMUM);
     }
+
+    /** Guards against the loss of a late answer that settles an outcome of a full batcher. */
+    @Example
+    void fullBatcherReplacesOutcomeThatItHolds() {
+        KeptOutcome<String> unsettled = add(mayHaveRun());
+        for (int i = 1; i < MAXIMUM; i++) {
+            add(answered("one"));
+        }
+        KeptOutcome<String> settled = new KeptOutcome<>(unsettled.key(), RESERVE, answered("late"));
+        mBatcher.add(settled);
+        assertThat(mBatcher.dropped()).isZero();
+        assertThat(mBatcher.unwrittenCount()).isEqualTo(MAXIMUM);
+        assertThat(mBatcher.flushCalls())
+                .flatExtracting(call -> ((OutcomeCall.Write<String>) call).outcomes())
+                .contains(settled)
+                .doesNotContain(unsettled);
+    }
 }
