Run every task that an event loop accepts, and outlive errors of tasks

Seen: at a close, put and offer returned true for a task that never ran, so that a completion was lost; an Error of one task ended the thread without a line, and the process went on without its duty. Cause: mRunning was read before the task was queued, while the thread decided on its end by mRunning and an empty queue. Only RuntimeException was caught. Change: a producer counts itself before it reads mRunning, and the thread ends only once no producer is counted. Ruled out: a lock around queue and flag, which every task would take.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/eventloop/EventLoop.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/eventloop/EventLoop.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.LockSupport;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
@@ -36,6 +37,13 @@
     private final MpscBlockingConsumerArrayQueue<Runnable> mQueue;
     private final List<PeriodicTask> mPeriodicTasks = new ArrayList<>();
     private final LongAdder mRejected = new LongAdder();
+
+    /**
+     * Number of threads that are queuing a task. The thread ends only after it has read 0 here
+     * while {@link #mRunning} is false, so that it runs every task that was accepted.
+     */
+    private final AtomicInteger mProducers = new AtomicInteger();
+
     private final Thread mThread;
     private volatile boolean mRunning = true;
 
@@ -80,7 +88,7 @@
      *     loop is closed, in which case the task will not run
      */
     public boolean offer(Runnable task) {
-        boolean queued = mRunning && mQueue.offer(task);
+        boolean queued = tryQueue(task);
         if (!queued) {
             mRejected.increment();
         }
@@ -98,10 +106,10 @@
      */
     public boolean put(Runnable task) {
         while (mRunning) {
-            if (mQueue.offer(task)) {
+            if (tryQueue(task)) {
                 return true;
             }
-            if (isCurrentThread()) {
+            if (mRunning && isCurrentThread()) {
                 runSafely(task);
                 return true;
             }
@@ -155,8 +163,17 @@
         }
     }
 
+    private boolean tryQueue(Runnable task) {
+        mProducers.incrementAndGet();
+        try {
+            return mRunning && mQueue.offer(task);
+        } finally {
+            mProducers.decrementAndGet();
+        }
+    }
+
     private void run() {
-        while (mRunning || !mQueue.isEmpty()) {
+        while (mRunning || mProducers.get() > 0 || !mQueue.isEmpty()) {
             Runnable task = poll();
             if (task != null) {
                 runSafely(task);
@@ -197,7 +214,7 @@
     private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             sLogger.error("PROCESS  A task of the event loop {} failed.", mName, e);
         }
     }
