Queue the leaving flag even when the queue of the membership is full

Seen by callers: an instance that stopped as planned stayed in the look-ups of others until its process had ended, and its callers were refused then. Cause: setLeaving, configure and announceTermination were offered to the queue of the event loop, and the answer that it was full was ignored. Unlike a heartbeat, none of them is superseded by a later one. Evidence: MembershipServiceTest.plannedStopIsReportedWhenQueueIsFull failed before: the other instance never saw the first as leaving. Change: the three block until there is room. Their callers are the stop, the operator's drain and the configuration thread; the membership thread waits for none of them.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/membership/MembershipService.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/membership/MembershipService.java
@@ -169,12 +169,12 @@
 
     /**
      * Sets the configuration in force. Its version is reported in heartbeats, and its regions are
-     * used for the view. Dropped if the queue of the event loop is full.
+     * used for the view. Blocks while the queue of the event loop is full.
      *
      * @param configuration the configuration
      */
     public void configure(Configuration configuration) {
-        mEventLoop.offer(
+        mEventLoop.put(
                 () -> {
                     mTable.setConfiguration(configuration.version());
                     mTable.setRegions(configuration::regionOf);
@@ -184,12 +184,12 @@
 
     /**
      * Sets whether this instance is leaving because of a planned stop, and reports it to the other
-     * instances immediately. Dropped if the queue of the event loop is full.
+     * instances immediately. Blocks while the queue of the event loop is full.
      *
      * @param leaving whether this instance is leaving
      */
     public void setLeaving(boolean leaving) {
-        mEventLoop.offer(
+        mEventLoop.put(
                 () -> {
                     mTable.setLeaving(leaving);
                     mTable.sendHeartbeats();
@@ -213,7 +213,7 @@
      */
     @Override
     public void close() {
-        mEventLoop.offer(mTable::announceTermination);
+        mEventLoop.put(mTable::announceTermination);
         mEventLoop.close();
     }
 
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/membership/MembershipServiceTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/membership/MembershipServiceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.masticpond.core.configuration.Configuration;
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.ZoneId;
@@ -51,6 +52,9 @@
     private static final Duration MAXIMUM_HEARTBEAT_AGE = Duration.ofMillis(1_500);
     private static final int MAXIMUM_TICKS_TO_DETECT = 29;
 
+    /** Capacity of the queue of the service. */
+    private static final int QUEUE_CAPACITY = 4_096;
+
     private final ManualTimeSource mTime =
             new ManualTimeSource(Instant.parse("2026-12-02T06:00:00Z"));
     private final ListOnlyStore mStore = new ListOnlyStore();
@@ -240,6 +244,48 @@
         awaitTrue("a receives the headroom of b", () -> received.getCount() == 0);
     }
 
+    /** Guards against a planned stop that no other instance learns of, as the queue was full. */
+    @Example
+    void plannedStopIsReportedWhenQueueIsFull() throws InterruptedException {
+        Node a = start(A, 1, List.of());
+        Node b = start(B, 1, List.of(a.address()));
+        awaitTrue("a sees b live", () -> a.stateOf(B) == MemberState.LIVE);
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        b.service()
+                .addListener(
+                        view -> {
+                            blocked.countDown();
+                            awaitUninterruptibly(release);
+                        });
+        b.service().configure(Configuration.EMPTY);
+        awaitTrue("the event loop of b is blocked", () -> blocked.getCount() == 0);
+        Thread leaving =
+                new Thread(
+                        () -> {
+                            for (int i = 0; i <= QUEUE_CAPACITY; i++) {
+                                b.service().setLeaving(i == QUEUE_CAPACITY);
+                            }
+                        });
+        leaving.start();
+        awaitNow(
+                "the last call has returned or waits",
+                () ->
+                        leaving.getState() == Thread.State.TIMED_WAITING
+                                || leaving.getState() == Thread.State.TERMINATED);
+        release.countDown();
+        leaving.join();
+        awaitTrue("a sees b leaving", () -> a.stateOf(B) == MemberState.LEAVING);
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Example
     void plannedStopIsReportedImmediately() {
         Node a = start(A, 1, List.of());
