Forget exhausted allotments after one second

Seen: none yet; the memory of a process grew with each instance and service that had ever been without an allotment. Cause: PeerFallbackEntry never removed an entry of mExhaustedSince, though it has no effect after one second. Evidence: PeerFallbackEntryTest.forgetsExhaustedAllotmentsAfterOneSecond failed before with 2 entries in place of 1. Change: entries are kept in the order of their times, and the expired ones at the head are removed with each new one, so an entry costs one removal.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/PeerFallbackEntry.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/PeerFallbackEntry.java
@@ -13,6 +13,8 @@
 import java.util.ArrayDeque;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
@@ -47,7 +49,9 @@
     private final RemoteAdmitter mRemote;
     private final RetryBudget mRetryBudget;
     private final Map<RequestId, PeerSearch> mPeerSearches = new HashMap<>();
-    private final Map<AllotmentKey, Long> mExhaustedSince = new HashMap<>();
+
+    /** Monotonic times in nanoseconds, the earliest first. */
+    private final Map<AllotmentKey, Long> mExhaustedSince = new LinkedHashMap<>();
 
     /**
      * Creates an entry side.
@@ -121,6 +125,21 @@
                 && NO_ALLOTMENT_CAUSES.contains(refused.refusal().cause());
     }
 
+    /** Returns the number of allotments that are remembered as exhausted. */
+    int exhaustedCount() {
+        return mExhaustedSince.size();
+    }
+
+    private void recordExhausted(AllotmentKey key) {
+        long now = mTimeSource.monotonicNanos();
+        Iterator<Long> times = mExhaustedSince.values().iterator();
+        while (times.hasNext() && now - times.next() >= EXHAUSTED_NANOS) {
+            times.remove();
+        }
+        mExhaustedSince.remove(key);
+        mExhaustedSince.put(key, now);
+    }
+
     /** Key of the allotment of an instance for a service. */
     private record AllotmentKey(InstanceId instance, ServiceId service) {}
 
@@ -169,7 +188,7 @@
         private void onResult(InstanceId from, RemoteAdmitter.ForwardResult result) {
             if (result instanceof RemoteAdmitter.ForwardResult.Ended ended) {
                 if (hasNoAllotment(ended.completion())) {
-                    mExhaustedSince.put(allotmentKey(from), mTimeSource.monotonicNanos());
+                    recordExhausted(allotmentKey(from));
                     tryNextInstance();
                     return;
                 }
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PeerFallbackEntryTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/PeerFallbackEntryTest.java
@@ -86,6 +86,21 @@
         assertThat(mCompletions.get(2)).isEqualTo(ANSWER);
     }
 
+    /** Guards against entries of removed instances that accumulate over the life of a process. */
+    @Example
+    void forgetsExhaustedAllotmentsAfterOneSecond() {
+        mGate.mUnavailable = true;
+        mResults.add(endedWith(refused(Verdict.DID_NOT_RUN, RefusalCause.PLATFORM_AWAY)));
+        mResults.add(endedWith(refused(Verdict.DID_NOT_RUN, RefusalCause.PLATFORM_AWAY)));
+        submit(OperationKind.READ);
+        assertThat(mEntry.exhaustedCount()).isEqualTo(2);
+        mTime.advance(Duration.ofSeconds(1));
+        mResults.add(endedWith(refused(Verdict.DID_NOT_RUN, RefusalCause.PLATFORM_AWAY)));
+        mResults.add(endedWith(ANSWER));
+        submit(OperationKind.READ);
+        assertThat(mEntry.exhaustedCount()).isEqualTo(1);
+    }
+
     @Example
     void onceOnlyRequestsOnLostLinksMayHaveRunAndAreNotForwardedAgain() {
         mGate.mUnavailable = true;
