Close the intake of requests in one step with the check for requests in flight

Seen by callers: a request that was read while a planned stop found nothing in flight was passed on to a backend server, and its caller got no answer. Cause: the stop read three counters one after the other, then told the gateway to refuse. A caller's request was counted only after its body had been read, up to the idle timeout after the gateway had been asked whether it may be taken. Evidence: PlannedStopTest.requestThatBeginsAtTheDecisionIsFinished failed before (1 request in flight at the hand-over, with the former stop on the new interface). CallerServerTest.requestIsInFlightWhileItsBodyIsRead, requestWhoseBodyEndsAfterCloseIsRefusedAndNotSubmitted and requestAfterCloseIsRefusedAndItsConnectionClosed failed with the former place of the count: not counted, submitted, and no answer within 20 s. A request enters when its head has been read and leaves when its answer is written; a submitted one is counted again until the service completes it, since it outlives a caller that disconnects. The stop closes the intake only at zero, or at the drain timeout; the gateway derives "not ready" from it. Ruled out: a second look at the counters after the refusal. It finds what was counted by then, but not a body that is still being read.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
@@ -13,6 +13,7 @@
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.daemon.header.HeaderNames;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.settings.DaemonSettings.CallerSettings;
 import io.masticpond.daemon.steering.HeaderField;
 import io.masticpond.daemon.steering.RequestCompletion;
@@ -63,6 +64,7 @@
     private final LookupRoute mLookup;
     private final RequestReader mReader;
     private final RequestIdGenerator mIds;
+    private final RequestIntake mIntake;
     private final Javalin mServer;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
@@ -72,16 +74,19 @@
      * @param settings the addresses and limits
      * @param service the service that look-ups and requests are passed to
      * @param ids the source of request ids
+     * @param intake the intake of requests
      * @param timeSource the clocks
      */
     public CallerServer(
             CallerSettings settings,
             CallerService service,
             RequestIdGenerator ids,
+            RequestIntake intake,
             TimeSource timeSource) {
         mSettings = settings;
         mService = service;
         mIds = ids;
+        mIntake = intake;
         mReader = new RequestReader(timeSource);
         mLookup = new LookupRoute(service);
         mServer = Javalin.create(this::configure);
@@ -183,6 +188,11 @@
 
     private void handleRequest(Context context) {
         RequestId id = mIds.next();
+        if (!mIntake.tryEnter()) {
+            refuseStopping(context, id);
+            return;
+        }
+        onExchangeEnd(context, mIntake::leave);
         Optional<String> notReady = mService.unreadyReason();
         if (notReady.isPresent()) {
             refuse(context, id, RefusalCause.NOT_READY, notReady.get());
@@ -213,10 +223,23 @@
     }
 
     private void steer(Context context, SteeredRequest request, CallerService.OperationKeys keys) {
+        if (!mIntake.tryEnter()) {
+            mInFlight.decrementAndGet();
+            refuseStopping(context, request.head().id());
+            return;
+        }
         CompletableFuture<RequestCompletion> future = new CompletableFuture<>();
+        CompletableFuture<Void> exchangeEnd = new CompletableFuture<>();
+        onExchangeEnd(context, () -> exchangeEnd.complete(null));
         CompletableFuture<Void> unused =
-                future.runAfterBoth(exchangeEnd(context), mInFlight::decrementAndGet);
-        mService.submit(request, keys, future::complete);
+                future.runAfterBoth(exchangeEnd, mInFlight::decrementAndGet);
+        mService.submit(
+                request,
+                keys,
+                completion -> {
+                    future.complete(completion);
+                    mIntake.leave();
+                });
         context.future(
                 () ->
                         future.thenAcceptAsync(
@@ -224,16 +247,16 @@
                                 mServer.jettyServer().threadPool()));
     }
 
-    /**
-     * Returns a future that completes once the answer has been written to the socket or can no
-     * longer be.
-     */
-    private static CompletableFuture<Void> exchangeEnd(Context context) {
-        CompletableFuture<Void> end = new CompletableFuture<>();
+    /** Runs a task once the answer has been written to the socket or can no longer be. */
+    private static void onExchangeEnd(Context context, Runnable task) {
         Request.addCompletionListener(
                 ServletContextRequest.getServletContextRequest(context.req()),
-                failure -> end.complete(null));
-        return end;
+                failure -> task.run());
+    }
+
+    private static void refuseStopping(Context context, RequestId id) {
+        context.header("Connection", "close");
+        refuse(context, id, RefusalCause.NOT_READY, "This instance is stopping.");
     }
 
     private void write(Context context, SteeredRequest request, RequestCompletion completion) {
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/gateway/RequestGateway.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/gateway/RequestGateway.java
@@ -10,6 +10,7 @@
 import io.masticpond.core.request.RefusalCause;
 import io.masticpond.daemon.caller.CallerService;
 import io.masticpond.daemon.eventloop.EventLoop;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.operation.OnceOnlyGuard;
 import io.masticpond.daemon.operation.OnceOnlyKeys;
 import io.masticpond.daemon.steering.PeerFallbackEntry;
@@ -28,6 +29,7 @@
  */
 public final class RequestGateway implements CallerService {
 
+    private final RequestIntake mIntake;
     private final EventLoop mSteering;
     private final ZoneId mZone;
     private final Supplier<Configuration> mConfiguration;
@@ -35,11 +37,11 @@
     private final PeerFallbackEntry mEntry;
     private final OnceOnlyGuard mGuard;
     private final LongConsumer mSeenVersion;
-    private volatile boolean mStopping;
 
     /**
      * Creates a gateway.
      *
+     * @param intake the intake of requests; once it is closed, this instance is not ready
      * @param steering the steering event loop
      * @param zone the availability zone of this instance
      * @param configuration the supplier of the configuration in force
@@ -49,6 +51,7 @@
      * @param seenVersion the consumer of configuration versions that callers have seen
      */
     public RequestGateway(
+            RequestIntake intake,
             EventLoop steering,
             ZoneId zone,
             Supplier<Configuration> configuration,
@@ -56,6 +59,7 @@
             PeerFallbackEntry entry,
             OnceOnlyGuard guard,
             LongConsumer seenVersion) {
+        mIntake = intake;
         mSteering = steering;
         mZone = zone;
         mConfiguration = configuration;
@@ -65,14 +69,6 @@
         mSeenVersion = seenVersion;
     }
 
-    /**
-     * Makes the gateway answer all further look-ups and requests with "not ready". Called at the
-     * end of a planned stop.
-     */
-    public void stop() {
-        mStopping = true;
-    }
-
     @Override
     public Configuration configuration() {
         return mConfiguration.get();
@@ -80,7 +76,7 @@
 
     @Override
     public Optional<String> unreadyReason() {
-        if (mStopping) {
+        if (mIntake.isClosed()) {
             return Optional.of("This instance is stopping.");
         }
         Configuration configuration = mConfiguration.get();
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/PlannedStop.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/PlannedStop.java
@@ -120,11 +120,10 @@
             }
             mState = DrainState.STOPPING;
         }
-        boolean idle = awaitIdle();
+        boolean idle = finishRequests();
         if (!idle) {
             sLogger.warn("PROCESS  Stopping with {} requests in flight.", mParts.inFlight());
         }
-        mParts.refuseNewRequests();
         if (!mParts.handOverOutcomes(HANDOVER_TIMEOUT)) {
             sLogger.warn("PROCESS  Not all outcomes were handed over.");
         }
@@ -135,18 +134,22 @@
         return idle;
     }
 
-    private boolean awaitIdle() {
+    /** Waits until no request is in flight, and refuses new requests from that moment on. */
+    private boolean finishRequests() {
         long end = mLeavingSinceNanos + mDrainTimeout.toNanos();
         long idleSinceNanos = mTimeSource.monotonicNanos();
         while (mTimeSource.monotonicNanos() - end < 0) {
             long now = mTimeSource.monotonicNanos();
             if (!isIdle()) {
                 idleSinceNanos = now;
-            } else if (haveLookupsExpired() && now - idleSinceNanos >= IDLE_PERIOD.toNanos()) {
+            } else if (haveLookupsExpired()
+                    && now - idleSinceNanos >= IDLE_PERIOD.toNanos()
+                    && mParts.refuseNewRequestsIfIdle()) {
                 return true;
             }
             mPause.accept(POLL_INTERVAL);
         }
+        mParts.refuseNewRequests();
         return isIdle();
     }
 
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/StoppableParts.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/StoppableParts.java
@@ -17,7 +17,15 @@
      *
      * @return the number of requests
      */
-    int inFlight();
+    long inFlight();
+
+    /**
+     * Refuses all new requests from now on, stating that they did not run, provided that no request
+     * is in flight. The check and the refusal are one step: no request can begin between them.
+     *
+     * @return whether new requests are refused and no request is in flight
+     */
+    boolean refuseNewRequestsIfIdle();
 
     /** Refuses all new requests from now on, stating that they did not run. */
     void refuseNewRequests();
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/CallerModule.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/CallerModule.java
@@ -12,6 +12,7 @@
 import io.masticpond.daemon.gateway.LookupTable;
 import io.masticpond.daemon.gateway.MeteredCallerService;
 import io.masticpond.daemon.gateway.RequestGateway;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.metrics.DaemonMetrics;
 import io.masticpond.daemon.operation.OnceOnlyGuard;
 import io.masticpond.daemon.settings.DaemonSettings;
@@ -46,8 +47,10 @@
             ConfigurationService configurationService,
             LookupTable lookups,
             PeerFallbackEntry entry,
-            OnceOnlyGuard guard) {
+            OnceOnlyGuard guard,
+            RequestIntake intake) {
         return new RequestGateway(
+                intake,
                 steeringLoop,
                 settings.instance().zone(),
                 configuration::current,
@@ -64,8 +67,9 @@
             RequestGateway gateway,
             DaemonMetrics metrics,
             RequestIdGenerator ids,
+            RequestIntake intake,
             TimeSource timeSource) {
         CallerService metered = new MeteredCallerService(gateway, metrics.requests(), timeSource);
-        return new CallerServer(settings.caller(), metered, ids, timeSource);
+        return new CallerServer(settings.caller(), metered, ids, intake, timeSource);
     }
 }
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
@@ -1,10 +1,9 @@
 package io.masticpond.daemon.wiring;
 
 import io.masticpond.core.id.Incarnation;
-import io.masticpond.daemon.caller.CallerServer;
 import io.masticpond.daemon.eventloop.EventLoop;
 import io.masticpond.daemon.forwarding.ForwardReceiver;
-import io.masticpond.daemon.gateway.RequestGateway;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.lifecycle.StoppableParts;
 import io.masticpond.daemon.membership.MembershipService;
 import io.masticpond.daemon.operation.LinkOperationPeers;
@@ -28,8 +27,7 @@
     private final SteeringService mSteeringService;
     private final ForwardReceiver mForwardReceiver;
     private final MembershipService mMembers;
-    private final CallerServer mCallers;
-    private final RequestGateway mGateway;
+    private final RequestIntake mIntake;
     private final OnceOnlyGuard mGuard;
     private final LinkOperationPeers mPeers;
     private final PlatformOperationArchive mArchive;
@@ -42,8 +40,7 @@
             SteeringService steeringService,
             ForwardReceiver forwardReceiver,
             MembershipService members,
-            CallerServer callers,
-            RequestGateway gateway,
+            RequestIntake intake,
             OnceOnlyGuard guard,
             LinkOperationPeers peers,
             PlatformOperationArchive archive,
@@ -53,8 +50,7 @@
         mSteeringService = steeringService;
         mForwardReceiver = forwardReceiver;
         mMembers = members;
-        mCallers = callers;
-        mGateway = gateway;
+        mIntake = intake;
         mGuard = guard;
         mPeers = peers;
         mArchive = archive;
@@ -67,15 +63,20 @@
     }
 
     @Override
-    public int inFlight() {
-        return mCallers.inFlightCount()
+    public long inFlight() {
+        return mIntake.count()
                 + mForwardReceiver.steeredCount()
                 + mSteeringService.inFlight();
     }
 
+    @Override
+    public boolean refuseNewRequestsIfIdle() {
+        return mIntake.closeIfIdle();
+    }
+
     @Override
     public void refuseNewRequests() {
-        mGateway.stop();
+        mIntake.close();
     }
 
     @Override
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/LifecycleModule.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/LifecycleModule.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.core.timeline.Timeline;
 import io.masticpond.daemon.lifecycle.PlannedStop;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.operator.DrainControl;
 import io.masticpond.daemon.operator.HealthRoutes;
 import io.masticpond.daemon.operator.OperatorRoutes;
@@ -25,6 +26,12 @@
 
     private LifecycleModule() {}
 
+    @Provides
+    @Singleton
+    static RequestIntake requestIntake() {
+        return new RequestIntake();
+    }
+
     @Provides
     @Singleton
     static PlannedStop plannedStop(
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/caller/CallerServerTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/caller/CallerServerTest.java
@@ -10,6 +10,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.lookup.LookupDecision;
 import io.masticpond.core.time.SystemTimeSource;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.settings.DaemonSettings.CallerSettings;
 import io.masticpond.daemon.steering.RequestCompletion;
 import io.masticpond.daemon.steering.SteeredRequest;
@@ -38,7 +39,10 @@
     private static final int LARGE_BODY_BYTES = 32 << 20;
 
     private static final String SERVICE = "plate-ledger";
+    private static final String HEAD =
+            "POST /v1/services/" + SERVICE + "/plates HTTP/1.1\r\nHost: a\r\n";
 
+    private final RequestIntake mIntake = new RequestIntake();
     private final HoldingCallerService mService = new HoldingCallerService();
     private CallerServer mServer;
     private Socket mCaller;
@@ -50,6 +54,7 @@
                         new CallerSettings("127.0.0.1:0", null, null, null, null, null, null),
                         mService,
                         new RequestIdGenerator(1),
+                        mIntake,
                         new SystemTimeSource());
         mServer.start();
         mCaller = new Socket();
@@ -69,7 +74,7 @@
      */
     @Example
     void requestIsInFlightUntilItsAnswerIsWritten() throws Exception {
-        send("GET /v1/services/" + SERVICE + "/plates HTTP/1.1\r\nHost: a\r\n\r\n");
+        send(HEAD + "\r\n");
         Consumer<RequestCompletion> listener = mService.nextListener();
         listener.accept(answer(LARGE_BODY_BYTES));
         InputStream answer = mCaller.getInputStream();
@@ -79,6 +84,53 @@
         awaitTrue("the request has ended", () -> mServer.inFlightCount() == 0);
     }
 
+    /**
+     * Guards against a planned stop that reads "idle" while a body is still being read, refuses
+     * new requests, and cuts the request that is sent to a backend server after that.
+     */
+    @Example
+    void requestIsInFlightWhileItsBodyIsRead() throws Exception {
+        send(HEAD + "Content-Length: 2\r\n\r\na");
+        awaitTrue("the request is counted", () -> mIntake.count() > 0);
+        assertThat(mIntake.closeIfIdle()).isFalse();
+        send("b");
+        mService.nextListener().accept(answer(1));
+        assertThat(readToEndOfBody(mCaller.getInputStream(), 1)).isTrue();
+        awaitTrue("the request has ended", () -> mIntake.count() == 0);
+    }
+
+    /** Guards against a request that is submitted after the drain timeout, and cut. */
+    @Example
+    void requestWhoseBodyEndsAfterCloseIsRefusedAndNotSubmitted() throws Exception {
+        send(HEAD + "Content-Length: 2\r\n\r\na");
+        awaitTrue("the request is counted", () -> mIntake.count() > 0);
+        mIntake.close();
+        send("b");
+        assertThat(readLine()).contains(" 503 ");
+        assertThat(mService.mListeners).isEmpty();
+    }
+
+    @Example
+    void requestAfterCloseIsRefusedAndItsConnectionClosed() throws Exception {
+        mIntake.close();
+        send(HEAD + "\r\n");
+        assertThat(readLine()).contains(" 503 ");
+        String rest =
+                new String(mCaller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(rest).contains("Masticpond-Verdict: did-not-run").contains("Connection: close");
+        assertThat(mIntake.count()).isZero();
+    }
+
+    private String readLine() throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = mCaller.getInputStream().read();
+                next >= 0 && next != '\n';
+                next = mCaller.getInputStream().read()) {
+            line.append((char) next);
+        }
+        return line.toString();
+    }
+
     private void send(String text) throws IOException {
         mCaller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         mCaller.getOutputStream().flush();
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/lifecycle/PlannedStopTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/lifecycle/PlannedStopTest.java
@@ -37,6 +37,18 @@
         assertThat(mParts.mRefusingSinceMillis).isGreaterThanOrEqualTo(12_000);
     }
 
+    /**
+     * Guards against a request that is cut because it begins between the check for requests in
+     * flight and the refusal of new requests.
+     */
+    @Example
+    void requestThatBeginsAtTheDecisionIsFinished() {
+        mParts.mRequestBeginsAtDecision = true;
+        assertThat(mStop.stop()).isTrue();
+        assertThat(mParts.mInFlightAtHandover).isZero();
+        assertThat(mParts.mSteps).containsExactly("leaving", "refuse", "outcomes", "allotments");
+    }
+
     @Example
     void stopReportsRequestsThatDoNotEndWithinTimeout() {
         mParts.mInFlight = millis -> 1;
@@ -69,6 +81,8 @@
         private final List<String> mSteps = new ArrayList<>();
         private LongUnaryOperator mInFlight = millis -> 0;
         private boolean mAccepted = true;
+        private boolean mRequestBeginsAtDecision;
+        private long mInFlightAtHandover;
         private long mRefusingSinceMillis;
 
         @Override
@@ -77,8 +91,22 @@
         }
 
         @Override
-        public int inFlight() {
-            return (int) mInFlight.applyAsLong(millis());
+        public long inFlight() {
+            return mInFlight.applyAsLong(millis());
+        }
+
+        @Override
+        public boolean refuseNewRequestsIfIdle() {
+            if (mRequestBeginsAtDecision) {
+                mRequestBeginsAtDecision = false;
+                long end = millis() + 500;
+                mInFlight = millis -> millis < end ? 1 : 0;
+            }
+            if (inFlight() > 0) {
+                return false;
+            }
+            refuseNewRequests();
+            return true;
         }
 
         @Override
@@ -89,6 +117,7 @@
 
         @Override
         public boolean handOverOutcomes(Duration timeout) {
+            mInFlightAtHandover = inFlight();
             mSteps.add("outcomes");
             return mAccepted;
         }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/hostile/HostileTargets.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/hostile/HostileTargets.java
@@ -22,6 +22,7 @@
 import io.masticpond.daemon.operator.OperatorServer;
 import io.masticpond.daemon.operator.OperatorSettings;
 import io.masticpond.daemon.operator.OperatorToken;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.settings.DaemonSettings.CallerSettings;
 import io.masticpond.daemon.settings.SettingsReader;
 import java.io.IOException;
@@ -155,6 +156,7 @@
                         settings,
                         new RefusingCallerService(),
                         new RequestIdGenerator(1),
+                        new RequestIntake(),
                         new SystemTimeSource());
         server.start();
         return new SocketTarget(
--- a/masticpond-measure/src/main/java/io/masticpond/measure/lookup/HttpLookups.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/lookup/HttpLookups.java
@@ -8,6 +8,7 @@
 import io.masticpond.core.time.SystemTimeSource;
 import io.masticpond.daemon.caller.CallerServer;
 import io.masticpond.daemon.caller.RequestIdGenerator;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.settings.DaemonSettings.CallerSettings;
 import io.masticpond.measure.support.Deployment;
 import java.io.IOException;
@@ -67,6 +68,7 @@
                         settings,
                         new LookupService(mConfiguration, decider),
                         new RequestIdGenerator(1),
+                        new RequestIntake(),
                         new SystemTimeSource())) {
             server.start();
             sendLookups(port, WARM_UP_LOOKUPS);
