Count a forwarded request from its receipt until its answer is written

Seen by callers of other instances: a request that was forwarded to an instance at the end of its planned stop was passed on to a backend server and cut. Cause: a forward that waited for the steering thread was counted nowhere, a charged one by a number that the steering thread copied every few milliseconds. The count fell when the answer was handed to the event loop of the links, not when it was written. Evidence: ChargedForwardTest.forwardedRequestIsInFlightFromItsReceiptToItsAnswer (0 in place of 1) and forwardedRequestAfterCloseIsRefused (no refusal) failed before. Change: ForwardReceiver enters the intake at receipt; Responder.onEnd reports that the answer has been written to the socket or dropped. Once the intake is closed a forward is refused as not run, so that its sender tries another instance. ChargedForwardTest asserts on the intake what it asserted on steeredCount, which is gone.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/ForwardReceiver.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/forwarding/ForwardReceiver.java
@@ -7,6 +7,7 @@
 import io.masticpond.daemon.eventloop.EventLoop;
 import io.masticpond.daemon.instance.InstanceLinks;
 import io.masticpond.daemon.instance.Responder;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.steering.AdmitterSteering;
 import io.masticpond.daemon.steering.EntrySteering;
 import io.masticpond.daemon.steering.RequestCompletion;
@@ -14,8 +15,8 @@
 import io.masticpond.protocol.generated.Envelope;
 import io.masticpond.protocol.generated.Forward;
 import io.masticpond.protocol.generated.ForwardAnswer;
+import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Receiver of requests that other instances forward. It passes them to the admitter side, or to the
@@ -31,10 +32,11 @@
     private final EventLoop mEventLoop;
     private final AdmitterSteering mAdmitter;
     private final EntrySteering mEntry;
+    private final RequestIntake mIntake;
     private final TimeSource mTimeSource;
 
-    /** The requests that this instance steers for other instances. */
-    private final Set<RequestId> mSteeredRequests = ConcurrentHashMap.newKeySet();
+    /** The requests that this instance steers for others; confined to the steering thread. */
+    private final Set<RequestId> mSteeredRequests = new HashSet<>();
 
     /**
      * Creates a receiver.
@@ -42,16 +44,19 @@
      * @param eventLoop the steering event loop
      * @param admitter the admitter side
      * @param entry the entry side, which passes on no request that it cannot charge
+     * @param intake the intake of requests; once it is closed, all are refused
      * @param timeSource the clocks
      */
     public ForwardReceiver(
             EventLoop eventLoop,
             AdmitterSteering admitter,
             EntrySteering entry,
+            RequestIntake intake,
             TimeSource timeSource) {
         mEventLoop = eventLoop;
         mAdmitter = admitter;
         mEntry = entry;
+        mIntake = intake;
         mTimeSource = timeSource;
     }
 
@@ -65,17 +70,12 @@
         links.setHandler(Envelope.BodyCase.CANCEL, this::cancel);
     }
 
-    /**
-     * Returns the number of requests that this instance steers for other instances at present.
-     * Thread-safe.
-     *
-     * @return the number of requests
-     */
-    public int steeredCount() {
-        return mSteeredRequests.size();
-    }
-
     private void forward(InstanceId from, Envelope envelope, Responder responder) {
+        if (!mIntake.tryEnter()) {
+            responder.refuse("This instance is stopping.");
+            return;
+        }
+        responder.onEnd(mIntake::leave);
         Runnable task;
         try {
             task = createTask(envelope.getForward(), responder);
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/Connection.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/Connection.java
@@ -139,23 +139,27 @@
 
     /**
      * Sends the answer to a request. Closes the connection if the peer does not read its answers
-     * and more bytes are pending than may be queued.
+     * and more bytes are pending than may be queued. The callback is called once the answer has
+     * been written or dropped.
      */
-    void answer(long callId, Envelope answer) {
+    void answer(long callId, Envelope answer, Runnable onEnd) {
         mUnansweredRequests--;
         if (!mChannel.isActive()) {
             mCounters.mAnswersDropped.increment();
+            onEnd.run();
             return;
         }
         int bytes = answer.getSerializedSize();
         mPendingAnswerBytes += bytes;
         if (mPendingAnswerBytes > mSettings.maximumQueuedBytes()) {
             mCounters.mAnswersDropped.increment();
+            onEnd.run();
             close("The peer leaves its answers unread.");
             return;
         }
         ChannelProgressivePromise promise = mChannel.newProgressivePromise();
         promise.addListener(future -> mPendingAnswerBytes -= bytes);
+        promise.addListener(future -> onEnd.run());
         write(answer.toBuilder().setCallId(callId).build(), promise);
         mChannel.flush();
     }
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/DefaultResponder.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/DefaultResponder.java
@@ -14,6 +14,7 @@
     private final long mCallId;
     private final Executor mEventLoop;
     private final AtomicBoolean mAnswered = new AtomicBoolean();
+    private volatile Runnable mOnEnd = () -> {};
 
     DefaultResponder(Connection connection, long callId, Executor eventLoop) {
         mConnection = connection;
@@ -28,17 +29,26 @@
 
     @Override
     public void answer(Envelope answer) {
-        if (mCallId == 0 || !mAnswered.compareAndSet(false, true)) {
+        if (!mAnswered.compareAndSet(false, true)) {
+            return;
+        }
+        if (mCallId == 0) {
+            mOnEnd.run();
             return;
         }
         try {
-            mEventLoop.execute(() -> mConnection.answer(mCallId, answer));
+            mEventLoop.execute(() -> mConnection.answer(mCallId, answer, mOnEnd));
         } catch (RejectedExecutionException e) {
             // The links are closed, so the call of the other side ends as lost.
-            mAnswered.set(true);
+            mOnEnd.run();
         }
     }
 
+    @Override
+    public void onEnd(Runnable listener) {
+        mOnEnd = listener;
+    }
+
     @Override
     public void refuse(String reason) {
         answer(
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/Responder.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/Responder.java
@@ -26,6 +26,14 @@
      */
     void answer(Envelope answer);
 
+    /**
+     * Sets the listener for the end of the request. It is called once, after the answer has been
+     * written to the socket or has been dropped. Must be called before the request is answered.
+     *
+     * @param listener the listener, which must not block
+     */
+    void onEnd(Runnable listener);
+
     /**
      * Refuses the request, on which this instance must not have acted and must not act later.
      *
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
@@ -2,7 +2,6 @@
 
 import io.masticpond.core.id.Incarnation;
 import io.masticpond.daemon.eventloop.EventLoop;
-import io.masticpond.daemon.forwarding.ForwardReceiver;
 import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.lifecycle.StoppableParts;
 import io.masticpond.daemon.membership.MembershipService;
@@ -25,7 +24,6 @@
     private final Incarnation mIncarnation;
     private final EventLoop mSteeringLoop;
     private final SteeringService mSteeringService;
-    private final ForwardReceiver mForwardReceiver;
     private final MembershipService mMembers;
     private final RequestIntake mIntake;
     private final OnceOnlyGuard mGuard;
@@ -38,7 +36,6 @@
             Incarnation incarnation,
             @SteeringThread EventLoop steeringLoop,
             SteeringService steeringService,
-            ForwardReceiver forwardReceiver,
             MembershipService members,
             RequestIntake intake,
             OnceOnlyGuard guard,
@@ -48,7 +45,6 @@
         mIncarnation = incarnation;
         mSteeringLoop = steeringLoop;
         mSteeringService = steeringService;
-        mForwardReceiver = forwardReceiver;
         mMembers = members;
         mIntake = intake;
         mGuard = guard;
@@ -64,9 +60,7 @@
 
     @Override
     public long inFlight() {
-        return mIntake.count()
-                + mForwardReceiver.steeredCount()
-                + mSteeringService.inFlight();
+        return mIntake.count() + mSteeringService.inFlight();
     }
 
     @Override
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/SteeringModule.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/SteeringModule.java
@@ -20,6 +20,7 @@
 import io.masticpond.daemon.forwarding.ForwardReceiver;
 import io.masticpond.daemon.forwarding.LinkRemoteAdmitter;
 import io.masticpond.daemon.instance.InstanceLinks;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.metrics.DaemonMetrics;
 import io.masticpond.daemon.settings.DaemonSettings;
 import io.masticpond.daemon.spending.SpendingService;
@@ -141,8 +142,9 @@
             @SteeringThread EventLoop steeringLoop,
             AdmitterSteering admitter,
             EntrySteering entry,
+            RequestIntake intake,
             TimeSource timeSource) {
-        return new ForwardReceiver(steeringLoop, admitter, entry, timeSource);
+        return new ForwardReceiver(steeringLoop, admitter, entry, intake, timeSource);
     }
 
     @Provides
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/instance/NettyInstanceLinksTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/instance/NettyInstanceLinksTest.java
@@ -20,6 +20,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 
@@ -67,6 +69,34 @@
         }
     }
 
+    /** Guards against a stop that closes the links before an answer has been written. */
+    @Example
+    void requestEndsOnceItsAnswerIsWrittenOrDropped() throws InterruptedException {
+        connect(LinkFixture.settings(), LinkFixture.settings());
+        Queue<Responder> arrived = new ConcurrentLinkedQueue<>();
+        CountDownLatch ended = new CountDownLatch(2);
+        mSecond.setHandler(
+                Envelope.BodyCase.FORWARD,
+                (from, message, responder) -> {
+                    responder.onEnd(ended::countDown);
+                    arrived.add(responder);
+                });
+        CompletableFuture<Either<LinkError, Envelope>> answered =
+                mFirst.call(SECOND, forward("a"), LONG);
+        LinkFixture.awaitTrue("request received", () -> arrived.size() == 1);
+        assertThat(ended.getCount()).isEqualTo(2);
+        arrived.remove().answer(LinkFixture.answer("a"));
+        assertThat(await(answered).isRight()).isTrue();
+        LinkFixture.awaitTrue("answer written", () -> ended.getCount() == 1);
+        CompletableFuture<Either<LinkError, Envelope>> lost =
+                mFirst.call(SECOND, forward("b"), LONG);
+        LinkFixture.awaitTrue("request received", () -> arrived.size() == 1);
+        mFirst.close();
+        assertThat(errorOf(lost)).isInstanceOf(LinkError.Lost.class);
+        arrived.remove().answer(LinkFixture.answer("b"));
+        assertThat(ended.await(LONG.toSeconds(), TimeUnit.SECONDS)).isTrue();
+    }
+
     @Example
     void bothSidesCallOverOneConnection() {
         connect(LinkFixture.settings(), LinkFixture.settings());
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/ChargedForwardTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/steering/ChargedForwardTest.java
@@ -21,9 +21,11 @@
 import io.masticpond.daemon.instance.EnvelopeHandler;
 import io.masticpond.daemon.instance.InstanceLinks;
 import io.masticpond.daemon.instance.Responder;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.steering.RemoteAdmitter.ForwardResult;
 import io.masticpond.protocol.generated.Cancel;
 import io.masticpond.protocol.generated.Envelope;
+import io.masticpond.protocol.generated.Forward;
 import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.time.Instant;
@@ -55,7 +57,12 @@
     private final Map<Envelope.BodyCase, EnvelopeHandler> mHandlers =
             new EnumMap<>(Envelope.BodyCase.class);
     private final EntrySteering mEntry = entry();
-    private final ForwardReceiver mReceiver = receiver();
+    private final RequestIntake mIntake = new RequestIntake();
+    private final List<String> mRefusals = new ArrayList<>();
+
+    ChargedForwardTest() {
+        registerReceiver();
+    }
 
     @Example
     void receivingInstanceChargesAndSteersRequest() {
@@ -68,7 +75,7 @@
         assertThat(mAnswers).hasSize(1);
         assertThat(mAnswers.get(0).getForwardAnswer().getAnswer().getBackendServer())
                 .isEqualTo("server-1");
-        assertThat(mReceiver.steeredCount()).isZero();
+        assertThat(mIntake.count()).isZero();
     }
 
     @Example
@@ -90,7 +97,7 @@
         forwardUncharged();
         cancel();
         runSteeringLoop();
-        assertThat(mReceiver.steeredCount()).isEqualTo(1);
+        assertThat(mIntake.count()).isEqualTo(1);
         mGate.mRenewing = false;
         mEntry.advance();
         assertThat(mForwardedTo).isEmpty();
@@ -98,7 +105,36 @@
                 ForwardCodec.toCompletion(mAnswers.get(0).getForwardAnswer());
         assertThat(((RequestCompletion.Refused) completion).refusal().cause())
                 .isEqualTo(RefusalCause.CANCELLED);
-        assertThat(mReceiver.steeredCount()).isZero();
+        assertThat(mIntake.count()).isZero();
+    }
+
+    /**
+     * Guards against a planned stop that cuts a forwarded request: it was not counted while it
+     * waited for the steering thread, and a charged one was counted some milliseconds late.
+     */
+    @Example
+    void forwardedRequestIsInFlightFromItsReceiptToItsAnswer() {
+        mGate.mUnavailable = true;
+        forwardUncharged();
+        assertThat(mIntake.count()).isEqualTo(1);
+        forwardCharged();
+        assertThat(mIntake.count()).isEqualTo(2);
+        runSteeringLoop();
+        assertThat(mAnswers).hasSize(2);
+        assertThat(mIntake.count()).isZero();
+    }
+
+    /** Guards against a forwarded request that begins after the stop found nothing in flight. */
+    @Example
+    void forwardedRequestAfterCloseIsRefused() {
+        mIntake.close();
+        forwardUncharged();
+        forwardCharged();
+        runSteeringLoop();
+        assertThat(mRefusals)
+                .containsExactly("This instance is stopping.", "This instance is stopping.");
+        assertThat(mAnswers).isEmpty();
+        assertThat(mForwardedTo).isEmpty();
     }
 
     @Example
@@ -126,12 +162,16 @@
     }
 
     private void forwardUncharged() {
-        Envelope envelope =
-                Envelope.newBuilder()
-                        .setForward(
-                                ForwardCodec.toUnchargedForward(
-                                        request(), Duration.ofSeconds(1).toNanos()))
-                        .build();
+        forward(ForwardCodec.toUnchargedForward(request(), Duration.ofSeconds(1).toNanos()));
+    }
+
+    private void forwardCharged() {
+        Shard shard = new Shard(SERVICE, new RegionId("casa"), 0);
+        forward(ForwardCodec.toForward(request(), shard, Duration.ofSeconds(1).toNanos()));
+    }
+
+    private void forward(Forward forward) {
+        Envelope envelope = Envelope.newBuilder().setForward(forward).build();
         mHandlers
                 .get(Envelope.BodyCase.FORWARD)
                 .handle(FORWARDING_INSTANCE, envelope, new RecordingResponder());
@@ -169,10 +209,14 @@
                 new SteeringFakes.ScriptedRemote(mResults, mForwardedTo));
     }
 
-    private ForwardReceiver receiver() {
+    private void registerReceiver() {
         ForwardReceiver receiver =
                 new ForwardReceiver(
-                        mSteeringLoop, SteeringFakes.admitter(directory()), mEntry, mTime);
+                        mSteeringLoop,
+                        SteeringFakes.admitter(directory()),
+                        mEntry,
+                        mIntake,
+                        mTime);
         receiver.register(
                 (InstanceLinks)
                         Proxy.newProxyInstance(
@@ -182,7 +226,6 @@
                                         mHandlers.put(
                                                 (Envelope.BodyCase) arguments[0],
                                                 (EnvelopeHandler) arguments[1])));
-        return receiver;
     }
 
     private static ShardDirectory directory() {
@@ -194,6 +237,8 @@
     /** Responder that records the answers. */
     private final class RecordingResponder implements Responder {
 
+        private Runnable mOnEnd = () -> {};
+
         @Override
         public Incarnation peer() {
             return new Incarnation(FORWARDING_INSTANCE, 1);
@@ -202,11 +247,20 @@
         @Override
         public void answer(Envelope answer) {
             mAnswers.add(answer);
+            mOnEnd.run();
+        }
+
+        @Override
+        public void onEnd(Runnable listener) {
+            mOnEnd = listener;
         }
 
         @Override
         public void refuse(String reason) {
-            throw new AssertionError(reason);
+            if (!mIntake.isClosed()) {
+                throw new AssertionError(reason);
+            }
+            mRefusals.add(reason);
         }
     }
 }
