Count operations that other instances pass to their home

Seen by callers of other instances: a once-only operation whose home stopped as planned was cut and reported as may have run. Cause: OperationReceiver counted nothing. The stop saw such an operation only while a backend server of this instance's own shards had it; one that waited for a claim, for an allotment or for the admitter of another instance was invisible. Outcomes of another stopping instance were adopted until the links were closed, and lost. Change: operations and hand-overs enter the intake at receipt and leave when the answer has been written. With all three doors at the intake, the count of the steering thread, which was some milliseconds old, is no longer needed.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/operation/OperationReceiver.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/operation/OperationReceiver.java
@@ -10,6 +10,7 @@
 import io.masticpond.daemon.forwarding.ForwardCodec;
 import io.masticpond.daemon.instance.InstanceLinks;
 import io.masticpond.daemon.instance.Responder;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.steering.RequestCompletion;
 import io.masticpond.daemon.steering.SteeredRequest;
 import io.masticpond.protocol.generated.Envelope;
@@ -33,6 +34,7 @@
 
     private final EventLoop mSteering;
     private final OnceOnlyGuard mGuard;
+    private final RequestIntake mIntake;
     private final TimeSource mTimeSource;
 
     /**
@@ -40,11 +42,14 @@
      *
      * @param steering the steering event loop
      * @param guard the guard, which is confined to that event loop
+     * @param intake the intake of requests; once it is closed, all are refused
      * @param timeSource the clocks
      */
-    public OperationReceiver(EventLoop steering, OnceOnlyGuard guard, TimeSource timeSource) {
+    public OperationReceiver(
+            EventLoop steering, OnceOnlyGuard guard, RequestIntake intake, TimeSource timeSource) {
         mSteering = Assert.notNull(steering, "An event loop");
         mGuard = Assert.notNull(guard, "A guard");
+        mIntake = Assert.notNull(intake, "An intake");
         mTimeSource = Assert.notNull(timeSource, "A time source");
     }
 
@@ -62,6 +67,9 @@
     }
 
     private void handleRequest(InstanceId from, Envelope envelope, Responder responder) {
+        if (!enter(responder)) {
+            return;
+        }
         String key = envelope.getOperationAsk().getOperationKey();
         SteeredRequest request;
         Consumer<Consumer<RequestCompletion>> task;
@@ -99,6 +107,9 @@
     }
 
     private void handleHandover(InstanceId from, Envelope envelope, Responder responder) {
+        if (!enter(responder)) {
+            return;
+        }
         List<KeptOutcome<RequestCompletion.Answered>> outcomes;
         try {
             outcomes = OutcomeCodec.fromMessage(envelope.getOutcomeHandover());
@@ -129,6 +140,16 @@
                         .build());
     }
 
+    /** Admits a request until it has been answered, or refuses it because of a planned stop. */
+    private boolean enter(Responder responder) {
+        if (!mIntake.tryEnter()) {
+            responder.refuse("This instance is stopping.");
+            return false;
+        }
+        responder.onEnd(mIntake::leave);
+        return true;
+    }
+
     private void offer(Responder responder, Runnable task) {
         if (!mSteering.offer(task)) {
             responder.refuse("The ring of the steering duty is full.");
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/SteeringService.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/steering/SteeringService.java
@@ -38,7 +38,6 @@
     private final Map<RegionKey, Headroom> mNewestHeadrooms = new LinkedHashMap<>();
     private volatile Map<RegionKey, Headroom> mRegionHeadrooms = Map.of();
     private volatile Map<Shard, Headroom> mOwnHeadrooms = Map.of();
-    private volatile int mInFlight;
     private Configuration mConfiguration = Configuration.EMPTY;
 
     /**
@@ -103,16 +102,6 @@
         mEventLoop.offer(() -> observe(shard, headroom));
     }
 
-    /**
-     * Returns the number of requests that wait here or are in flight at backend servers, as of a
-     * few milliseconds ago.
-     *
-     * @return the count
-     */
-    public int inFlight() {
-        return mInFlight;
-    }
-
     /**
      * Returns the headroom of the shards that this instance admits to, updated every quarter of a
      * second.
@@ -143,7 +132,6 @@
 
     private void advance() {
         mAdmitter.advance();
-        mInFlight = mAdmitter.inFlight();
     }
 
     private void observeOwnShards() {
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
@@ -10,7 +10,6 @@
 import io.masticpond.daemon.operation.OperationHandover;
 import io.masticpond.daemon.operation.PlatformOperationArchive;
 import io.masticpond.daemon.spending.SpendingService;
-import io.masticpond.daemon.steering.SteeringService;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -23,7 +22,6 @@
 
     private final Incarnation mIncarnation;
     private final EventLoop mSteeringLoop;
-    private final SteeringService mSteeringService;
     private final MembershipService mMembers;
     private final RequestIntake mIntake;
     private final OnceOnlyGuard mGuard;
@@ -35,7 +33,6 @@
     DaemonParts(
             Incarnation incarnation,
             @SteeringThread EventLoop steeringLoop,
-            SteeringService steeringService,
             MembershipService members,
             RequestIntake intake,
             OnceOnlyGuard guard,
@@ -44,7 +41,6 @@
             SpendingService spending) {
         mIncarnation = incarnation;
         mSteeringLoop = steeringLoop;
-        mSteeringService = steeringService;
         mMembers = members;
         mIntake = intake;
         mGuard = guard;
@@ -60,7 +56,7 @@
 
     @Override
     public long inFlight() {
-        return mIntake.count() + mSteeringService.inFlight();
+        return mIntake.count();
     }
 
     @Override
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/OperationModule.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/OperationModule.java
@@ -15,6 +15,7 @@
 import io.masticpond.core.timeline.Timeline;
 import io.masticpond.daemon.eventloop.EventLoop;
 import io.masticpond.daemon.instance.InstanceLinks;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.membership.MembershipService;
 import io.masticpond.daemon.operation.AnswerSize;
 import io.masticpond.daemon.operation.LinkOperationPeers;
@@ -133,7 +134,10 @@
     @Provides
     @Singleton
     static OperationReceiver operationReceiver(
-            @SteeringThread EventLoop steeringLoop, OnceOnlyGuard guard, TimeSource timeSource) {
-        return new OperationReceiver(steeringLoop, guard, timeSource);
+            @SteeringThread EventLoop steeringLoop,
+            OnceOnlyGuard guard,
+            RequestIntake intake,
+            TimeSource timeSource) {
+        return new OperationReceiver(steeringLoop, guard, intake, timeSource);
     }
 }
--- a/masticpond-measure/src/main/java/io/masticpond/measure/operation/MeasuredInstance.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/operation/MeasuredInstance.java
@@ -23,6 +23,7 @@
 import io.masticpond.daemon.instance.KeyRing;
 import io.masticpond.daemon.instance.LinkSettings;
 import io.masticpond.daemon.instance.NettyInstanceLinks;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.operation.AnswerSize;
 import io.masticpond.daemon.operation.LinkOperationPeers;
 import io.masticpond.daemon.operation.MemberHomeDirectory;
@@ -147,7 +148,7 @@
     }
 
     private Member start() {
-        new OperationReceiver(mSteering, mGuard, TIME).register(mLinks);
+        new OperationReceiver(mSteering, mGuard, new RequestIntake(), TIME).register(mLinks);
         InetSocketAddress address = mLinks.start();
         mSteering.start();
         mOperations.start();
