Wait for the answers that are being written before the caller server closes

Seen by callers: a look-up, or the refusal of a request, that was answered while the process stopped could be cut. Cause: CallerServer.close stopped Jetty at once; without a stop timeout it ends every connection whatever is being written. Change: close first closes the listener, waits up to 5 s until no exchange is open, and stops the server after that. Ruled out: Jetty's own graceful shutdown, which answers what comes meanwhile with a bare 503 that does not say whether the request ran.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
@@ -20,6 +20,7 @@
 import io.masticpond.daemon.steering.SteeredRequest;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -27,15 +28,18 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -49,6 +53,8 @@
     private static final int MAXIMUM_THREADS = 48;
     private static final int MINIMUM_THREADS = 8;
     private static final int ACCEPT_QUEUE = 1_024;
+    private static final long CLOSE_TIMEOUT_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final long CLOSE_POLL_NANOS = Duration.ofMillis(5).toNanos();
     private static final List<HandlerType> METHODS =
             List.of(
                     HandlerType.GET,
@@ -66,8 +72,14 @@
     private final RequestIdGenerator mIds;
     private final RequestIntake mIntake;
     private final Javalin mServer;
+    private final TimeSource mTimeSource;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
+    /**
+     * Counts the exchanges of all routes, from the head of the request to the end of the answer.
+     */
+    private final GracefulHandler mExchanges = new GracefulHandler();
+
     /**
      * Creates a server that does not listen yet.
      *
@@ -87,6 +99,7 @@
         mService = service;
         mIds = ids;
         mIntake = intake;
+        mTimeSource = timeSource;
         mReader = new RequestReader(timeSource);
         mLookup = new LookupRoute(service);
         mServer = Javalin.create(this::configure);
@@ -115,8 +128,21 @@
         return mInFlight.get();
     }
 
+    /**
+     * Stops accepting connections, waits up to 5 seconds for the answers that are being written,
+     * and closes all connections.
+     */
     @Override
     public void close() {
+        Server server = mServer.jettyServer().server();
+        for (Connector connector : server.getConnectors()) {
+            ((ServerConnector) connector).close();
+        }
+        long end = mTimeSource.monotonicNanos() + CLOSE_TIMEOUT_NANOS;
+        while (mExchanges.getCurrentStreamWrapperCount() > 0
+                && mTimeSource.monotonicNanos() - end < 0) {
+            LockSupport.parkNanos(CLOSE_POLL_NANOS);
+        }
         mServer.stop();
     }
 
@@ -130,10 +156,11 @@
         config.jetty.threadPool = threads;
         config.jetty.addConnector(this::connector);
         config.jetty.modifyServer(
-                server ->
-                        server.addBean(
-                                new NetworkConnectionLimit(
-                                        mSettings.maximumConnections(), server)));
+                server -> {
+                    server.setHandler(mExchanges);
+                    server.addBean(
+                            new NetworkConnectionLimit(mSettings.maximumConnections(), server));
+                });
         config.routes.get("/health", context -> context.result("healthy\n"));
         config.routes.get("/ready", this::handleReadiness);
         config.routes.get("/v1/lookup", mLookup);
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/RequestIntake.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/RequestIntake.java
@@ -27,8 +27,7 @@
      * @return whether the request is admitted; {@code false} once the intake is closed
      */
     public boolean tryEnter() {
-        long before =
-                mState.getAndUpdate(state -> isClosed(state) ? state : state + ONE_REQUEST);
+        long before = mState.getAndUpdate(state -> isClosed(state) ? state : state + ONE_REQUEST);
         return !isClosed(before);
     }
 
