Change the state of a planned stop in one step

Seen: an operator's undrain beside a stop took back the leaving flag, so look-ups returned an instance that stopped; a second stop returned "complete" while the first still waited; a stop after a drain longer than the drain timeout cut what was in flight without any wait; the status said "drained" at the beginning of a drain. Cause: state and time of the drain were two fields, read by other threads between the two writes; stop drained and then marked itself as stopping in two steps; the drain timeout counted from the drain; the second call returned true at once. Change: state and time are one record, replaced under the lock; the stop begins under the same lock; later calls return the result of the first; the drain timeout counts from the stop. The four share the two fields and are one commit.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/PlannedStop.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/lifecycle/PlannedStop.java
@@ -4,6 +4,7 @@
 import io.masticpond.core.timeline.Timeline;
 import io.masticpond.core.timeline.TimelinePart;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,8 +37,8 @@
     private final Duration mLookupLifetime;
     private final Duration mDrainTimeout;
     private final Consumer<Duration> mPause;
-    private volatile DrainState mState = DrainState.SERVING;
-    private volatile long mLeavingSinceNanos;
+    private final CompletableFuture<Boolean> mResult = new CompletableFuture<>();
+    private volatile Progress mProgress = new Progress(DrainState.SERVING, 0);
 
     /**
      * Creates a planned stop that has not begun.
@@ -47,7 +48,7 @@
      * @param timeline the timeline that receives the events
      * @param lookupLifetime the time for which callers may cache look-up answers
      * @param drainTimeout the maximum time to wait for requests in flight, counted from the
-     *     beginning of the drain
+     *     beginning of the stop
      * @param pause blocks the calling thread for a duration
      */
     public PlannedStop(
@@ -71,8 +72,12 @@
      * @return the state
      */
     public DrainState state() {
-        boolean drained = mState == DrainState.LEAVING && haveLookupsExpired() && isIdle();
-        return drained ? DrainState.DRAINED : mState;
+        Progress progress = mProgress;
+        boolean drained =
+                progress.state() == DrainState.LEAVING
+                        && haveLookupsExpired(progress.leavingSinceNanos())
+                        && isIdle();
+        return drained ? DrainState.DRAINED : progress.state();
     }
 
     /**
@@ -80,11 +85,10 @@
      * still served.
      */
     public synchronized void drain() {
-        if (mState != DrainState.SERVING) {
+        if (mProgress.state() != DrainState.SERVING) {
             return;
         }
-        mState = DrainState.LEAVING;
-        mLeavingSinceNanos = mTimeSource.monotonicNanos();
+        mProgress = new Progress(DrainState.LEAVING, mTimeSource.monotonicNanos());
         mParts.setLeaving(true);
         record("instance-leaving");
     }
@@ -95,11 +99,11 @@
      * @return whether this instance is serving again; {@code false} once it is stopping
      */
     public synchronized boolean undrain() {
-        if (mState == DrainState.STOPPING) {
+        if (mProgress.state() == DrainState.STOPPING) {
             return false;
         }
-        if (mState != DrainState.SERVING) {
-            mState = DrainState.SERVING;
+        if (mProgress.state() != DrainState.SERVING) {
+            mProgress = new Progress(DrainState.SERVING, 0);
             mParts.setLeaving(false);
             record("instance-stays");
         }
@@ -108,18 +112,37 @@
 
     /**
      * Completes all work, within the drain timeout and a few seconds more. The process may close
-     * all its parts afterwards. Has no effect if a stop has already begun.
+     * all its parts afterwards. If a stop has already begun, waits for its end.
      *
-     * @return whether no request was interrupted; {@code true} if a stop had already begun
+     * @return whether no request was interrupted
      */
     public boolean stop() {
-        drain();
-        synchronized (this) {
-            if (mState == DrainState.STOPPING) {
-                return true;
-            }
-            mState = DrainState.STOPPING;
+        if (!begin()) {
+            return mResult.join();
+        }
+        try {
+            mResult.complete(finish());
+        } finally {
+            // Has no effect unless the stop failed.
+            mResult.complete(false);
+        }
+        return mResult.join();
+    }
+
+    /**
+     * Begins the stop in one step, so that no {@link #undrain} can take back the leaving flag of an
+     * instance that stops.
+     */
+    private synchronized boolean begin() {
+        if (mProgress.state() == DrainState.STOPPING) {
+            return false;
         }
+        drain();
+        mProgress = new Progress(DrainState.STOPPING, mProgress.leavingSinceNanos());
+        return true;
+    }
+
+    private boolean finish() {
         boolean idle = finishRequests();
         if (!idle) {
             sLogger.warn("PROCESS  Stopping with {} requests in flight.", mParts.inFlight());
@@ -136,13 +159,14 @@
 
     /** Waits until no request is in flight, and refuses new requests from that moment on. */
     private boolean finishRequests() {
-        long end = mLeavingSinceNanos + mDrainTimeout.toNanos();
+        long leavingSinceNanos = mProgress.leavingSinceNanos();
+        long end = mTimeSource.monotonicNanos() + mDrainTimeout.toNanos();
         long idleSinceNanos = mTimeSource.monotonicNanos();
         while (mTimeSource.monotonicNanos() - end < 0) {
             long now = mTimeSource.monotonicNanos();
             if (!isIdle()) {
                 idleSinceNanos = now;
-            } else if (haveLookupsExpired()
+            } else if (haveLookupsExpired(leavingSinceNanos)
                     && now - idleSinceNanos >= IDLE_PERIOD.toNanos()
                     && mParts.refuseNewRequestsIfIdle()) {
                 return true;
@@ -157,12 +181,22 @@
         return mParts.inFlight() == 0;
     }
 
-    private boolean haveLookupsExpired() {
-        long age = mTimeSource.monotonicNanos() - mLeavingSinceNanos;
+    private boolean haveLookupsExpired(long leavingSinceNanos) {
+        long age = mTimeSource.monotonicNanos() - leavingSinceNanos;
         return age >= mLookupLifetime.plus(LEAVING_PROPAGATION_TIME).toNanos();
     }
 
     private void record(String event) {
         mTimeline.record(TimelinePart.PROCESS, event, "", "", "");
     }
+
+    /**
+     * State and the time at which it began to leave, published together: a reader never sees the
+     * one without the other.
+     *
+     * @param state the state
+     * @param leavingSinceNanos the monotonic time of the beginning of the drain, in nanoseconds;
+     *     without meaning while the instance is serving
+     */
+    private record Progress(DrainState state, long leavingSinceNanos) {}
 }
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/lifecycle/PlannedStopTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/lifecycle/PlannedStopTest.java
@@ -3,11 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.masticpond.core.time.ManualTimeSource;
+import io.masticpond.core.time.TimeSource;
 import io.masticpond.core.timeline.Timeline;
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongUnaryOperator;
 import net.jqwik.api.Example;
 
@@ -76,6 +81,98 @@
         assertThat(mStop.undrain()).isFalse();
     }
 
+    /** Guards against a stop after a long drain that cuts what is in flight, without any wait. */
+    @Example
+    void drainTimeoutCountsFromTheStop() {
+        mStop.drain();
+        mTime.advance(DRAIN_TIMEOUT.multipliedBy(2));
+        long end = mParts.millis() + 5_000;
+        mParts.mInFlight = millis -> millis < end ? 1 : 0;
+        assertThat(mStop.stop()).isTrue();
+        assertThat(mParts.mInFlightAtHandover).isZero();
+    }
+
+    /** Guards against a second call that lets the process end while the first still waits. */
+    @Example
+    void secondStopWaitsForTheFirst() throws InterruptedException {
+        List<Boolean> results = new CopyOnWriteArrayList<>();
+        Thread second = new Thread(() -> results.add(mStop.stop()));
+        mParts.mInFlight = millis -> 1;
+        mParts.mAtHandover =
+                () -> {
+                    second.start();
+                    while (second.getState() != Thread.State.WAITING
+                            && second.getState() != Thread.State.TERMINATED) {
+                        Thread.yield();
+                    }
+                    assertThat(results).as("results while the first stop runs").isEmpty();
+                };
+        assertThat(mStop.stop()).isFalse();
+        second.join();
+        assertThat(results).containsExactly(false);
+    }
+
+    /** Guards against a look at the state that reads "leaving" with an earlier time. */
+    @Example
+    void drainIsNotCompleteAtItsBeginning() {
+        mTime.advance(Duration.ofHours(1));
+        List<DrainState> seen = new ArrayList<>();
+        AtomicReference<PlannedStop> stop = new AtomicReference<>();
+        TimeSource lookingTime =
+                (TimeSource)
+                        Proxy.newProxyInstance(
+                                TimeSource.class.getClassLoader(),
+                                new Class<?>[] {TimeSource.class},
+                                (proxy, method, arguments) -> {
+                                    PlannedStop looked = stop.getAndSet(null);
+                                    if (looked != null) {
+                                        seen.add(looked.state());
+                                    }
+                                    return method.invoke(mTime, arguments);
+                                });
+        PlannedStop drained =
+                new PlannedStop(
+                        mParts,
+                        lookingTime,
+                        Timeline.NONE,
+                        LOOKUP_LIFETIME,
+                        DRAIN_TIMEOUT,
+                        mTime::advance);
+        stop.set(drained);
+        drained.drain();
+        assertThat(seen).containsExactly(DrainState.SERVING);
+        assertThat(drained.state()).isEqualTo(DrainState.LEAVING);
+    }
+
+    /** Guards against an instance that stops while look-ups return it again. */
+    @Example
+    void cancelledDrainDoesNotTakeBackTheLeavingFlagOfStop() throws InterruptedException {
+        for (int round = 0; round < 2_000; round++) {
+            RecordingParts parts = new RecordingParts();
+            PlannedStop stop =
+                    new PlannedStop(
+                            parts,
+                            mTime,
+                            Timeline.NONE,
+                            LOOKUP_LIFETIME,
+                            DRAIN_TIMEOUT,
+                            mTime::advance);
+            CountDownLatch cancelling = new CountDownLatch(1);
+            Thread cancel =
+                    new Thread(
+                            () -> {
+                                while (stop.undrain()) {
+                                    cancelling.countDown();
+                                }
+                            });
+            cancel.start();
+            cancelling.await();
+            stop.stop();
+            cancel.join();
+            assertThat(parts.mLeaving).as("round %s", round).isTrue();
+        }
+    }
+
     private final class RecordingParts implements StoppableParts {
 
         private final List<String> mSteps = new ArrayList<>();
@@ -83,10 +180,13 @@
         private boolean mAccepted = true;
         private boolean mRequestBeginsAtDecision;
         private long mInFlightAtHandover;
+        private Runnable mAtHandover = () -> {};
+        private boolean mLeaving;
         private long mRefusingSinceMillis;
 
         @Override
         public void setLeaving(boolean leaving) {
+            mLeaving = leaving;
             mSteps.add(leaving ? "leaving" : "staying");
         }
 
@@ -97,11 +197,7 @@
 
         @Override
         public boolean refuseNewRequestsIfIdle() {
-            if (mRequestBeginsAtDecision) {
-                mRequestBeginsAtDecision = false;
-                long end = millis() + 500;
-                mInFlight = millis -> millis < end ? 1 : 0;
-            }
+            beginRequestAtDecision();
             if (inFlight() > 0) {
                 return false;
             }
@@ -111,6 +207,7 @@
 
         @Override
         public void refuseNewRequests() {
+            beginRequestAtDecision();
             mRefusingSinceMillis = millis();
             mSteps.add("refuse");
         }
@@ -118,6 +215,7 @@
         @Override
         public boolean handOverOutcomes(Duration timeout) {
             mInFlightAtHandover = inFlight();
+            mAtHandover.run();
             mSteps.add("outcomes");
             return mAccepted;
         }
@@ -128,6 +226,14 @@
             return mAccepted;
         }
 
+        private void beginRequestAtDecision() {
+            if (mRequestBeginsAtDecision) {
+                mRequestBeginsAtDecision = false;
+                long end = millis() + 500;
+                mInFlight = millis -> millis < end ? 1 : 0;
+            }
+        }
+
         private long millis() {
             return mTime.monotonicNanos() / 1_000_000;
         }
