Report a hand-over as incomplete while an operation runs

Seen: a stop at its drain timeout logged no warning although the outcome of an operation that was still running was handed to nobody; a repeated request was told "may have run". Cause: OperationHandover looked at the outcomes that were kept at that moment. Evidence: OperationHandoverTest.handoverIsIncompleteWhileAnOperationIsRunning failed before (true). Change: the result is true only if no operation was running when the guard stopped taking new ones, read in the same task on the steering thread. Ruled out: a wait for the end of such operations, since the stop has spent its drain timeout on that already.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/operation/OperationHandover.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/operation/OperationHandover.java
@@ -47,28 +47,34 @@
     }
 
     /**
-     * Rejects further operations and hands over the outcomes.
+     * Rejects further operations and hands over the outcomes. The outcome of an operation that is
+     * still running is not among them.
      *
      * @param timeout the longest time to try
-     * @return whether the platform or another instance holds every outcome
+     * @return whether no operation was running and the platform or another instance holds every
+     *     outcome
      */
     public boolean handOver(Duration timeout) {
         CompletableFuture<List<KeptOutcome<RequestCompletion.Answered>>> outcomes =
                 new CompletableFuture<>();
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
         boolean accepted =
                 mSteering.put(
                         () -> {
                             mGuard.stop();
+                            ended.complete(mGuard.running() == 0);
                             outcomes.complete(mGuard.keptOutcomes());
                         });
         if (!accepted) {
             return false;
         }
+        boolean allEnded =
+                ended.completeOnTimeout(false, timeout.toMillis(), TimeUnit.MILLISECONDS).join();
         CompletableFuture<Boolean> archived = mArchive.flush(timeout);
         CompletableFuture<Boolean> adopted =
                 outcomes.thenCompose(this::adopt)
                         .completeOnTimeout(false, timeout.toMillis(), TimeUnit.MILLISECONDS);
-        return archived.thenCombine(adopted, Boolean::logicalOr).join();
+        return archived.thenCombine(adopted, Boolean::logicalOr).join() && allEnded;
     }
 
     private CompletableFuture<Boolean> adopt(
