Keep a higher version that is seen while an earlier one is looked for

Seen by callers: a look-up with a version that is not in force here was refused until the version came some other way, as nothing looked for it any more. Cause: fetchSeenVersion set the highest version seen to 0 after its check, also when a caller's thread had raised it in between. Evidence: ConfigurationServiceTest.looksForHigherVersionThatIsSeenMeanwhile failed before: no second read within 20 s. Change: the reset is a comparison with the version that was looked for.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/configuration/ConfigurationService.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/configuration/ConfigurationService.java
@@ -222,12 +222,14 @@
      */
     private void fetchSeenVersion() {
         long now = mTimeSource.monotonicNanos();
-        boolean behind = mHighestSeenVersion.get() > mReplica.current().version().number();
+        long seen = mHighestSeenVersion.get();
+        boolean behind = seen > mReplica.current().version().number();
         if (behind && now - mNextSeenCheckNanos >= 0) {
             mNextSeenCheckNanos = now + SEEN_CHECK_INTERVAL_NANOS;
             mPlatformFollower.read();
             mPeerFollower.follow();
-            mHighestSeenVersion.set(0);
+            // A higher version that was seen in the meantime is looked for at the next check.
+            mHighestSeenVersion.compareAndSet(seen, 0);
         }
     }
 
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/configuration/ConfigurationServiceTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/configuration/ConfigurationServiceTest.java
@@ -16,10 +16,14 @@
 import io.masticpond.core.support.Assert;
 import io.masticpond.daemon.configuration.FakeFleet.Node;
 import io.masticpond.daemon.platform.ObjectKind;
+import io.masticpond.daemon.platform.ObjectStore;
 import io.vavr.control.Either;
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 
@@ -53,6 +57,71 @@
         Assert.isTrue(mStore.writes() == writes, "The plan was written again.");
     }
 
+    /**
+     * Guards against a version that callers have seen but that is never looked for, because it was
+     * reported while an earlier one was looked for.
+     */
+    @Example
+    void looksForHigherVersionThatIsSeenMeanwhile() throws InterruptedException {
+        CountDownLatch readAgain = new CountDownLatch(1);
+        List<SeeingStore> stores = new ArrayList<>();
+        // The instance that watches the platform does not read it; the others do.
+        for (String id : List.of("a", "b", "c")) {
+            SeeingStore store = new SeeingStore(mStore, readAgain);
+            Node node = mFleet.start(id, "casa-1", store.proxy());
+            awaitReady(node);
+            store.mService = node.service();
+            stores.add(store);
+        }
+        stores.forEach(store -> store.mService.onVersionSeen(5));
+        Assert.isTrue(
+                readAgain.await(20, TimeUnit.SECONDS), "The higher version was not looked for.");
+    }
+
+    /** Store that reports a higher version to its service while the first read is made. */
+    private static final class SeeingStore {
+
+        private final ObjectStore mDelegate;
+        private final CountDownLatch mReadAgain;
+        private volatile ConfigurationService mService;
+        private int mReads;
+
+        SeeingStore(ObjectStore delegate, CountDownLatch readAgain) {
+            mDelegate = delegate;
+            mReadAgain = readAgain;
+        }
+
+        ObjectStore proxy() {
+            return (ObjectStore)
+                    Proxy.newProxyInstance(
+                            ObjectStore.class.getClassLoader(),
+                            new Class<?>[] {ObjectStore.class},
+                            (proxy, method, arguments) -> {
+                                if (method.getName().equals("read") && mService != null) {
+                                    onRead();
+                                }
+                                return method.invoke(mDelegate, arguments);
+                            });
+        }
+
+        private synchronized void onRead() {
+            mReads++;
+            if (mReads == 1) {
+                mService.onVersionSeen(7);
+            } else {
+                mReadAgain.countDown();
+            }
+        }
+    }
+
+    private static void awaitReady(Node node) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        while (!node.service().isReady()) {
+            Assert.isTrue(System.nanoTime() < end, "The service did not become ready.");
+            Thread.yield();
+        }
+    }
+
     @Example
     void rejectsSecondPlanOnSameBaseWithDifferences() {
         Node first = mFleet.start("a", "casa-1");
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/configuration/FakeFleet.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/configuration/FakeFleet.java
@@ -11,6 +11,7 @@
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.SystemTimeSource;
 import io.masticpond.core.timeline.Timeline;
+import io.masticpond.daemon.platform.ObjectStore;
 import io.masticpond.protocol.generated.ConfigurationFetch;
 import io.masticpond.protocol.generated.ConfigurationPush;
 import java.time.Duration;
@@ -50,7 +51,12 @@
     }
 
     Node start(String id, String zone) {
-        Node node = new Node(new InstanceId(id), new ZoneId(zone));
+        return start(id, zone, mStore);
+    }
+
+    /** Starts an instance that reads the platform through the given store. */
+    Node start(String id, String zone, ObjectStore platform) {
+        Node node = new Node(new InstanceId(id), new ZoneId(zone), platform);
         mNodes.put(node.mId, node);
         node.mService.start();
         return node;
@@ -76,14 +82,13 @@
         private final ConfigurationCommands mCommands;
         private Handler mHandler;
 
-        Node(InstanceId id, ZoneId zone) {
+        Node(InstanceId id, ZoneId zone, ObjectStore platform) {
             mId = id;
             mZone = zone;
             ConfigurationCodec codec = new ConfigurationCodec();
             FakeObjectStore unavailableStore = new FakeObjectStore();
             unavailableStore.setUnavailable(true);
-            FakeObjectStore store =
-                    mZonesWithoutPlatform.contains(zone) ? unavailableStore : mStore;
+            ObjectStore store = mZonesWithoutPlatform.contains(zone) ? unavailableStore : platform;
             SystemTimeSource time = new SystemTimeSource();
             mService =
                     new ConfigurationService(
