Create no entry for a removed instance when its connection closes

Seen: none yet; the memory of a process grew with each instance that was removed while connected. Cause: NettyInstanceLinks.closed looked up the lane by the method that makes a missing entry, after removeInstance had removed it. Evidence: NettyInstanceLinksTest.removedInstanceLeavesNoEntry failed before. Change: the lane is told only if the instance still has an entry.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/NettyInstanceLinks.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/instance/NettyInstanceLinks.java
@@ -229,7 +229,10 @@
             sLogger.info("INSTANCE  Disconnected from {}: {}", incarnation, reason);
             mListeners.forEach(listener -> listener.disconnected(incarnation));
         }
-        peer(incarnation.instance()).lane(connection.lane()).disconnected(connection);
+        Peer peer = mPeers.get(incarnation.instance());
+        if (peer != null) {
+            peer.lane(connection.lane()).disconnected(connection);
+        }
     }
 
     @Override
@@ -267,6 +270,11 @@
         }
     }
 
+    /** Determines whether there is an entry for an instance. */
+    boolean knows(InstanceId id) {
+        return mPeers.containsKey(id);
+    }
+
     private Peer peer(InstanceId id) {
         return mPeers.computeIfAbsent(id, key -> new Peer(lane -> lane(key, lane)));
     }
--- a/masticpond-daemon/src/test/java/io/masticpond/daemon/instance/NettyInstanceLinksTest.java
+++ b/masticpond-daemon/src/test/java/io/masticpond/daemon/instance/NettyInstanceLinksTest.java
@@ -97,6 +97,19 @@
         assertThat(ended.await(LONG.toSeconds(), TimeUnit.SECONDS)).isTrue();
     }
 
+    /** Guards against entries of removed instances that accumulate over the life of a process. */
+    @Example
+    void removedInstanceLeavesNoEntry() {
+        connect(LinkFixture.settings(), LinkFixture.settings());
+        LinkFixture.echo(mSecond);
+        assertThat(await(mFirst.call(SECOND, forward("a"), LONG)).isRight()).isTrue();
+        assertThat(mFirst.knows(SECOND)).isTrue();
+        mFirst.removeInstance(SECOND);
+        LinkFixture.awaitTrue("closed", () -> mFirst.statistics().connections() == 0);
+        mFirst.close();
+        assertThat(mFirst.knows(SECOND)).isFalse();
+    }
+
     @Example
     void bothSidesCallOverOneConnection() {
         connect(LinkFixture.settings(), LinkFixture.settings());
