--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/caller/CallerServer.java
@@ -13,12 +13,14 @@
 import io.masticpond.core.request.Verdict;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.daemon.header.HeaderNames;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.settings.DaemonSettings.CallerSettings;
 import io.masticpond.daemon.steering.HeaderField;
 import io.masticpond.daemon.steering.RequestCompletion;
 import io.masticpond.daemon.steering.SteeredRequest;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -26,13 +28,18 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -46,6 +53,8 @@
     private static final int MAXIMUM_THREADS = 48;
     private static final int MINIMUM_THREADS = 8;
     private static final int ACCEPT_QUEUE = 1_024;
+    private static final long CLOSE_TIMEOUT_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final long CLOSE_POLL_NANOS = Duration.ofMillis(5).toNanos();
     private static final List<HandlerType> METHODS =
             List.of(
                     HandlerType.GET,
@@ -61,25 +70,36 @@
     private final LookupRoute mLookup;
     private final RequestReader mReader;
     private final RequestIdGenerator mIds;
+    private final RequestIntake mIntake;
     private final Javalin mServer;
+    private final TimeSource mTimeSource;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
+    /**
+     * Counts the exchanges of all routes, from the head of the request to the end of the answer.
+     */
+    private final GracefulHandler mExchanges = new GracefulHandler();
+
     /**
      * Creates a server that does not listen yet.
      *
      * @param settings the addresses and limits
      * @param service the service that look-ups and requests are passed to
      * @param ids the source of request ids
+     * @param intake the intake of requests
      * @param timeSource the clocks
      */
     public CallerServer(
             CallerSettings settings,
             CallerService service,
             RequestIdGenerator ids,
+            RequestIntake intake,
             TimeSource timeSource) {
         mSettings = settings;
         mService = service;
         mIds = ids;
+        mIntake = intake;
+        mTimeSource = timeSource;
         mReader = new RequestReader(timeSource);
         mLookup = new LookupRoute(service);
         mServer = Javalin.create(this::configure);
@@ -91,7 +111,16 @@
     }
 
     /**
-     * Returns the number of requests in flight.
+     * Returns the port, which the operating system chose if the settings have port 0.
+     *
+     * @return the port
+     */
+    public int port() {
+        return mServer.port();
+    }
+
+    /**
+     * Returns the number of requests that have not completed or whose answer has not been written.
      *
      * @return the number of requests
      */
@@ -99,8 +128,21 @@
         return mInFlight.get();
     }
 
+    /**
+     * Stops accepting connections, waits up to 5 seconds for the answers that are being written,
+     * and closes all connections.
+     */
     @Override
     public void close() {
+        Server server = mServer.jettyServer().server();
+        for (Connector connector : server.getConnectors()) {
+            ((ServerConnector) connector).close();
+        }
+        long end = mTimeSource.monotonicNanos() + CLOSE_TIMEOUT_NANOS;
+        while (mExchanges.getCurrentStreamWrapperCount() > 0
+                && mTimeSource.monotonicNanos() - end < 0) {
+            LockSupport.parkNanos(CLOSE_POLL_NANOS);
+        }
         mServer.stop();
     }
 
@@ -114,10 +156,11 @@
         config.jetty.threadPool = threads;
         config.jetty.addConnector(this::connector);
         config.jetty.modifyServer(
-                server ->
-                        server.addBean(
-                                new NetworkConnectionLimit(
-                                        mSettings.maximumConnections(), server)));
+                server -> {
+                    server.setHandler(mExchanges);
+                    server.addBean(
+                            new NetworkConnectionLimit(mSettings.maximumConnections(), server));
+                });
         config.routes.get("/health", context -> context.result("healthy\n"));
         config.routes.get("/ready", this::handleReadiness);
         config.routes.get("/v1/lookup", mLookup);
@@ -172,6 +215,11 @@
 
     private void handleRequest(Context context) {
         RequestId id = mIds.next();
+        if (!mIntake.tryEnter()) {
+            refuseStopping(context, id);
+            return;
+        }
+        onExchangeEnd(context, mIntake::leave);
         Optional<String> notReady = mService.unreadyReason();
         if (notReady.isPresent()) {
             refuse(context, id, RefusalCause.NOT_READY, notReady.get());
@@ -202,18 +250,42 @@
     }
 
     private void steer(Context context, SteeredRequest request, CallerService.OperationKeys keys) {
+        if (!mIntake.tryEnter()) {
+            mInFlight.decrementAndGet();
+            refuseStopping(context, request.head().id());
+            return;
+        }
         CompletableFuture<RequestCompletion> future = new CompletableFuture<>();
-        mService.submit(request, keys, future::complete);
+        CompletableFuture<Void> exchangeEnd = new CompletableFuture<>();
+        onExchangeEnd(context, () -> exchangeEnd.complete(null));
+        CompletableFuture<Void> unused =
+                future.runAfterBoth(exchangeEnd, mInFlight::decrementAndGet);
+        mService.submit(
+                request,
+                keys,
+                completion -> {
+                    future.complete(completion);
+                    mIntake.leave();
+                });
         context.future(
                 () ->
                         future.thenAcceptAsync(
-                                completion -> {
-                                    mInFlight.decrementAndGet();
-                                    write(context, request, completion);
-                                },
+                                completion -> write(context, request, completion),
                                 mServer.jettyServer().threadPool()));
     }
 
+    /** Runs a task once the answer has been written to the socket or can no longer be. */
+    private static void onExchangeEnd(Context context, Runnable task) {
+        Request.addCompletionListener(
+                ServletContextRequest.getServletContextRequest(context.req()),
+                failure -> task.run());
+    }
+
+    private static void refuseStopping(Context context, RequestId id) {
+        context.header("Connection", "close");
+        refuse(context, id, RefusalCause.NOT_READY, "This instance is stopping.");
+    }
+
     private void write(Context context, SteeredRequest request, RequestCompletion completion) {
         String id = request.head().id().value();
         context.header(
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/wiring/DaemonParts.java
@@ -1,10 +1,8 @@
 package io.masticpond.daemon.wiring;
 
 import io.masticpond.core.id.Incarnation;
-import io.masticpond.daemon.caller.CallerServer;
 import io.masticpond.daemon.eventloop.EventLoop;
-import io.masticpond.daemon.forwarding.ForwardReceiver;
-import io.masticpond.daemon.gateway.RequestGateway;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.lifecycle.StoppableParts;
 import io.masticpond.daemon.membership.MembershipService;
 import io.masticpond.daemon.operation.LinkOperationPeers;
@@ -12,7 +10,6 @@
 import io.masticpond.daemon.operation.OperationHandover;
 import io.masticpond.daemon.operation.PlatformOperationArchive;
 import io.masticpond.daemon.spending.SpendingService;
-import io.masticpond.daemon.steering.SteeringService;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -25,11 +22,8 @@
 
     private final Incarnation mIncarnation;
     private final EventLoop mSteeringLoop;
-    private final SteeringService mSteeringService;
-    private final ForwardReceiver mForwardReceiver;
     private final MembershipService mMembers;
-    private final CallerServer mCallers;
-    private final RequestGateway mGateway;
+    private final RequestIntake mIntake;
     private final OnceOnlyGuard mGuard;
     private final LinkOperationPeers mPeers;
     private final PlatformOperationArchive mArchive;
@@ -39,22 +33,16 @@
     DaemonParts(
             Incarnation incarnation,
             @SteeringThread EventLoop steeringLoop,
-            SteeringService steeringService,
-            ForwardReceiver forwardReceiver,
             MembershipService members,
-            CallerServer callers,
-            RequestGateway gateway,
+            RequestIntake intake,
             OnceOnlyGuard guard,
             LinkOperationPeers peers,
             PlatformOperationArchive archive,
             SpendingService spending) {
         mIncarnation = incarnation;
         mSteeringLoop = steeringLoop;
-        mSteeringService = steeringService;
-        mForwardReceiver = forwardReceiver;
         mMembers = members;
-        mCallers = callers;
-        mGateway = gateway;
+        mIntake = intake;
         mGuard = guard;
         mPeers = peers;
         mArchive = archive;
@@ -67,15 +55,18 @@
     }
 
     @Override
-    public int inFlight() {
-        return mCallers.inFlightCount()
-                + mForwardReceiver.steeredCount()
-                + mSteeringService.inFlight();
+    public long inFlight() {
+        return mIntake.count();
+    }
+
+    @Override
+    public boolean refuseNewRequestsIfIdle() {
+        return mIntake.closeIfIdle();
     }
 
     @Override
     public void refuseNewRequests() {
-        mGateway.stop();
+        mIntake.close();
     }
 
     @Override
--- a/masticpond-measure/src/main/java/io/masticpond/measure/hostile/HostileTargets.java
+++ b/masticpond-measure/src/main/java/io/masticpond/measure/hostile/HostileTargets.java
@@ -18,6 +18,7 @@
 import io.masticpond.daemon.instance.KeyRing;
 import io.masticpond.daemon.instance.LinkSettings;
 import io.masticpond.daemon.instance.NettyInstanceLinks;
+import io.masticpond.daemon.lifecycle.RequestIntake;
 import io.masticpond.daemon.operator.ConfigurationRoutes;
 import io.masticpond.daemon.operator.OperatorServer;
 import io.masticpond.daemon.operator.OperatorSettings;
@@ -155,6 +156,7 @@
                         settings,
                         new RefusingCallerService(),
                         new RequestIdGenerator(1),
+                        new RequestIntake(),
                         new SystemTimeSource());
         server.start();
         return new SocketTarget(
