--- a/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/lifecycle/PlannedStop.java
@@ -46,6 +46,7 @@
     private final TimeSource mTimeSource;
     private volatile Phase mPhase = Phase.SERVING;
     private long mStartNanos;
+    private boolean mAccepting = true;
 
     /**
      * Creates a planned stop.
@@ -103,31 +104,53 @@
 
     private void finish() {
         mPhase = Phase.FINISHING;
-        mActions.stopAccepting();
+        mActions.stopAccepting(this::onAcceptingStopped);
         mActions.closeIdleConnections();
         check();
     }
 
+    private void onAcceptingStopped() {
+        mAccepting = false;
+        sLogger.info(
+                "STOP  Accepting ended {} ms after the stop began: {} requests and {} connections"
+                        + " are open.",
+                elapsed().toMillis(),
+                mWork.requests(),
+                mWork.connections());
+    }
+
     private void check() {
-        Duration elapsed = Duration.ofNanos(mTimeSource.monotonicNanos() - mStartNanos);
-        Duration remaining = mSettings.endBy().minus(elapsed);
-        if (mWork.requests() == 0 && mWork.connections() == 0 && !mWork.isWithdrawalPending()) {
-            end(elapsed);
+        Duration remaining = mSettings.endBy().minus(elapsed());
+        if (!mAccepting && !isWorkOpen() && !mWork.isWithdrawalPending()) {
+            end();
         } else if (remaining.toNanos() <= 0) {
             mPhase = Phase.ENDING;
             sLogger.warn(
                     "STOP  {} unfinished requests are answered at the deadline.", mWork.requests());
-            mActions.answerUnfinished();
-            mRunner.after(mSettings.flushFor(), () -> end(elapsed.plus(mSettings.flushFor())));
+            mActions.answerUnfinished(() -> mRunner.after(mSettings.flushFor(), this::end));
         } else {
             Duration interval = mSettings.checkEvery();
             mRunner.after(remaining.compareTo(interval) < 0 ? remaining : interval, this::check);
         }
     }
 
-    private void end(Duration elapsed) {
+    /** Returns whether work is open; once accepting has stopped, none is added. */
+    private boolean isWorkOpen() {
+        return mWork.requests() > 0 || mWork.connections() > 0;
+    }
+
+    private void end() {
         mPhase = Phase.ENDED;
-        sLogger.info("STOP  This instance ends {} ms after the stop began.", elapsed.toMillis());
+        sLogger.info(
+                "STOP  This instance ends {} ms after the stop began: {} requests and {}"
+                        + " connections are open.",
+                elapsed().toMillis(),
+                mWork.requests(),
+                mWork.connections());
         mActions.exit();
     }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(mTimeSource.monotonicNanos() - mStartNanos);
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryListeners.java
@@ -16,7 +16,10 @@
 import io.masticpond.entry.request.RequestFlow;
 import io.masticpond.entry.settings.EntrySettings;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 
@@ -35,6 +38,10 @@
     private final Optional<HttpEntryServer> mForward;
     private final HttpEntryServer mDirectory;
     private final HttpEntryServer mReadiness;
+
+    /** The servers whose requests a planned stop completes: all but that for readiness checks. */
+    private final List<HttpEntryServer> mDrained;
+
     private volatile boolean mListening;
     private volatile RequestLimits mRequestLimits = RequestLimits.DEFAULT;
 
@@ -74,6 +81,7 @@
                                                 budget,
                                                 peers));
         mDirectory = server(trafficGroup, mAddresses.directory(), directory, budget);
+        mDrained = Stream.concat(Stream.of(mEntry, mDirectory), mForward.stream()).toList();
         mReadiness =
                 server(
                         trafficGroup,
@@ -159,25 +167,29 @@
 
     /** Begins to close the connections of clients and of other instances. */
     void drain() {
-        mEntry.drain();
-        mForward.ifPresent(HttpEntryServer::drain);
+        mDrained.forEach(HttpEntryServer::drain);
     }
 
-    /** Closes the listening sockets, except that for readiness checks. */
-    void stopAccepting() {
-        mEntry.stopAccepting();
-        mDirectory.stopAccepting();
-        mForward.ifPresent(HttpEntryServer::stopAccepting);
+    /**
+     * Closes the listening sockets, except that for readiness checks.
+     *
+     * @return a future that completes once no server accepts a connection
+     */
+    CompletableFuture<Void> stopAccepting() {
+        return CompletableFuture.allOf(
+                mDrained.stream()
+                        .map(HttpEntryServer::stopAccepting)
+                        .toArray(CompletableFuture[]::new));
     }
 
-    /** Returns the number of requests of clients and other instances without an answer. */
+    /** Returns the number of requests and look-ups of clients and instances without an answer. */
     int openRequests() {
-        return mEntry.openRequests() + mForward.map(HttpEntryServer::openRequests).orElse(0);
+        return mDrained.stream().mapToInt(HttpEntryServer::openRequests).sum();
     }
 
     /** Returns the number of connections of clients and other instances. */
     int openConnections() {
-        return mEntry.openConnections() + mForward.map(HttpEntryServer::openConnections).orElse(0);
+        return mDrained.stream().mapToInt(HttpEntryServer::openConnections).sum();
     }
 
     HttpEntryServer directory() {
