Log suspicions of reachability and why a request was not sent again

The log told when a service became unreachable, but not when it was suspected and the suspicion refuted, nor whether a request ended for the retry budget, its attempts or its deadline. The line reachability now reports suspicions too, the line of a request has retryDenied, and reachability_suspicions_total counts.

--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityListener.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityListener.java
@@ -12,10 +12,18 @@
     ReachabilityListener NONE = (view, formerNanos) -> {};
 
     /**
-     * Called when a service becomes unreachable or is reachable again; suspicions are not reported.
+     * Called when a service becomes unreachable or is reachable again; not called for suspicions.
      *
      * @param view the new view
      * @param formerNanos the time for which it was in the former state, in nanoseconds
      */
     void onChanged(ReachabilityView view, long formerNanos);
+
+    /**
+     * Called when a service is suspected, or when a suspicion is refuted.
+     *
+     * @param view the new view
+     * @param formerNanos the time for which it was in the former state, in nanoseconds
+     */
+    default void onSuspicionChanged(ReachabilityView view, long formerNanos) {}
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
@@ -41,6 +41,7 @@
     private long mSilentSinceNanos;
     private long mEvaluatedNanos;
     private long mLosses;
+    private long mSuspicions;
 
     /**
      * Creates a monitor for which all services are reachable.
@@ -95,7 +96,7 @@
     }
 
     private ServiceReachability of(ServiceId service, long nowNanos) {
-        return mServices.computeIfAbsent(service, id -> new ServiceReachability(id, nowNanos));
+        return mServices.computeIfAbsent(service, id -> new ServiceReachability(id, nowNanos, this::onChanged));
     }
 
     /**
@@ -234,11 +235,7 @@
      * @param nowNanos the current time
      */
     public void endProbing(ServiceId service, long nowNanos) {
-        ServiceReachability state = of(service, nowNanos);
-        ReachabilityView former = state.view();
-        if (state.endProbing(nowNanos)) {
-            changed(former, state, nowNanos);
-        }
+        of(service, nowNanos).endProbing(nowNanos);
         concludeInconclusive(nowNanos);
     }
 
@@ -251,12 +248,10 @@
      */
     public void probeEnded(ServiceId service, boolean isAnswered, long nowNanos) {
         ServiceReachability state = of(service, nowNanos);
-        ReachabilityView former = state.view();
-        if (state.probeEnded(isAnswered, nowNanos)) {
-            changed(former, state, nowNanos);
-        }
+        ReachabilityState former = state.state();
+        state.probeEnded(isAnswered, nowNanos);
         boolean isLost = state.state() == ReachabilityState.UNREACHABLE;
-        if (state.isInconclusive() || (isLost && former.state() != state.state())) {
+        if (state.isInconclusive() || (isLost && former != state.state())) {
             mServices
                     .values()
                     .forEach(
@@ -287,19 +282,25 @@
         if (isAnyReachable) {
             inconclusive.forEach(each -> each.refute(ReachabilityEvidence.OTHER_SERVICE, nowNanos));
         } else if (!isAnyPending) {
-            for (ServiceReachability each : inconclusive) {
-                ReachabilityView former = each.view();
-                each.lose(ReachabilityEvidence.NEW_CONNECTIONS_FAILED, nowNanos);
-                changed(former, each, nowNanos);
-            }
+            inconclusive.forEach(
+                    each -> each.lose(ReachabilityEvidence.NEW_CONNECTIONS_FAILED, nowNanos));
         }
     }
 
-    private void changed(ReachabilityView former, ServiceReachability state, long nowNanos) {
-        if (state.state() == ReachabilityState.UNREACHABLE) {
+    private void onChanged(ReachabilityView former, ReachabilityView current) {
+        long formerNanos = current.sinceNanos() - former.sinceNanos();
+        if (current.state() == ReachabilityState.SUSPECTED) {
+            mSuspicions++;
+        }
+        if (current.state() == ReachabilityState.UNREACHABLE) {
             mLosses++;
         }
-        mListener.onChanged(state.view(), nowNanos - former.sinceNanos());
+        if (former.state() == ReachabilityState.UNREACHABLE
+                || current.state() == ReachabilityState.UNREACHABLE) {
+            mListener.onChanged(current, formerNanos);
+        } else {
+            mListener.onSuspicionChanged(current, formerNanos);
+        }
     }
 
     /**
@@ -344,4 +345,13 @@
     public long losses() {
         return mLosses;
     }
+
+    /**
+     * Returns how often a service was suspected to be unreachable.
+     *
+     * @return the count since the start of this instance
+     */
+    public long suspicions() {
+        return mSuspicions;
+    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
@@ -22,7 +22,16 @@
     /** Time after a return within which another loss counts as repeated. */
     private static final long REPEATED_LOSS_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Callback interface for changes of the state. */
+    @FunctionalInterface
+    interface ChangeListener {
+
+        /** Called after the state has changed. */
+        void onChanged(ReachabilityView former, ReachabilityView current);
+    }
+
     private final ServiceId mService;
+    private final ChangeListener mListener;
     private final Map<BackendServerId, Long> mFailedNanos = new HashMap<>();
     private ReachabilityState mState = ReachabilityState.REACHABLE;
     private ReachabilityEvidence mEvidence = ReachabilityEvidence.ANSWERED;
@@ -42,8 +51,9 @@
     private long mNextProbeNanos;
     private boolean mIsInconclusive;
 
-    ServiceReachability(ServiceId service, long nowNanos) {
+    ServiceReachability(ServiceId service, long nowNanos, ChangeListener listener) {
         mService = service;
+        mListener = listener;
         mSinceNanos = nowNanos;
         mLastAnswerNanos = nowNanos;
     }
@@ -110,16 +120,15 @@
     }
 
     /** Raises a suspicion unless there is one or the last one was refuted only just now. */
-    boolean suspect(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
+    void suspect(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
         boolean isTrusted =
                 mHasRefuted && nowNanos - mRefutedNanos < settings.failureWindow().toNanos();
         if (mState != ReachabilityState.REACHABLE || isTrusted) {
-            return false;
+            return;
         }
-        change(ReachabilityState.SUSPECTED, evidence, nowNanos);
         mProbesToStart = settings.probes();
         mProbesInFlight = 0;
-        return true;
+        change(ReachabilityState.SUSPECTED, evidence, nowNanos);
     }
 
     /** Returns the number of probes that are due. */
@@ -140,45 +149,42 @@
     /**
      * Records that no further server may be probed. Without any probe, requests are the only way to
      * find out, so the service counts as reachable.
-     *
-     * @return whether the service changed from unreachable
      */
-    boolean endProbing(long nowNanos) {
+    void endProbing(long nowNanos) {
         mProbesToStart = 0;
         if (mState == ReachabilityState.REACHABLE || mProbesInFlight > 0 || mIsInconclusive) {
-            return false;
+            return;
         }
         boolean isReturned = mState == ReachabilityState.UNREACHABLE;
         mHasReturned |= isReturned;
         mReturnedNanos = isReturned ? nowNanos : mReturnedNanos;
         refute(ReachabilityEvidence.NOT_PROBED, nowNanos);
-        return isReturned;
     }
 
-    /** Records the end of a probe; returns whether the service changed to or from unreachable. */
-    boolean probeEnded(boolean isAnswered, long nowNanos) {
+    /** Records the end of a probe. */
+    void probeEnded(boolean isAnswered, long nowNanos) {
         mProbesInFlight = Math.max(0, mProbesInFlight - 1);
-        return switch (mState) {
-            case REACHABLE -> false;
+        switch (mState) {
+            case REACHABLE -> {}
             case SUSPECTED -> suspicionProbed(isAnswered, nowNanos);
             case UNREACHABLE -> lossProbed(isAnswered, nowNanos);
-        };
+            default -> throw new IllegalStateException("The state is unknown.");
+        }
     }
 
-    private boolean suspicionProbed(boolean isAnswered, long nowNanos) {
+    private void suspicionProbed(boolean isAnswered, long nowNanos) {
         if (isAnswered) {
             refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
-            return false;
+            return;
         }
         if (mProbesInFlight > 0 || mProbesToStart > 0) {
-            return false;
+            return;
         }
         if (mLastAnswerNanos - mSinceNanos > 0) {
             mIsInconclusive = true;
-            return false;
+            return;
         }
         lose(ReachabilityEvidence.PROBES_UNANSWERED, nowNanos);
-        return true;
     }
 
     /** Concludes that the service is unreachable. */
@@ -193,20 +199,19 @@
         change(ReachabilityState.UNREACHABLE, evidence, nowNanos);
     }
 
-    private boolean lossProbed(boolean isAnswered, long nowNanos) {
+    private void lossProbed(boolean isAnswered, long nowNanos) {
         if (!isAnswered) {
             mAnsweredProbes = Math.max(0, mAnsweredProbes - 1);
-            return false;
+            return;
         }
         mAnsweredProbes++;
         mNextProbeNanos = nowNanos;
         if (mAnsweredProbes < mRequiredProbes) {
-            return false;
+            return;
         }
         mHasReturned = true;
         mReturnedNanos = nowNanos;
         refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
-        return true;
     }
 
     /** Concludes that the service is reachable. */
@@ -230,9 +235,11 @@
     }
 
     private void change(ReachabilityState state, ReachabilityEvidence evidence, long nowNanos) {
+        ReachabilityView former = view();
         mState = state;
         mEvidence = evidence;
         mSinceNanos = nowNanos;
         mIsInconclusive = false;
+        mListener.onChanged(former, view());
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -44,6 +44,9 @@
         if (request.mRetryBudget >= 0) {
             line.writeNumberField("retryBudget", rounded(request.mRetryBudget));
         }
+        if (request.mRetryDenial != null) {
+            line.writeStringField("retryDenied", EnumNames.toName(request.mRetryDenial));
+        }
         writeInputs(line);
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -47,6 +47,7 @@
     Map<Exclusion, Integer> mExcluded;
     final AttemptList mAttempts = new AttemptList();
     double mRetryBudget = UNKNOWN;
+    RetryDenial mRetryDenial;
     long mWaitNanos = UNKNOWN;
     long mMaximumWaitNanos;
     SpendingInputs mSpending;
@@ -125,11 +126,7 @@
         return mCaller == null ? null : mCaller.workspace();
     }
 
-    /**
-     * Records the fingerprint of the request, by which its repetitions can be found.
-     *
-     * @param fingerprint the fingerprint
-     */
+    /** Records the fingerprint of the request, by which its repetitions can be found. */
     public void fingerprint(RequestFingerprint fingerprint) {
         mFingerprint = fingerprint;
     }
@@ -198,15 +195,16 @@
         mExcluded.merge(reason, 1, Integer::sum);
     }
 
-    /**
-     * Records the remaining retry budget.
-     *
-     * @param left the number of retries that are still allowed
-     */
+    /** Records the number of retries that the budget still allows. */
     public void retryBudget(double left) {
         mRetryBudget = left;
     }
 
+    /** Records why the request is not sent once more. */
+    public void retryDenied(RetryDenial denial) {
+        mRetryDenial = denial;
+    }
+
     /**
      * Records that the expected wait for a slot at the selected backend server is too long.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -96,6 +96,9 @@
     /** Services of which this instance reaches no server. */
     UNREACHABLE_SERVICES(
             "unreachable_services", "Services of which no server answers this instance.", false),
+    /** Number of times that a service was suspected to be unreachable. */
+    REACHABILITY_SUSPICIONS(
+            "reachability_suspicions", "Times that a service was probed for a loss here.", true),
     /** Number of times that a service became unreachable. */
     REACHABILITY_LOSSES(
             "reachability_losses", "Times that a service became unreachable here.", true),
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -52,6 +52,7 @@
     private final ServerFeedback mFeedback;
     private final ForwardAttempts mForwardAttempts;
     private final AttemptCharge mAttemptCharge;
+    private final RequestRetries mRetries;
     private final ServerCalls mCalls;
 
     private Future<?> mTimeout;
@@ -82,6 +83,7 @@
         mFacts.key(key);
         mSearch = new ServerSearch(flow, mFacts, mCaller, mService, key, mRequest.body());
         mCrashCheck = new CrashCheck(flow.crashGuard(), mRequest, mFacts);
+        mRetries = new RequestRetries(flow, admitted, mCrashCheck);
         mFeedback = new ServerFeedback(flow, mSearch, mCrashCheck, mRoute, mRequest.body());
         mForwardAttempts = new ForwardAttempts(flow, this, admitted, headers);
         mCalls = new ServerCalls(flow, this, admitted, headers);
@@ -201,7 +203,7 @@
         }
         mFacts.attemptEnded(AttemptResult.ANSWERED, answer.status(), now);
         boolean failed = mFeedback.answered(server, statement, answer, mSentNanos, now);
-        if (failed && mRoute.idempotent() && tryAcquireRetry(now)) {
+        if (failed && mRoute.idempotent() && mRetries.tryAcquire(mAttemptCount)) {
             answer.body().release();
             mMayHaveRun = true;
             retry();
@@ -253,10 +255,7 @@
         if (mDone || mCall == null || !mForwardAttempts.isPossible()) {
             return;
         }
-        if (mCall.isWritten()
-                && mRoute.idempotent()
-                && !mCrashCheck.isSuspected()
-                && tryAcquireRetry(mFlow.nowNanos())) {
+        if (mCall.isWritten() && mRetries.tryRepeat(true, mAttemptCount)) {
             cancelCall();
             retry();
         }
@@ -303,21 +302,13 @@
     }
 
     private void retryOrEnd(String cause) {
-        long now = mFlow.nowNanos();
-        boolean isRepeatable = !mMayHaveRun || (mRoute.idempotent() && !mCrashCheck.isSuspected());
-        if (isRepeatable && tryAcquireRetry(now)) {
+        if (mRetries.tryRepeat(mMayHaveRun, mAttemptCount)) {
             retry();
             return;
         }
         end(cause);
     }
 
-    private boolean tryAcquireRetry(long now) {
-        return mAttemptCount < mAdmitted.maximumAttempts()
-                && mTimes.leftNanos(now) > 0
-                && mFlow.retries().tryRetry(mService, now);
-    }
-
     private void retry() {
         mFlow.log().requestRetried(mFacts);
         attempt();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -132,15 +132,17 @@
     }
 
     /** The metrics of the services that are not reached and of the forwarded requests. */
-    private record Forwarding(long unreachable, long losses, long forwarded, long accepted) {
+    private record Forwarding(
+            long unreachable, long suspicions, long losses, long forwarded, long accepted) {
 
-        static final Forwarding NONE = new Forwarding(0, 0, 0, 0);
+        static final Forwarding NONE = new Forwarding(0, 0, 0, 0, 0);
 
         static Forwarding of(RequestForwarding forwarding) {
             return new Forwarding(
                     forwarding.monitor().views().stream()
                             .filter(each -> each.state() == ReachabilityState.UNREACHABLE)
                             .count(),
+                    forwarding.monitor().suspicions(),
                     forwarding.monitor().losses(),
                     forwarding.forwarded(),
                     forwarding.accepted());
@@ -148,6 +150,7 @@
 
         void set(EntryValues values) {
             values.set(EntryValue.UNREACHABLE_SERVICES, unreachable);
+            values.set(EntryValue.REACHABILITY_SUSPICIONS, suspicions);
             values.set(EntryValue.REACHABILITY_LOSSES, losses);
             values.set(EntryValue.FORWARDED_REQUESTS, forwarded);
             values.set(EntryValue.ACCEPTED_REQUESTS, accepted);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
@@ -9,6 +9,7 @@
 import io.masticpond.core.probe.ProbeObstacle;
 import io.masticpond.core.probe.ProbeResult;
 import io.masticpond.core.reachability.ForwardingPeer;
+import io.masticpond.core.reachability.ReachabilityListener;
 import io.masticpond.core.reachability.ReachabilityMonitor;
 import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.reachability.ReachabilityView;
@@ -96,7 +97,7 @@
     void start() {
         mTraffic.execute(
                 () -> {
-                    mMonitor.setListener(this::onChanged);
+                    mMonitor.setListener(new Changes());
                     mTraffic.scheduleWithFixedDelay(
                             this::evaluate,
                             ReachabilityMonitor.EVALUATION_NANOS,
@@ -211,13 +212,27 @@
         mMonitor.probeEnded(server.server().service(), end.isRight(), now);
     }
 
-    private void onChanged(ReachabilityView view, long formerNanos) {
-        long formerMillis = TimeUnit.NANOSECONDS.toMillis(formerNanos);
-        mLog.viewChanged(new ReachabilityChange(view, formerMillis));
-        mFlow.placer().discardFailures(mFlow.servers().of(view.service()));
-        if (view.state() == ReachabilityState.UNREACHABLE) {
-            updatePeers();
-            mFlow.forwardPending(view);
+    /** Listener that logs the changes and applies them to the request path. */
+    private final class Changes implements ReachabilityListener {
+
+        @Override
+        public void onChanged(ReachabilityView view, long formerNanos) {
+            log(view, formerNanos);
+            mFlow.placer().discardFailures(mFlow.servers().of(view.service()));
+            if (view.state() == ReachabilityState.UNREACHABLE) {
+                updatePeers();
+                mFlow.forwardPending(view);
+            }
+        }
+
+        @Override
+        public void onSuspicionChanged(ReachabilityView view, long formerNanos) {
+            log(view, formerNanos);
+        }
+
+        private void log(ReachabilityView view, long formerNanos) {
+            long formerMillis = TimeUnit.NANOSECONDS.toMillis(formerNanos);
+            mLog.viewChanged(new ReachabilityChange(view, formerMillis));
         }
     }
 }
