Find links that flap at once and send around them

Cause, from the lines of suspicions and of denied retries: a suspicion that one probe refuted was not raised again for 1 s, which is longer than a cut, and a probe is answered whenever the first servers are cut a moment before the others.

Change: a refuted suspicion may be raised again after 100 ms, doubling up to the failure window; after a loss one failed connection suffices, at once; requests are forwarded while connections raised the suspicion, and repeats for 10 s after it; probes start without waiting for the next evaluation; the reset of all idle connections raises a suspicion by itself; answered probes must come in a row. Once-only requests that may have run are never sent again, and each repeat still takes one of the retry budget.

--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityEvidence.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityEvidence.java
@@ -8,6 +8,8 @@
 public enum ReachabilityEvidence {
     /** Connections to several servers failed. */
     CONNECTIONS_FAILED,
+    /** All connections to the servers of the service were reset. */
+    CONNECTIONS_RESET,
     /** Pending requests received no answer. */
     NO_ANSWERS,
     /** Another service is unreachable. */
@@ -21,5 +23,25 @@
     /** Probes were answered. */
     PROBES_ANSWERED,
     /** An answer arrived. */
-    ANSWERED
+    ANSWERED;
+
+    /**
+     * Determines whether connections failed, so that requests are forwarded during the suspicion. A
+     * service that only answers late may be overloaded everywhere; forwarding its requests would
+     * add load and help none of them.
+     *
+     * @return whether requests of a suspected service are forwarded
+     */
+    boolean isOfConnections() {
+        return switch (this) {
+            case CONNECTIONS_FAILED, CONNECTIONS_RESET, OTHER_SERVICE -> true;
+            case NO_ANSWERS,
+                    PROBES_UNANSWERED,
+                    NEW_CONNECTIONS_FAILED,
+                    NOT_PROBED,
+                    PROBES_ANSWERED,
+                    ANSWERED ->
+                    false;
+        };
+    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilityMonitor.java
@@ -96,7 +96,8 @@
     }
 
     private ServiceReachability of(ServiceId service, long nowNanos) {
-        return mServices.computeIfAbsent(service, id -> new ServiceReachability(id, nowNanos, this::onChanged));
+        return mServices.computeIfAbsent(
+                service, id -> new ServiceReachability(id, nowNanos, this::onChanged));
     }
 
     /**
@@ -133,7 +134,7 @@
      */
     public void recordAnswered(ServiceId service, long answerNanos, long nowNanos) {
         mSilentSinceNanos = nowNanos;
-        of(service, nowNanos).answered(answerNanos, nowNanos);
+        of(service, nowNanos).answered(answerNanos, mSettings, nowNanos);
     }
 
     /**
@@ -150,6 +151,23 @@
         }
     }
 
+    /**
+     * Records that a server reset an idle connection. If no connection of the service is left, all
+     * were reset within a short time, which raises a suspicion without any failed request.
+     *
+     * @param service the service
+     * @param server the server
+     * @param isConnected whether a connection to any server of the service is still open
+     * @param nowNanos the current time
+     */
+    public void recordIdleReset(
+            ServiceId service, BackendServerId server, boolean isConnected, long nowNanos) {
+        ServiceReachability state = of(service, nowNanos);
+        if (state.failed(server, mSettings, nowNanos) && !isConnected) {
+            state.suspect(ReachabilityEvidence.CONNECTIONS_RESET, mSettings, nowNanos);
+        }
+    }
+
     /**
      * Raises suspicions by the time that pending requests have been without an answer. To be called
      * once in {@link #EVALUATION_NANOS}.
@@ -235,7 +253,7 @@
      * @param nowNanos the current time
      */
     public void endProbing(ServiceId service, long nowNanos) {
-        of(service, nowNanos).endProbing(nowNanos);
+        of(service, nowNanos).endProbing(mSettings, nowNanos);
         concludeInconclusive(nowNanos);
     }
 
@@ -249,7 +267,7 @@
     public void probeEnded(ServiceId service, boolean isAnswered, long nowNanos) {
         ServiceReachability state = of(service, nowNanos);
         ReachabilityState former = state.state();
-        state.probeEnded(isAnswered, nowNanos);
+        state.probeEnded(isAnswered, mSettings, nowNanos);
         boolean isLost = state.state() == ReachabilityState.UNREACHABLE;
         if (state.isInconclusive() || (isLost && former != state.state())) {
             mServices
@@ -280,7 +298,8 @@
                                         each.state() == ReachabilityState.SUSPECTED
                                                 && !each.isInconclusive());
         if (isAnyReachable) {
-            inconclusive.forEach(each -> each.refute(ReachabilityEvidence.OTHER_SERVICE, nowNanos));
+            inconclusive.forEach(
+                    each -> each.refute(ReachabilityEvidence.OTHER_SERVICE, mSettings, nowNanos));
         } else if (!isAnyPending) {
             inconclusive.forEach(
                     each -> each.lose(ReachabilityEvidence.NEW_CONNECTIONS_FAILED, nowNanos));
@@ -304,8 +323,9 @@
     }
 
     /**
-     * Determines whether a request is to be sent to a server directly. After a service has become
-     * reachable again, the share of such requests rises over the ramp.
+     * Determines whether a request is to be sent to a server directly. While a service is
+     * unreachable, or suspected as connections failed, none is. After it has become reachable
+     * again, the share of such requests rises over the ramp.
      *
      * @param service the service
      * @param fraction a random number from 0 (inclusive) to 1 (exclusive)
@@ -317,6 +337,19 @@
         return state == null || fraction < state.directShare(mSettings, nowNanos);
     }
 
+    /**
+     * Determines whether a request that failed is to be sent to a server directly once more. While
+     * a link fails at some servers and not at others, another instance is more likely to reach one.
+     *
+     * @param service the service
+     * @param nowNanos the current time
+     * @return whether no connections have raised a suspicion recently
+     */
+    public boolean isRepeatDirect(ServiceId service, long nowNanos) {
+        ServiceReachability state = mServices.get(service);
+        return state == null || !state.isSuspectedRecently(nowNanos);
+    }
+
     /**
      * Returns the state of a service.
      *
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilitySettings.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ReachabilitySettings.java
@@ -8,7 +8,7 @@
  *
  * @param silence the time without any answer after which pending requests raise a suspicion
  * @param failureWindow the time within which connections to several servers must fail to raise a
- *     suspicion, and for which a refuted suspicion is not raised again
+ *     suspicion, and the longest time for which a refuted suspicion is not raised again
  * @param probes the number of servers that are probed to confirm a suspicion
  * @param probeInterval the time between two probes of an unreachable service
  * @param ramp the time over which requests return to the servers of a service that is reachable
--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
@@ -13,7 +13,7 @@
     private static final int ANSWER_TIMES = 3;
     private static final double SMOOTHING_FACTOR = 0.1;
 
-    /** Number of answered probes after which an unreachable service is reachable again. */
+    /** Number of probes answered in a row after which an unreachable service is reachable again. */
     private static final int ANSWERED_PROBES = 2;
 
     /** Maximum of that number for a service that was lost repeatedly. */
@@ -22,6 +22,9 @@
     /** Time after a return within which another loss counts as repeated. */
     private static final long REPEATED_LOSS_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Time for which the first refuted suspicion is not raised again. */
+    private static final long MIN_TRUST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** Callback interface for changes of the state. */
     @FunctionalInterface
     interface ChangeListener {
@@ -42,8 +45,11 @@
     private boolean mHasReturned;
     private long mReturnedNanos;
     private long mLastAnswerNanos;
-    private boolean mHasRefuted;
-    private long mRefutedNanos;
+    private boolean mHasSuspected;
+    private long mSuspectedNanos;
+    private boolean mIsTrusted;
+    private long mTrustedUntilNanos;
+    private long mTrustNanos;
     private int mProbesToStart;
     private int mProbesInFlight;
     private int mAnsweredProbes;
@@ -86,7 +92,7 @@
         mPending--;
     }
 
-    void answered(long answerNanos, long nowNanos) {
+    void answered(long answerNanos, ReachabilitySettings settings, long nowNanos) {
         mSilentSinceNanos = nowNanos;
         mLastAnswerNanos = nowNanos;
         mAnswerNanos =
@@ -97,7 +103,7 @@
                 mState == ReachabilityState.SUSPECTED
                         && mEvidence == ReachabilityEvidence.NO_ANSWERS;
         if (isSilenceOver) {
-            refute(ReachabilityEvidence.ANSWERED, nowNanos);
+            refute(ReachabilityEvidence.ANSWERED, settings, nowNanos);
         }
     }
 
@@ -111,21 +117,32 @@
         return mPending > 0 && nowNanos - mSilentSinceNanos >= limitNanos;
     }
 
-    /** Records a failed connection; returns whether connections to several servers failed. */
+    /**
+     * Records a failed connection; returns whether connections to several servers failed. Within
+     * some time of a loss, one failed connection suffices, as a link that failed once often fails
+     * again.
+     */
     boolean failed(BackendServerId server, ReachabilitySettings settings, long nowNanos) {
         long windowNanos = settings.failureWindow().toNanos();
         mFailedNanos.values().removeIf(failedNanos -> nowNanos - failedNanos > windowNanos);
         mFailedNanos.put(server, nowNanos);
-        return mFailedNanos.size() >= FAILED_SERVERS;
+        return mFailedNanos.size() >= (isLostRecently(nowNanos) ? 1 : FAILED_SERVERS);
+    }
+
+    private boolean isLostRecently(long nowNanos) {
+        return mHasReturned && nowNanos - mReturnedNanos < REPEATED_LOSS_NANOS;
     }
 
     /** Raises a suspicion unless there is one or the last one was refuted only just now. */
     void suspect(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
-        boolean isTrusted =
-                mHasRefuted && nowNanos - mRefutedNanos < settings.failureWindow().toNanos();
+        boolean isTrusted = mIsTrusted && nowNanos - mTrustedUntilNanos < 0;
         if (mState != ReachabilityState.REACHABLE || isTrusted) {
             return;
         }
+        if (evidence.isOfConnections()) {
+            mHasSuspected = true;
+            mSuspectedNanos = nowNanos;
+        }
         mProbesToStart = settings.probes();
         mProbesInFlight = 0;
         change(ReachabilityState.SUSPECTED, evidence, nowNanos);
@@ -150,31 +167,32 @@
      * Records that no further server may be probed. Without any probe, requests are the only way to
      * find out, so the service counts as reachable.
      */
-    void endProbing(long nowNanos) {
+    void endProbing(ReachabilitySettings settings, long nowNanos) {
         mProbesToStart = 0;
         if (mState == ReachabilityState.REACHABLE || mProbesInFlight > 0 || mIsInconclusive) {
             return;
         }
-        boolean isReturned = mState == ReachabilityState.UNREACHABLE;
-        mHasReturned |= isReturned;
-        mReturnedNanos = isReturned ? nowNanos : mReturnedNanos;
-        refute(ReachabilityEvidence.NOT_PROBED, nowNanos);
+        if (mState == ReachabilityState.UNREACHABLE) {
+            returned(ReachabilityEvidence.NOT_PROBED, nowNanos);
+        } else {
+            refute(ReachabilityEvidence.NOT_PROBED, settings, nowNanos);
+        }
     }
 
     /** Records the end of a probe. */
-    void probeEnded(boolean isAnswered, long nowNanos) {
+    void probeEnded(boolean isAnswered, ReachabilitySettings settings, long nowNanos) {
         mProbesInFlight = Math.max(0, mProbesInFlight - 1);
         switch (mState) {
             case REACHABLE -> {}
-            case SUSPECTED -> suspicionProbed(isAnswered, nowNanos);
+            case SUSPECTED -> suspicionProbed(isAnswered, settings, nowNanos);
             case UNREACHABLE -> lossProbed(isAnswered, nowNanos);
             default -> throw new IllegalStateException("The state is unknown.");
         }
     }
 
-    private void suspicionProbed(boolean isAnswered, long nowNanos) {
+    private void suspicionProbed(boolean isAnswered, ReachabilitySettings settings, long nowNanos) {
         if (isAnswered) {
-            refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
+            refute(ReachabilityEvidence.PROBES_ANSWERED, settings, nowNanos);
             return;
         }
         if (mProbesInFlight > 0 || mProbesToStart > 0) {
@@ -189,9 +207,8 @@
 
     /** Concludes that the service is unreachable. */
     void lose(ReachabilityEvidence evidence, long nowNanos) {
-        boolean isRepeated = mHasReturned && nowNanos - mReturnedNanos < REPEATED_LOSS_NANOS;
         mRequiredProbes =
-                isRepeated
+                isLostRecently(nowNanos)
                         ? Math.min(2 * mRequiredProbes, MAXIMUM_ANSWERED_PROBES)
                         : ANSWERED_PROBES;
         mAnsweredProbes = 0;
@@ -201,7 +218,7 @@
 
     private void lossProbed(boolean isAnswered, long nowNanos) {
         if (!isAnswered) {
-            mAnsweredProbes = Math.max(0, mAnsweredProbes - 1);
+            mAnsweredProbes = 0;
             return;
         }
         mAnsweredProbes++;
@@ -209,24 +226,49 @@
         if (mAnsweredProbes < mRequiredProbes) {
             return;
         }
+        returned(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
+    }
+
+    /** Concludes that a service is reachable again. The next failure raises a suspicion at once. */
+    private void returned(ReachabilityEvidence evidence, long nowNanos) {
         mHasReturned = true;
         mReturnedNanos = nowNanos;
-        refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
+        mIsTrusted = false;
+        becomeReachable(evidence, nowNanos);
+    }
+
+    /**
+     * Concludes that a suspected service is reachable. The suspicion is not raised again for a time
+     * that doubles with each refutation in a row, up to the failure window: a link may be lost just
+     * after its first servers answered, while servers that fail must not cause probes all the time.
+     */
+    void refute(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
+        boolean isFirst = !mIsTrusted || nowNanos - mTrustedUntilNanos > REPEATED_LOSS_NANOS;
+        long trustNanos = isFirst ? MIN_TRUST_NANOS : 2 * mTrustNanos;
+        mTrustNanos = Math.min(trustNanos, settings.failureWindow().toNanos());
+        mIsTrusted = true;
+        mTrustedUntilNanos = nowNanos + mTrustNanos;
+        becomeReachable(evidence, nowNanos);
     }
 
-    /** Concludes that the service is reachable. */
-    void refute(ReachabilityEvidence evidence, long nowNanos) {
+    private void becomeReachable(ReachabilityEvidence evidence, long nowNanos) {
         mFailedNanos.clear();
-        mHasRefuted = true;
-        mRefutedNanos = nowNanos;
         mProbesToStart = 0;
         mSilentSinceNanos = nowNanos;
         change(ReachabilityState.REACHABLE, evidence, nowNanos);
     }
 
+    /** Determines whether connections raised a suspicion recently, whatever the probes showed. */
+    boolean isSuspectedRecently(long nowNanos) {
+        return mHasSuspected && nowNanos - mSuspectedNanos < REPEATED_LOSS_NANOS;
+    }
+
     /** Returns the share of the requests that is sent to servers directly. */
     double directShare(ReachabilitySettings settings, long nowNanos) {
-        if (mState == ReachabilityState.UNREACHABLE) {
+        boolean isForwarded =
+                mState == ReachabilityState.UNREACHABLE
+                        || (mState == ReachabilityState.SUSPECTED && mEvidence.isOfConnections());
+        if (isForwarded) {
             return 0;
         }
         return mHasReturned
--- a/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/reachability/ReachabilityMonitorTest.java
@@ -207,6 +207,73 @@
         assertThat(answerUntilReachable()).isEqualTo(2 * answered);
     }
 
+    /** Guards against the requests of a whole cut that fail as the last probes were answered. */
+    @Example
+    void oneFailedConnectionRaisesSuspicionAtOnceAfterLoss() {
+        lose(ORDERS);
+        answerUntilReachable();
+        failServers(ORDERS, 1);
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.SUSPECTED);
+    }
+
+    /** Guards against probes for each failed request while one server fails after a loss. */
+    @Example
+    void refutedSuspicionsAfterLossBecomeRarer() {
+        lose(ORDERS);
+        answerUntilReachable();
+        int suspicions = 0;
+        for (int time = 0; time < 40; time++) {
+            failServers(ORDERS, 1);
+            suspicions += mMonitor.dueProbes(ORDERS, mNowNanos) > 0 ? 1 : 0;
+            probe(ORDERS, true);
+            step();
+        }
+        assertThat(suspicions).isBetween(4, 8);
+    }
+
+    /** Guards against a service that returns between two cuts of a link that flaps. */
+    @Example
+    void anUnansweredProbeRestartsTheCountOfAnsweredOnes() {
+        lose(ORDERS);
+        step();
+        probe(ORDERS, true);
+        step();
+        probe(ORDERS, false);
+        mNowNanos += SETTINGS.probeInterval().toNanos();
+        probe(ORDERS, true);
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.UNREACHABLE);
+    }
+
+    /** Guards against requests of a slow service that all instances forward to each other. */
+    @Example
+    void requestsAreSentDirectlyDuringSuspicionWithoutFailedConnections() {
+        mMonitor.recordSent(ORDERS, mNowNanos);
+        for (int time = 0; time < 6; time++) {
+            step();
+        }
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.SUSPECTED);
+        assertThat(mMonitor.isDirect(ORDERS, 0.99, mNowNanos)).isTrue();
+    }
+
+    /** Guards against requests that are needed to find a cut that all connections showed. */
+    @Example
+    void resetOfAllIdleConnectionsRaisesSuspicion() {
+        mMonitor.recordIdleReset(ORDERS, new BackendServerId("s0"), true, mNowNanos);
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.REACHABLE);
+        mMonitor.recordIdleReset(ORDERS, new BackendServerId("s1"), false, mNowNanos);
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.SUSPECTED);
+        assertThat(mMonitor.isDirect(ORDERS, 0, mNowNanos)).isFalse();
+    }
+
+    /** Guards against servers that end, as those of one zone, being taken for a cut. */
+    @Example
+    void resetsOfIdleConnectionsRaiseNoSuspicionWhileOthersAreOpen() {
+        for (int server = 0; server < 5; server++) {
+            mMonitor.recordIdleReset(ORDERS, new BackendServerId("s" + server), true, mNowNanos);
+        }
+        assertThat(mMonitor.state(ORDERS)).isEqualTo(ReachabilityState.REACHABLE);
+    }
+
     private int answerUntilReachable() {
         int answered = 0;
         while (mMonitor.state(ORDERS) != ReachabilityState.REACHABLE) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -51,6 +51,10 @@
         mStartedNanos = pool.nowNanos();
     }
 
+    boolean isOpen() {
+        return mState != State.OPENING && mState != State.CLOSED;
+    }
+
     boolean isUnclaimed() {
         return mState == State.OPENING && mCall == null;
     }
@@ -266,22 +270,24 @@
         if (mState == State.IDLE && mOrderlyEnd && !mIdleStated) {
             mPool.closedWhenIdle(idleNanos());
         }
-        if (mState == State.IDLE && !mOrderlyEnd) {
-            mPool.resetWhenIdle();
-        }
+        boolean isIdleReset = mState == State.IDLE && !mOrderlyEnd;
         boolean isMismatched = mState == State.BUSY && mAssembler.hasMismatchedAnswer();
         fail(isMismatched ? CallFailure.Kind.BAD_ANSWER : CallFailure.Kind.BROKEN_OFF);
+        if (isIdleReset) {
+            mPool.resetWhenIdle();
+        }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (mState == State.IDLE && cause instanceof IOException) {
-            mPool.resetWhenIdle();
-        }
+        boolean isIdleReset = mState == State.IDLE && cause instanceof IOException;
         fail(
                 cause instanceof IOException
                         ? CallFailure.Kind.BROKEN_OFF
                         : CallFailure.Kind.BAD_ANSWER);
+        if (isIdleReset) {
+            mPool.resetWhenIdle();
+        }
     }
 
     private void finish() {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnections.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.backend;
 
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ServiceId;
 import java.util.function.Consumer;
 
 /**
@@ -59,6 +60,16 @@
         return 0;
     }
 
+    /**
+     * Determines whether a connection to any server of a service is open.
+     *
+     * @param service the service
+     * @return whether one is open, idle or in use
+     */
+    default boolean isConnected(ServiceId service) {
+        return false;
+    }
+
     /**
      * Closes the idle connections to a removed server; calls in progress continue.
      *
@@ -70,7 +81,7 @@
     void close();
 
     /**
-     * Sets the listener for servers that reset an idle connection.
+     * Sets the listener for servers that reset an idle connection, which is closed by then.
      *
      * @param listener the listener, called on the event loop
      */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/NettyBackendConnections.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.body.BodyBudget;
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.time.TimeSource;
 import io.netty.channel.EventLoop;
@@ -138,6 +139,16 @@
         return pool == null ? 0 : pool.roundTripNanos();
     }
 
+    @Override
+    public boolean isConnected(ServiceId service) {
+        for (ServerPool pool : mPools.values()) {
+            if (pool.service().equals(service) && pool.isConnected()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     @Override
     public void removeServer(RegisteredServer server) {
         ServerPool pool = mPools.remove(server.id());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.fleet.ServerAddress;
+import io.masticpond.core.id.ServiceId;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import java.net.InetSocketAddress;
@@ -46,6 +47,10 @@
         return mSocketAddress;
     }
 
+    ServiceId service() {
+        return mServer.service();
+    }
+
     ServerAddress address() {
         return mServer.address();
     }
@@ -81,6 +86,16 @@
         return mRoundTripNanos;
     }
 
+    /** Returns whether a connection is open, idle or in use. */
+    boolean isConnected() {
+        for (BackendConnection connection : mConnections) {
+            if (connection.isOpen()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean isEmpty() {
         return mConnections.isEmpty();
     }
@@ -162,7 +177,7 @@
                 Math.min(mUnstatedIdleNanos, Math.max(limitNanos, MINIMUM_OBSERVED_IDLE_NANOS));
     }
 
-    /** Records that the server reset an idle connection. */
+    /** Records that the server reset an idle connection, which is closed now. */
     void resetWhenIdle() {
         mContext.onIdleReset().accept(mServer);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ReachabilityChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ReachabilityChange.java
@@ -5,8 +5,8 @@
 import java.io.IOException;
 
 /**
- * Loss of the connection of this instance to all servers of a service, the suspicion of such a loss,
- * or the end of either.
+ * Loss of the connection of this instance to all servers of a service, the suspicion of such a
+ * loss, or the end of either.
  *
  * @param view the new view
  * @param formerMillis for how long the former state lasted, in milliseconds
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/CrashGuard.java
@@ -73,7 +73,6 @@
                         reachability,
                         log,
                         new CheckedServers());
-        connections.setIdleResetListener(mChecks::addIfFew);
         mBodies = new ServerBodies(timeSource, log);
         mRequests = new CrashingRequests(CrashSettings.DEFAULT, new Output());
         mRejectionListener = rejectionListener;
@@ -201,6 +200,11 @@
         mChecks.add(server);
     }
 
+    /** Records that a server reset an idle connection. */
+    void recordIdleReset(RegisteredServer server) {
+        mChecks.addIfFew(server);
+    }
+
     private long now() {
         return mTimeSource.monotonicNanos();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardAttempts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardAttempts.java
@@ -47,10 +47,11 @@
     }
 
     /** Determines whether the request must not be sent to servers by this instance. */
-    boolean isDue(long now) {
+    boolean isDue(boolean isRepeat, long now) {
         ServiceId service = mAdmitted.service();
         double fraction = mAdmitted.isForwarded() ? 0 : mFlow.forwarding().nextRandom();
-        if (monitor().isDirect(service, fraction, now)) {
+        if (monitor().isDirect(service, fraction, now)
+                && (!isRepeat || monitor().isRepeatDirect(service, now))) {
             return false;
         }
         return monitor().state(service) == ReachabilityState.UNREACHABLE || choose().isPresent();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -119,6 +119,7 @@
                         hash -> Optional.ofNullable(mServers.byHash(hash)).map(ServerLoad::server),
                         log,
                         this::onRejected);
+        mConnections.setIdleResetListener(this::onIdleReset);
         mHeld = new HeldRequests(eventLoop, this::onHoldTimeout, this::onHeldClientDisconnected);
     }
 
@@ -313,11 +314,14 @@
         return mStatements;
     }
 
+    private void onIdleReset(RegisteredServer server) {
+        mForwarding.recordIdleReset(server, mConnections, nowNanos());
+        mCrashes.recordIdleReset(server);
+    }
+
     /** Ends the copies of a rejected request that wait at servers, before the servers run them. */
     private void onRejected(RequestFingerprint request) {
-        for (RequestRun run : List.copyOf(mRuns)) {
-            run.onRejected(request);
-        }
+        List.copyOf(mRuns).forEach(run -> run.onRejected(request));
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestForwarding.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestForwarding.java
@@ -1,8 +1,11 @@
 package io.masticpond.entry.request;
 
+import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.reachability.ReachabilityMonitor;
 import io.masticpond.core.reachability.ReachabilitySettings;
 import io.masticpond.core.support.Assert;
+import io.masticpond.entry.backend.BackendConnections;
 import io.masticpond.entry.forward.PeerRequests;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
@@ -81,6 +84,13 @@
         return mPeers;
     }
 
+    /** Records that a server reset an idle connection, maybe together with all others. */
+    void recordIdleReset(RegisteredServer server, BackendConnections connections, long nowNanos) {
+        ServiceId service = server.service();
+        boolean isConnected = connections.isConnected(service);
+        mMonitor.recordIdleReset(service, server.id(), isConnected, nowNanos);
+    }
+
     double nextRandom() {
         return mRandom.getAsDouble();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestRun.java
@@ -114,7 +114,8 @@
             return;
         }
         long now = mFlow.nowNanos();
-        if (mForwardAttempts.isDue(now)) {
+        boolean isRepeat = mAttemptCount + mConnectFailureCount > 0;
+        if (mForwardAttempts.isDue(isRepeat, now)) {
             forward(now);
             return;
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/Reachability.java
@@ -119,6 +119,17 @@
         }
     }
 
+    /**
+     * Probes a service without waiting for the next evaluation, as requests may fail until then.
+     */
+    private void probeSuspected(ServiceId service) {
+        long now = mTimeSource.monotonicNanos();
+        if (mMonitor.dueProbes(service, now) > 0) {
+            updatePeers();
+            probe(service, now);
+        }
+    }
+
     private void updatePeers() {
         if (mForwardAddress.isEmpty()) {
             return;
@@ -228,6 +239,9 @@
         @Override
         public void onSuspicionChanged(ReachabilityView view, long formerNanos) {
             log(view, formerNanos);
+            if (view.state() == ReachabilityState.SUSPECTED) {
+                mTraffic.execute(() -> probeSuspected(view.service()));
+            }
         }
 
         private void log(ReachabilityView view, long formerNanos) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/ServerCheckTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/ServerCheckTest.java
@@ -65,4 +65,28 @@
             assertThat(check(backends)).isEqualTo(ServerReachability.UNKNOWN);
         }
     }
+
+    /** Guards against a cut of all connections that is taken for the end of some. */
+    @Example
+    void listenerOfIdleResetSeesWhetherOneConnectionIsLeft() throws Exception {
+        try (BackendFixture backends = new BackendFixture()) {
+            BlockingQueue<Boolean> connected = new LinkedBlockingQueue<>();
+            RawServer.Connection idle = backends.openIdleConnection("");
+            backends.onLoop(
+                    () -> {
+                        backends.mConnections.setIdleResetListener(
+                                server ->
+                                        connected.add(
+                                                backends.mConnections.isConnected(
+                                                        server.service())));
+                        return null;
+                    });
+            assertThat(check(backends)).isEqualTo(ServerReachability.OPEN);
+            RawServer.Connection other = backends.mServer.accept();
+            idle.reset();
+            assertThat(connected.poll(60, TimeUnit.SECONDS)).isTrue();
+            other.reset();
+            assertThat(connected.poll(60, TimeUnit.SECONDS)).isFalse();
+        }
+    }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/FakeConnections.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.request;
 
 import io.masticpond.core.fleet.RegisteredServer;
+import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
@@ -24,6 +25,7 @@
     final List<Check> mChecks = new ArrayList<>();
     final List<RegisteredServer> mRemoved = new ArrayList<>();
     Consumer<RegisteredServer> mIdleResetListener;
+    boolean mIsConnected;
 
     @Override
     public BackendCall send(
@@ -52,6 +54,11 @@
         mIdleResetListener = listener;
     }
 
+    @Override
+    public boolean isConnected(ServiceId service) {
+        return mIsConnected;
+    }
+
     @Override
     public void removeServer(RegisteredServer server) {
         mRemoved.add(server);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
@@ -212,6 +212,102 @@
         assertThat(flow.crashGuard().views()).isEmpty();
     }
 
+    private void suspectServers(RequestFlow flow) {
+        long now = mTime.monotonicNanos();
+        flow.forwarding().monitor().recordFailed(SERVICE, new BackendServerId("server-0"), now);
+        flow.forwarding().monitor().recordFailed(SERVICE, new BackendServerId("server-1"), now);
+    }
+
+    /** Guards against requests that are lost on a link that is being probed. */
+    @Example
+    void requestIsForwardedWhileConnectionsFail() {
+        RequestFlow flow = flowWithPeers(false, 1);
+        suspectServers(flow);
+        handle(flow);
+        assertThat(mConnections.mCalls).isEmpty();
+        assertThat(mPeerConnections.mCalls).hasSize(1);
+    }
+
+    /** Guards against an instance that tries no server during a suspicion nobody else can help. */
+    @Example
+    void requestIsSentDirectlyWhileConnectionsFailIfThereIsNoOtherInstance() {
+        RequestFlow flow = flowWithPeers(false, 0);
+        suspectServers(flow);
+        handle(flow);
+        assertThat(mConnections.mCalls).hasSize(1);
+    }
+
+    /** Guards against requests that circle between instances with the same suspicion. */
+    @Example
+    void forwardedRequestIsSentDirectlyWhileConnectionsFail() {
+        RequestFlow flow = flowWithPeers(true, 1);
+        suspectServers(flow);
+        handleForwarded(flow, 2);
+        assertThat(mPeerConnections.mCalls).isEmpty();
+        assertThat(mConnections.mCalls).hasSize(1);
+    }
+
+    /** Guards against a repeat on a link that fails at some servers and not at others. */
+    @Example
+    void repeatIsForwardedAfterRefutedSuspicion() {
+        RequestFlow flow = flowWithPeers(true, 1);
+        suspectServers(flow);
+        ReachabilityMonitor monitor = flow.forwarding().monitor();
+        monitor.probeStarted(SERVICE, mTime.monotonicNanos());
+        monitor.probeEnded(SERVICE, true, mTime.monotonicNanos());
+        handle(flow);
+        assertThat(mPeerConnections.mCalls).isEmpty();
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mPeerConnections.mCalls).hasSize(1);
+    }
+
+    /** Guards against hops while one server ends, which another one can stand in for. */
+    @Example
+    void repeatIsSentDirectlyWithoutSuspicion() {
+        RequestFlow flow = flowWithPeers(true, 1);
+        handle(flow);
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mConnections.mCalls).hasSize(2);
+        assertThat(mPeerConnections.mCalls).isEmpty();
+    }
+
+    /** Guards against a once-only request that runs twice, here and at another instance. */
+    @Example
+    void onceOnlyRequestThatMayHaveRunIsNotForwardedWhileConnectionsFail() {
+        RequestFlow flow = flowWithPeers(false, 1);
+        handle(flow);
+        suspectServers(flow);
+        mConnections.last().fail(Verdict.MAY_HAVE_RUN, CallFailure.Kind.BROKEN_OFF);
+        assertThat(mPeerConnections.mCalls).isEmpty();
+        assertThat(mResponder.status()).isEqualTo(502);
+    }
+
+    private void resetIdleConnections(RequestFlow flow) {
+        flow.servers()
+                .of(SERVICE)
+                .forEach(each -> mConnections.mIdleResetListener.accept(each.server()));
+    }
+
+    /** Guards against a request that is lost to find a cut that all idle connections showed. */
+    @Example
+    void resetOfAllIdleConnectionsHasTheNextRequestForwarded() {
+        RequestFlow flow = flowWithPeers(false, 1);
+        resetIdleConnections(flow);
+        handle(flow);
+        assertThat(mConnections.mCalls).isEmpty();
+        assertThat(mPeerConnections.mCalls).hasSize(1);
+    }
+
+    /** Guards against servers that end, as those of one zone, being taken for a cut. */
+    @Example
+    void resetOfSomeIdleConnectionsRaisesNoSuspicion() {
+        RequestFlow flow = flowWithPeers(false, 1);
+        mConnections.mIsConnected = true;
+        resetIdleConnections(flow);
+        assertThat(flow.forwarding().monitor().state(SERVICE))
+                .isEqualTo(ReachabilityState.REACHABLE);
+    }
+
     private FakeResponder handleForwarded(RequestFlow flow, int attempts) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set("Host", "host").set("Id", "one").set("Wait", "800");
