--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
@@ -13,7 +13,7 @@
     private static final int ANSWER_TIMES = 3;
     private static final double SMOOTHING_FACTOR = 0.1;
 
-    /** Number of probes answered in a row after which an unreachable service is reachable again. */
+    /** Number of answered probes after which an unreachable service is reachable again. */
     private static final int ANSWERED_PROBES = 2;
 
     /** Maximum of that number for a service that was lost repeatedly. */
@@ -218,7 +218,7 @@
 
     private void lossProbed(boolean isAnswered, long nowNanos) {
         if (!isAnswered) {
-            mAnsweredProbes = 0;
+            mAnsweredProbes = Math.max(0, mAnsweredProbes - 1);
             return;
         }
         mAnsweredProbes++;
