--- a/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/reachability/ServiceReachability.java
@@ -22,7 +22,19 @@
     /** Time after a return within which another loss counts as repeated. */
     private static final long REPEATED_LOSS_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Time for which the first refuted suspicion is not raised again. */
+    private static final long MIN_TRUST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Callback interface for changes of the state. */
+    @FunctionalInterface
+    interface ChangeListener {
+
+        /** Called after the state has changed. */
+        void onChanged(ReachabilityView former, ReachabilityView current);
+    }
+
     private final ServiceId mService;
+    private final ChangeListener mListener;
     private final Map<BackendServerId, Long> mFailedNanos = new HashMap<>();
     private ReachabilityState mState = ReachabilityState.REACHABLE;
     private ReachabilityEvidence mEvidence = ReachabilityEvidence.ANSWERED;
@@ -33,8 +45,11 @@
     private boolean mHasReturned;
     private long mReturnedNanos;
     private long mLastAnswerNanos;
-    private boolean mHasRefuted;
-    private long mRefutedNanos;
+    private boolean mHasSuspected;
+    private long mSuspectedNanos;
+    private boolean mIsTrusted;
+    private long mTrustedUntilNanos;
+    private long mTrustNanos;
     private int mProbesToStart;
     private int mProbesInFlight;
     private int mAnsweredProbes;
@@ -42,8 +57,9 @@
     private long mNextProbeNanos;
     private boolean mIsInconclusive;
 
-    ServiceReachability(ServiceId service, long nowNanos) {
+    ServiceReachability(ServiceId service, long nowNanos, ChangeListener listener) {
         mService = service;
+        mListener = listener;
         mSinceNanos = nowNanos;
         mLastAnswerNanos = nowNanos;
     }
@@ -76,7 +92,7 @@
         mPending--;
     }
 
-    void answered(long answerNanos, long nowNanos) {
+    void answered(long answerNanos, ReachabilitySettings settings, long nowNanos) {
         mSilentSinceNanos = nowNanos;
         mLastAnswerNanos = nowNanos;
         mAnswerNanos =
@@ -87,7 +103,7 @@
                 mState == ReachabilityState.SUSPECTED
                         && mEvidence == ReachabilityEvidence.NO_ANSWERS;
         if (isSilenceOver) {
-            refute(ReachabilityEvidence.ANSWERED, nowNanos);
+            refute(ReachabilityEvidence.ANSWERED, settings, nowNanos);
         }
     }
 
@@ -101,25 +117,35 @@
         return mPending > 0 && nowNanos - mSilentSinceNanos >= limitNanos;
     }
 
-    /** Records a failed connection; returns whether connections to several servers failed. */
+    /**
+     * Records a failed connection; returns whether connections to several servers failed. Within
+     * some time of a loss, one failed connection suffices, as a link that failed once often fails
+     * again.
+     */
     boolean failed(BackendServerId server, ReachabilitySettings settings, long nowNanos) {
         long windowNanos = settings.failureWindow().toNanos();
         mFailedNanos.values().removeIf(failedNanos -> nowNanos - failedNanos > windowNanos);
         mFailedNanos.put(server, nowNanos);
-        return mFailedNanos.size() >= FAILED_SERVERS;
+        return mFailedNanos.size() >= (isLostRecently(nowNanos) ? 1 : FAILED_SERVERS);
+    }
+
+    private boolean isLostRecently(long nowNanos) {
+        return mHasReturned && nowNanos - mReturnedNanos < REPEATED_LOSS_NANOS;
     }
 
     /** Raises a suspicion unless there is one or the last one was refuted only just now. */
-    boolean suspect(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
-        boolean isTrusted =
-                mHasRefuted && nowNanos - mRefutedNanos < settings.failureWindow().toNanos();
+    void suspect(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
+        boolean isTrusted = mIsTrusted && nowNanos - mTrustedUntilNanos < 0;
         if (mState != ReachabilityState.REACHABLE || isTrusted) {
-            return false;
+            return;
+        }
+        if (evidence.isOfConnections()) {
+            mHasSuspected = true;
+            mSuspectedNanos = nowNanos;
         }
-        change(ReachabilityState.SUSPECTED, evidence, nowNanos);
         mProbesToStart = settings.probes();
         mProbesInFlight = 0;
-        return true;
+        change(ReachabilityState.SUSPECTED, evidence, nowNanos);
     }
 
     /** Returns the number of probes that are due. */
@@ -140,52 +166,49 @@
     /**
      * Records that no further server may be probed. Without any probe, requests are the only way to
      * find out, so the service counts as reachable.
-     *
-     * @return whether the service changed from unreachable
      */
-    boolean endProbing(long nowNanos) {
+    void endProbing(ReachabilitySettings settings, long nowNanos) {
         mProbesToStart = 0;
         if (mState == ReachabilityState.REACHABLE || mProbesInFlight > 0 || mIsInconclusive) {
-            return false;
+            return;
+        }
+        if (mState == ReachabilityState.UNREACHABLE) {
+            returned(ReachabilityEvidence.NOT_PROBED, nowNanos);
+        } else {
+            refute(ReachabilityEvidence.NOT_PROBED, settings, nowNanos);
         }
-        boolean isReturned = mState == ReachabilityState.UNREACHABLE;
-        mHasReturned |= isReturned;
-        mReturnedNanos = isReturned ? nowNanos : mReturnedNanos;
-        refute(ReachabilityEvidence.NOT_PROBED, nowNanos);
-        return isReturned;
     }
 
-    /** Records the end of a probe; returns whether the service changed to or from unreachable. */
-    boolean probeEnded(boolean isAnswered, long nowNanos) {
+    /** Records the end of a probe. */
+    void probeEnded(boolean isAnswered, ReachabilitySettings settings, long nowNanos) {
         mProbesInFlight = Math.max(0, mProbesInFlight - 1);
-        return switch (mState) {
-            case REACHABLE -> false;
-            case SUSPECTED -> suspicionProbed(isAnswered, nowNanos);
+        switch (mState) {
+            case REACHABLE -> {}
+            case SUSPECTED -> suspicionProbed(isAnswered, settings, nowNanos);
             case UNREACHABLE -> lossProbed(isAnswered, nowNanos);
-        };
+            default -> throw new IllegalStateException("The state is unknown.");
+        }
     }
 
-    private boolean suspicionProbed(boolean isAnswered, long nowNanos) {
+    private void suspicionProbed(boolean isAnswered, ReachabilitySettings settings, long nowNanos) {
         if (isAnswered) {
-            refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
-            return false;
+            refute(ReachabilityEvidence.PROBES_ANSWERED, settings, nowNanos);
+            return;
         }
         if (mProbesInFlight > 0 || mProbesToStart > 0) {
-            return false;
+            return;
         }
         if (mLastAnswerNanos - mSinceNanos > 0) {
             mIsInconclusive = true;
-            return false;
+            return;
         }
         lose(ReachabilityEvidence.PROBES_UNANSWERED, nowNanos);
-        return true;
     }
 
     /** Concludes that the service is unreachable. */
     void lose(ReachabilityEvidence evidence, long nowNanos) {
-        boolean isRepeated = mHasReturned && nowNanos - mReturnedNanos < REPEATED_LOSS_NANOS;
         mRequiredProbes =
-                isRepeated
+                isLostRecently(nowNanos)
                         ? Math.min(2 * mRequiredProbes, MAXIMUM_ANSWERED_PROBES)
                         : ANSWERED_PROBES;
         mAnsweredProbes = 0;
@@ -193,35 +216,59 @@
         change(ReachabilityState.UNREACHABLE, evidence, nowNanos);
     }
 
-    private boolean lossProbed(boolean isAnswered, long nowNanos) {
+    private void lossProbed(boolean isAnswered, long nowNanos) {
         if (!isAnswered) {
             mAnsweredProbes = Math.max(0, mAnsweredProbes - 1);
-            return false;
+            return;
         }
         mAnsweredProbes++;
         mNextProbeNanos = nowNanos;
         if (mAnsweredProbes < mRequiredProbes) {
-            return false;
+            return;
         }
+        returned(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
+    }
+
+    /** Concludes that a service is reachable again. The next failure raises a suspicion at once. */
+    private void returned(ReachabilityEvidence evidence, long nowNanos) {
         mHasReturned = true;
         mReturnedNanos = nowNanos;
-        refute(ReachabilityEvidence.PROBES_ANSWERED, nowNanos);
-        return true;
+        mIsTrusted = false;
+        becomeReachable(evidence, nowNanos);
+    }
+
+    /**
+     * Concludes that a suspected service is reachable. The suspicion is not raised again for a time
+     * that doubles with each refutation in a row, up to the failure window: a link may be lost just
+     * after its first servers answered, while servers that fail must not cause probes all the time.
+     */
+    void refute(ReachabilityEvidence evidence, ReachabilitySettings settings, long nowNanos) {
+        boolean isFirst = !mIsTrusted || nowNanos - mTrustedUntilNanos > REPEATED_LOSS_NANOS;
+        long trustNanos = isFirst ? MIN_TRUST_NANOS : 2 * mTrustNanos;
+        mTrustNanos = Math.min(trustNanos, settings.failureWindow().toNanos());
+        mIsTrusted = true;
+        mTrustedUntilNanos = nowNanos + mTrustNanos;
+        becomeReachable(evidence, nowNanos);
     }
 
-    /** Concludes that the service is reachable. */
-    void refute(ReachabilityEvidence evidence, long nowNanos) {
+    private void becomeReachable(ReachabilityEvidence evidence, long nowNanos) {
         mFailedNanos.clear();
-        mHasRefuted = true;
-        mRefutedNanos = nowNanos;
         mProbesToStart = 0;
         mSilentSinceNanos = nowNanos;
         change(ReachabilityState.REACHABLE, evidence, nowNanos);
     }
 
+    /** Determines whether connections raised a suspicion recently, whatever the probes showed. */
+    boolean isSuspectedRecently(long nowNanos) {
+        return mHasSuspected && nowNanos - mSuspectedNanos < REPEATED_LOSS_NANOS;
+    }
+
     /** Returns the share of the requests that is sent to servers directly. */
     double directShare(ReachabilitySettings settings, long nowNanos) {
-        if (mState == ReachabilityState.UNREACHABLE) {
+        boolean isForwarded =
+                mState == ReachabilityState.UNREACHABLE
+                        || (mState == ReachabilityState.SUSPECTED && mEvidence.isOfConnections());
+        if (isForwarded) {
             return 0;
         }
         return mHasReturned
@@ -230,9 +277,11 @@
     }
 
     private void change(ReachabilityState state, ReachabilityEvidence evidence, long nowNanos) {
+        ReachabilityView former = view();
         mState = state;
         mEvidence = evidence;
         mSinceNanos = nowNanos;
         mIsInconclusive = false;
+        mListener.onChanged(former, view());
     }
 }
