Read what servers state in the answers to forwarded requests

Cause: statements were read where an instance receives the head of a server's answer itself. Of a forwarded request the instance that sent it did that; the one that passed the answer on read nothing, and no header named the server.

The sender now names with its answer each server whose head arrived, with what it stated: also of attempts that were refused, failed or were repeated elsewhere. The other instance applies it by the same call as for its own answers, as of the time at which it forwarded the request, so that an answer to an earlier request lifts no limit. The statement counts for the run that was registered then; servers that are unknown, and were not known in the last two minutes, are ignored. The header names of the platform are read by one class as before; parsed values travel between instances.

Builds side by side: statements are sent only to an instance that asks by an option of the Connection header, which a former build removes from a request like any other; a former build as sender answers without them, as before.

Ruled out: reading the server's headers in the answer that is passed on. It may be of another server than the one that stated something, or of the sender.

--- a/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/placement/ServerTable.java
@@ -27,10 +27,17 @@
  */
 public final class ServerTable {
 
+    /**
+     * Time for which the runs of removed servers are kept. An entry that is lost in an outage of
+     * the store is created again within this time.
+     */
+    private static final Duration FORMER_RUN_MEMORY = Duration.ofMinutes(2);
+
     private final ZoneId mOwnZone;
     private final Map<ZoneId, RegionId> mRegions;
     private final Map<BackendServerId, ServerLoad> mLoads = new HashMap<>();
     private final Map<Long, ServerLoad> mByHash = new HashMap<>();
+    private final Map<BackendServerId, FormerRun> mFormerRuns = new HashMap<>();
     private Map<ServiceId, List<ServerLoad>> mServices = Map.of();
     private Set<ZoneId> mEvacuated = Set.of();
 
@@ -54,7 +61,8 @@
      * @return the servers that were removed or have restarted since the previous snapshot
      */
     public List<RegisteredServer> update(FleetSnapshot snapshot, long nowNanos) {
-        List<RegisteredServer> removed = removeTerminated(snapshot);
+        mFormerRuns.values().removeIf(each -> each.isForgotten(nowNanos));
+        List<RegisteredServer> removed = removeTerminated(snapshot, nowNanos);
         Map<ServiceId, List<ServerLoad>> services = new HashMap<>();
         for (RegisteredServer server : snapshot.servers().values()) {
             ServerLoad load = mLoads.get(server.id());
@@ -103,6 +111,24 @@
         return mByHash.get(hash);
     }
 
+    /**
+     * Returns the run of a server to which the answer to a request belongs that was sent by another
+     * instance.
+     *
+     * @param id the id of the server
+     * @param sentNanos the monotonic time before which the request was certainly not sent
+     * @return the run that was registered at that time, or the last one; empty if the server is not
+     *     registered and was not in the last 2 minutes
+     */
+    public Optional<ServerLoad> lastKnown(BackendServerId id, long sentNanos) {
+        ServerLoad load = mLoads.get(id);
+        FormerRun former = mFormerRuns.get(id);
+        if (former != null && (load == null || former.endNanos() - sentNanos > 0)) {
+            return Optional.of(former.load());
+        }
+        return Optional.ofNullable(load);
+    }
+
     /**
      * Determines whether no request may be sent to the servers of a zone.
      *
@@ -123,7 +149,7 @@
         return Optional.ofNullable(mRegions.get(server.zone()));
     }
 
-    private List<RegisteredServer> removeTerminated(FleetSnapshot snapshot) {
+    private List<RegisteredServer> removeTerminated(FleetSnapshot snapshot, long nowNanos) {
         List<RegisteredServer> removed = new ArrayList<>();
         mLoads.values()
                 .removeIf(
@@ -134,6 +160,7 @@
                                     registered == null || !registered.isSameRun(load.server());
                             if (isTerminated) {
                                 load.markTerminated();
+                                mFormerRuns.put(load.server().id(), new FormerRun(load, nowNanos));
                                 removed.add(load.server());
                             }
                             return isTerminated;
@@ -174,4 +201,12 @@
         boolean isSameRegion = region != null && region.equals(mRegions.get(mOwnZone));
         return isSameRegion ? Distance.SAME_REGION : Distance.OTHER_REGION;
     }
+
+    /** Run of a server that was removed or has restarted, with the time at which this was known. */
+    private record FormerRun(ServerLoad load, long endNanos) {
+
+        boolean isForgotten(long nowNanos) {
+            return nowNanos - endNanos > FORMER_RUN_MEMORY.toNanos();
+        }
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardEndpoint.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardEndpoint.java
@@ -5,13 +5,16 @@
 import io.masticpond.entry.http.OutgoingAnswer;
 import io.masticpond.entry.http.RequestHandler;
 import io.masticpond.entry.http.Responder;
+import io.masticpond.entry.log.AttemptStatements;
 import io.masticpond.entry.log.RequestRecord;
 import io.masticpond.entry.settings.HeaderNames;
+import java.util.List;
 import java.util.Optional;
 
 /**
  * {@link RequestHandler} for the requests of other instances. It reads the terms of a request and
- * adds its outcome to the answer. A request without terms is not processed.
+ * adds to the answer its outcome and what backend servers stated. A request without terms is not
+ * processed.
  *
  * @since 0.3
  */
@@ -43,23 +46,33 @@
             return;
         }
         RequestRecord facts = new RequestRecord(id, request.beginNanos());
-        mHandler.handle(request, terms.get(), facts, new OutcomeResponder(responder, facts));
+        boolean acceptsStatements = mHeaders.acceptsStatements(request.headers());
+        mHandler.handle(
+                request,
+                terms.get(),
+                facts,
+                new OutcomeResponder(responder, facts, acceptsStatements));
     }
 
-    /** Responder that adds the outcome to the answer. */
+    /** Responder that adds the outcome and the statements to the answer. */
     private final class OutcomeResponder implements Responder {
 
         private final Responder mResponder;
         private final RequestRecord mFacts;
+        private final boolean mAcceptsStatements;
 
-        OutcomeResponder(Responder responder, RequestRecord facts) {
+        OutcomeResponder(Responder responder, RequestRecord facts, boolean acceptsStatements) {
             mResponder = responder;
             mFacts = facts;
+            mAcceptsStatements = acceptsStatements;
         }
 
         @Override
         public void answer(OutgoingAnswer answer) {
             mHeaders.writeOutcome(mFacts.outcome(), mFacts.cause(), answer.headers());
+            mHeaders.writeStatements(
+                    mAcceptsStatements ? AttemptStatements.of(mFacts) : List.of(),
+                    answer.headers());
             mResponder.answer(answer);
         }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
@@ -1,12 +1,15 @@
 package io.masticpond.entry.forward;
 
 import io.masticpond.core.id.ServiceId;
+import io.masticpond.core.statement.AttributedStatement;
 import io.masticpond.core.support.Assert;
 import io.masticpond.core.workspace.KeyDigest;
 import io.masticpond.entry.log.RequestOutcome;
 import io.masticpond.entry.settings.HeaderNames;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -22,6 +25,15 @@
     private static final String KEY = "Masticpond-Forward-Key";
     private static final String OUTCOME = "Masticpond-Forward-Outcome";
     private static final String CAUSE = "Masticpond-Forward-Cause";
+    private static final String STATEMENT = "Masticpond-Forward-Statement";
+
+    /**
+     * Connection option of an instance that reads statements. An instance of a former version
+     * removes it like any connection option, and one that does not send it gets no statements,
+     * which it would pass on to its client.
+     */
+    private static final String ACCEPTS_STATEMENTS = "Masticpond-Forward-Statements";
+
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private final HeaderNames mNames;
@@ -36,7 +48,7 @@
     }
 
     /**
-     * Writes the terms of a request.
+     * Writes the terms of a request, and that statements are accepted with the answer.
      *
      * @param terms the terms
      * @param headers the headers of the request
@@ -44,6 +56,7 @@
     public void writeTerms(ForwardTerms terms, HttpHeaders headers) {
         headers.set(SERVICE, terms.service().value());
         headers.set(ATTEMPTS, Integer.toString(terms.attempts()));
+        headers.set(HttpHeaderNames.CONNECTION, ACCEPTS_STATEMENTS);
         headers.remove(KEY);
         terms.key().ifPresent(key -> headers.set(KEY, key.toHexadecimal()));
     }
@@ -78,6 +91,34 @@
         return value;
     }
 
+    /** Determines whether the instance that forwarded a request accepts statements. */
+    boolean acceptsStatements(HttpHeaders headers) {
+        return headers.containsValue(HttpHeaderNames.CONNECTION, ACCEPTS_STATEMENTS, true);
+    }
+
+    /**
+     * Writes what backend servers stated in their answers to a request.
+     *
+     * @param statements the statements; empty if the other instance accepts none
+     * @param headers the headers of the answer
+     */
+    void writeStatements(List<AttributedStatement> statements, HttpHeaders headers) {
+        headers.remove(STATEMENT);
+        statements.forEach(each -> headers.add(STATEMENT, StatementCodec.encode(each)));
+    }
+
+    /**
+     * Reads what backend servers stated in their answers to a request and removes these headers.
+     *
+     * @param headers the headers of the answer
+     * @return the statements, without malformed ones; empty from an instance of a former version
+     */
+    List<AttributedStatement> takeStatements(HttpHeaders headers) {
+        List<String> values = headers.getAll(STATEMENT);
+        headers.remove(STATEMENT);
+        return values.stream().map(StatementCodec::decode).flatMap(Optional::stream).toList();
+    }
+
     /**
      * Writes how a request ended.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/PeerRequests.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/PeerRequests.java
@@ -18,6 +18,7 @@
 import io.masticpond.entry.backend.BackendRequest;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.log.RequestOutcome;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -137,6 +138,7 @@
         private final InstanceId mPeer;
         private final ServiceId mService;
         private final ForwardListener mListener;
+        private final long mSentNanos = mTimeSource.monotonicNanos();
         private BackendCall mCall;
 
         PeerCall(InstanceId peer, ServiceId service, ForwardListener listener) {
@@ -161,6 +163,11 @@
             return mCall.isReadingPaused();
         }
 
+        @Override
+        public void answerBegan(int status, HttpHeaders headers) {
+            mListener.onStatements(mHeaders.takeStatements(headers), mSentNanos);
+        }
+
         @Override
         public void answered(BackendAnswer answer) {
             mTargets.ended(mPeer);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/Attempt.java
@@ -24,6 +24,10 @@
     int mStatus;
     long mEndNanos;
     ServerStatement mStatement = ServerStatement.NONE;
+    long mStatedNanos;
+
+    /** Whether the head of an answer was received, even if the server states nothing in it. */
+    boolean mHasStated;
 
     Attempt(BackendServerId server, InstanceId peer, ZoneId zone, boolean cold, long sentNanos) {
         mServer = server;
@@ -34,6 +38,12 @@
         mEndNanos = sentNanos;
     }
 
+    void state(ServerStatement statement, long nowNanos) {
+        mStatement = statement;
+        mStatedNanos = nowNanos;
+        mHasStated = true;
+    }
+
     void end(AttemptResult result, int status, long nowNanos) {
         mResult = result;
         mStatus = status;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptList.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/AttemptList.java
@@ -1,6 +1,8 @@
 package io.masticpond.entry.log;
 
+import io.masticpond.core.id.BackendServerId;
 import java.util.Arrays;
+import java.util.Optional;
 
 /** Ordered list of the attempts of one request; allocates no array before the first attempt. */
 final class AttemptList {
@@ -27,6 +29,16 @@
         return mAttempts[index];
     }
 
+    /** Returns the newest attempt at a server. */
+    Optional<Attempt> lastAt(BackendServerId server) {
+        for (int index = mCount - 1; index >= 0; index--) {
+            if (server.equals(mAttempts[index].mServer)) {
+                return Optional.of(mAttempts[index]);
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Returns the newest attempt, or null if there is none. */
     Attempt last() {
         return mCount == 0 ? null : mAttempts[mCount - 1];
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestRecord.java
@@ -245,16 +245,14 @@
     }
 
     /**
-     * Records the server's statement in the answer to the newest attempt; does nothing if there is
-     * no attempt.
+     * Records the statement in the answer to the newest attempt at a server.
      *
+     * @param server the server
      * @param statement the statement
+     * @param nowNanos the monotonic time at which the head of the answer arrived
      */
-    public void stated(ServerStatement statement) {
-        Attempt attempt = mAttempts.last();
-        if (attempt != null) {
-            attempt.mStatement = statement;
-        }
+    public void stated(BackendServerId server, ServerStatement statement, long nowNanos) {
+        mAttempts.lastAt(server).ifPresent(attempt -> attempt.state(statement, nowNanos));
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/AttemptListener.java
@@ -51,7 +51,7 @@
         ServiceId service = mAttempted.server().service();
         mFlow.forwarding().monitor().recordAnswered(service, now - mSentNanos, now);
         mStatement = mFlow.statements().read(mAttempted, status, headers);
-        mFacts.stated(mStatement);
+        mFacts.stated(mAttempted.server().id(), mStatement, now);
         mFlow.statements().applyAnswer(mAttempted, mStatement, mSentNanos);
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardAttempts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardAttempts.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.reachability.ReachabilityMonitor;
 import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.routing.Route;
+import io.masticpond.core.statement.AttributedStatement;
 import io.masticpond.entry.backend.BackendAnswer;
 import io.masticpond.entry.backend.BackendCall;
 import io.masticpond.entry.backend.BackendRequest;
@@ -16,6 +17,7 @@
 import io.masticpond.entry.http.IncomingRequest;
 import io.masticpond.entry.log.AttemptResult;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -125,6 +127,11 @@
         mAdmitted.facts().attemptEnded(result, status, mFlow.nowNanos());
     }
 
+    @Override
+    public void onStatements(List<AttributedStatement> statements, long sentNanos) {
+        mFlow.statements().applyForwarded(mFlow.servers(), statements, sentNanos);
+    }
+
     @Override
     public void onAnswered(BackendAnswer answer) {
         ended(AttemptResult.ANSWERED, answer.status());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ServerStatements.java
@@ -4,6 +4,8 @@
 import io.masticpond.core.fleet.RegisteredServer;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.placement.ServerLoad;
+import io.masticpond.core.placement.ServerTable;
+import io.masticpond.core.statement.AttributedStatement;
 import io.masticpond.core.statement.ServerStatement;
 import io.masticpond.core.statement.ServerWithdrawals;
 import io.masticpond.core.statement.StatementPart;
@@ -129,6 +131,17 @@
         mWithdrawals.answered(load.server(), statement, mTimeSource.monotonicNanos());
     }
 
+    /**
+     * Applies the statements of servers in an answer that another instance passed on, like those in
+     * answers that this instance received itself. Statements of unknown servers are ignored.
+     */
+    void applyForwarded(ServerTable servers, List<AttributedStatement> statements, long sentNanos) {
+        for (AttributedStatement each : statements) {
+            servers.lastKnown(each.server(), sentNanos)
+                    .ifPresent(load -> applyAnswer(load, each.statement(), sentNanos));
+        }
+    }
+
     /**
      * Returns why a server takes no requests at all, null if it takes some. Limits are not
      * considered.
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -88,11 +88,11 @@
     void writesLimitsStatedByServers() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.sent(FIRST, ZONE, false, 0);
-        request.stated(limited(LimitHeader.parse(List.of("0.25"))));
+        request.stated(FIRST, limited(LimitHeader.parse(List.of("0.25"))), 0);
         request.sent(SECOND, ZONE, false, 0);
-        request.stated(limited(LimitHeader.parse(List.of("soon"))));
+        request.stated(SECOND, limited(LimitHeader.parse(List.of("soon"))), 0);
         request.sent(SECOND, ZONE, false, 0);
-        request.stated(ServerStatement.NONE);
+        request.stated(SECOND, ServerStatement.NONE, 0);
         request.answered(200, 0);
         write(request);
         JsonNode attempts = mOutput.lines().get(0).path("attempts");
@@ -110,9 +110,9 @@
     void writesLeavingAndPausesStatedByServers() {
         RequestRecord request = new RequestRecord("r1", 0);
         request.sent(FIRST, ZONE, false, 0);
-        request.stated(withdrawing("1", "2.5"));
+        request.stated(FIRST, withdrawing("1", "2.5"), 0);
         request.sent(SECOND, ZONE, false, 0);
-        request.stated(withdrawing("soon", "soon"));
+        request.stated(SECOND, withdrawing("soon", "soon"), 0);
         request.answered(200, 0);
         write(request);
         JsonNode attempts = mOutput.lines().get(0).path("attempts");
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
@@ -2,30 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.masticpond.core.fleet.ServerAddress;
-import io.masticpond.core.id.BackendServerId;
-import io.masticpond.core.id.InstanceId;
-import io.masticpond.core.id.RegionId;
-import io.masticpond.core.reachability.ForwardingPeer;
-import io.masticpond.core.reachability.ForwardingTargets;
-import io.masticpond.core.reachability.ReachabilityMonitor;
 import io.masticpond.core.reachability.ReachabilitySettings;
-import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.backend.ServerReachability;
 import io.masticpond.entry.forward.ForwardEndpoint;
-import io.masticpond.entry.forward.ForwardHeaders;
 import io.masticpond.entry.forward.ForwardTerms;
-import io.masticpond.entry.forward.PeerRequests;
 import io.masticpond.entry.http.IncomingRequest;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.Example;
 
@@ -33,62 +21,10 @@
  * Guards against forwarded requests that run twice, are refused although they may have run, carry a
  * client's key, or are forwarded in a circle.
  */
-class RequestForwardFlowTest extends AbstractRequestFlowTest {
+class RequestForwardFlowTest extends AbstractForwardFlowTest {
 
     private static final String OUTCOME = "Masticpond-Forward-Outcome";
     private static final String CAUSE = "Masticpond-Forward-Cause";
-    private static final RegionId REGION = new RegionId("r");
-
-    private final FakeConnections mPeerConnections = new FakeConnections();
-    private final ForwardHeaders mHeaders = new ForwardHeaders(NAMES);
-
-    /** Returns a flow that knows other instances in its zone. */
-    private RequestFlow flowWithPeers(boolean idempotent, int peers) {
-        RequestFlow flow = flow(idempotent, 2);
-        PeerRequests requests =
-                new PeerRequests(
-                        mHeaders,
-                        mPeerConnections,
-                        new ForwardingTargets(
-                                ZONE,
-                                REGION,
-                                ReachabilitySettings.DEFAULT.peerMemory(),
-                                bound -> 0),
-                        mTime);
-        flow.forwarding().setPeers(requests, () -> 0.5);
-        Map<ForwardingPeer, ServerAddress> known = new HashMap<>();
-        for (int number = 0; number < peers; number++) {
-            known.put(
-                    new ForwardingPeer(new InstanceId("peer-" + number), ZONE, REGION),
-                    new ServerAddress("127.0.0.1", 2_000 + number));
-        }
-        requests.update(known);
-        return flow;
-    }
-
-    private void loseServers(RequestFlow flow) {
-        ReachabilityMonitor monitor = flow.forwarding().monitor();
-        long now = mTime.monotonicNanos();
-        monitor.recordFailed(SERVICE, new BackendServerId("server-0"), now);
-        monitor.recordFailed(SERVICE, new BackendServerId("server-1"), now);
-        while (monitor.dueProbes(SERVICE, now) > 0) {
-            monitor.probeStarted(SERVICE, now);
-        }
-        for (int probe = 0; probe < ReachabilitySettings.DEFAULT.probes(); probe++) {
-            monitor.probeEnded(SERVICE, false, now);
-        }
-        assertThat(monitor.state(SERVICE)).isEqualTo(ReachabilityState.UNREACHABLE);
-    }
-
-    private RequestFlow flowWithoutServers(boolean idempotent, int peers) {
-        RequestFlow flow = flowWithPeers(idempotent, peers);
-        loseServers(flow);
-        return flow;
-    }
-
-    private FakeConnections.Call lastForwarded() {
-        return mPeerConnections.last();
-    }
 
     @Example
     void forwardsRequestWithoutTheKeyOfTheClientAndPassesTheAnswerOn() {
