--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestFlow.java
@@ -353,11 +353,9 @@
         if (view.evidence() != ReachabilityEvidence.PROBES_UNANSWERED) {
             return;
         }
-        for (RequestRun run : List.copyOf(mRuns)) {
-            if (run.isFor(view.service())) {
-                run.onServiceUnreachable();
-            }
-        }
+        List.copyOf(mRuns).stream()
+                .filter(run -> run.isFor(view.service()))
+                .forEach(RequestRun::onServiceUnreachable);
     }
 
     /** Returns why no request can be processed now, or empty if requests can be. */
--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/AbstractEntryInstanceTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/AbstractEntryInstanceTest.java
@@ -118,8 +118,7 @@
         return page;
     }
 
-    final HttpResponse<String> get(int port, String path)
-            throws IOException, InterruptedException {
+    final HttpResponse<String> get(int port, String path) throws IOException, InterruptedException {
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + path)).build();
         long begin = System.nanoTime();
