--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.reachability.ReachabilityMonitor;
 import io.masticpond.core.reachability.ReachabilitySettings;
+import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.request.Verdict;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.backend.ServerReachability;
