--- a/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryStopTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/wiring/EntryStopTest.java
@@ -42,7 +42,7 @@
 
     /** Guards against an allotment that is lost because a client keeps its connection open. */
     @Example
-    void returnsTheAllotmentOfAStopThatEndsAtItsDeadline() throws Exception {
+    void returnsTheAllotmentIfTheStopEndsAtItsDeadline() throws Exception {
         mBounds = "{\"stop\": \"3s\"}";
         startWithSpendingCap();
         try (Socket incomplete = new Socket(HOST, mEntryPort)) {
@@ -78,7 +78,7 @@
 
     /** Guards against a process that ends while a connection waits to be accepted. */
     @Example
-    void processDoesNotEndWhileAConnectionWaitsForTheTrafficThread() throws Exception {
+    void processDoesNotEndWhileConnectionsWaitForTheTrafficThread() throws Exception {
         start();
         try (Socket first = send(mEntryPort)) {
             assertThat(first.getInputStream().readAllBytes()).asString().contains(" 503 ");
