--- a/review/src/io/masticpond/review/CutAnswer.java
+++ b/review/src/io/masticpond/review/CutAnswer.java
@@ -24,15 +24,15 @@
  */
 public final class CutAnswer {
 
-    private static final List<String> ZONES = List.of("perth-a", "bunbury-a", "geraldton-a");
-    private static final String SERVICE = "docs";
+    private static final List<String> ZONES = List.of("centro-a", "norte-a", "sur-a");
+    private static final String SERVICE = "reservas";
     private static final int ROUNDS = 3;
 
-    /** One of seven crashes at a time: a share of 0.143, below the 0.15 of the pages. */
-    private static final int SERVERS = 7;
+    /** One of eight crashes at a time: a share of 0.125, below the 0.14 of the site. */
+    private static final int SERVERS = 8;
 
     private static final int UPLOAD_BYTES = 4 * 1024 * 1024;
-    private static final long DEADLINE_MILLIS = 8000;
+    private static final long DEADLINE_MILLIS = 3000;
     private static final String LISTENS = "listens on ";
     private static final long CRASH_AFTER_MILLIS = 400;
 
--- a/review/src/io/masticpond/review/Deployment.java
+++ b/review/src/io/masticpond/review/Deployment.java
@@ -52,15 +52,15 @@
         manifest.put("version", "00000001");
         ObjectNode route = manifest.putObject("routes").putObject("r-1");
         route.put("host", HOST).put("path-prefix", prefix).put("kind", kind);
-        route.put("timeout", timeoutMillis + "ms").put("target-latency", "700ms");
+        route.put("timeout", timeoutMillis + "ms").put("target-latency", "500ms");
         route.put("priority", 1).put("service", service).put("max-attempts", 2);
         route.put("session-affinity", true).putArray("allowed-regions");
         manifest.putObject("services")
                 .putObject(service)
                 .put("health-path", "/health")
-                .put("max-conns", 330)
+                .put("max-conns", 360)
                 .put("warmup", "3s")
-                .put("warmup-per-s", 13.0);
+                .put("warmup-per-s", 11.0);
         manifest.putObject("limits")
                 .put("max-header-bytes", 16_384)
                 .put("max-body-bytes", 67_108_864)
--- a/review/src/io/masticpond/review/LateRefusal.java
+++ b/review/src/io/masticpond/review/LateRefusal.java
@@ -30,13 +30,13 @@
  */
 public final class LateRefusal {
 
-    private static final List<String> ZONES = List.of("perth-a", "bunbury-a", "geraldton-a");
-    private static final String SERVICE = "booking";
+    private static final List<String> ZONES = List.of("centro-a", "norte-a", "sur-a");
+    private static final String SERVICE = "reservas";
     private static final int SERVERS = 6;
-    private static final int SLOTS = 3;
+    private static final int SLOTS = 4;
     private static final int QUEUE = 3;
     private static final long WORK_MILLIS = 120;
-    private static final int CLIENTS = 60;
+    private static final int CLIENTS = 80;
     private static final long DAY_MILLIS = 40_000;
 
     /** Three of six servers are faulty: a share of 0.5, below the 0.6 of the pages. */
@@ -82,10 +82,10 @@
     }
 
     private int run(LocalPlatform platform) throws Exception {
-        Deployment.writeManifest(platform, "/book/", "non_idempotent", SERVICE, 2500);
+        Deployment.writeManifest(platform, "/book/", "non_idempotent", SERVICE, 3000);
         for (int index = 0; index < SERVERS; index++) {
             boolean isFaulty = mIsTrouble && index < FAULTY_SERVERS;
-            new Server(platform, "i-booking-" + index, ZONES.get(index % ZONES.size()), isFaulty)
+            new Server(platform, "i-reservas-" + index, ZONES.get(index % ZONES.size()), isFaulty)
                     .start();
         }
         Deployment.startInstances(platform, ZONES);
@@ -174,7 +174,7 @@
                                                 + id
                                                 + "\r\nAffinity-Key: "
                                                 + mRandom.nextInt(30)
-                                                + "\r\nDeadline-Ms: 2500\r\nContent-Length: 4\r\n\r\nbook"));
+                                                + "\r\nDeadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbook"));
                 HttpText.Head answer = HttpText.readHead(mInput);
                 mInput.skipNBytes(answer.length());
                 mEnds.put(id, "" + answer.status());
--- a/review/src/io/masticpond/review/UploadServer.java
+++ b/review/src/io/masticpond/review/UploadServer.java
@@ -63,7 +63,7 @@
                 .put("service", service)
                 .put("version", "v1")
                 .put("zone", zone)
-                .put("slots", 6);
+                .put("slots", 4);
         for (int sequence = 1; true; sequence++) {
             ObjectNode status = JsonNodeFactory.instance.objectNode();
             status.put("state", "ready").put("seq", sequence).put("cold-remaining", "0ms");
