State how the answers of backend servers end, before a cut answer is fixed

An answer that ends with its connection, or whose request was not written whole, now has a line with its framing, the end of the input and the state of the request, and a counter (incomplete_answers) counts those that are not passed on. The end of the input has a type in place of two flags, and the framing is an enum with the rule of its completeness. No decision is changed.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
@@ -1,6 +1,5 @@
 package io.masticpond.entry.backend;
 
-import io.masticpond.core.body.ResponseAdmission;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -27,13 +26,6 @@
         BAD
     }
 
-    private enum Framing {
-        WITHOUT_BODY,
-        LENGTH,
-        CHUNKS,
-        UNTIL_END
-    }
-
     private static final int MAXIMUM_STATUS = 599;
 
     private final ConnectionOptions mOptions;
@@ -41,7 +33,7 @@
     private final ByteBufAllocator mAllocator;
     private final ResponseReading mReading;
     private State mState = State.AWAITING;
-    private Framing mFraming = Framing.WITHOUT_BODY;
+    private AnswerFraming mFraming = AnswerFraming.WITHOUT_BODY;
     private HttpResponse mHead;
 
     /** Null before the first byte, and once the answer was taken. */
@@ -87,7 +79,16 @@
 
     /** Returns whether the server keeps the connection open after this answer. */
     boolean canKeepConnection() {
-        return mFraming != Framing.UNTIL_END && HttpUtil.isKeepAlive(mHead);
+        return mFraming != AnswerFraming.UNTIL_END && HttpUtil.isKeepAlive(mHead);
+    }
+
+    AnswerFraming framing() {
+        return mFraming;
+    }
+
+    /** Returns the bytes of the body that were received, 0 once the answer was taken. */
+    long bodyBytes() {
+        return mBody == null ? 0 : mBody.readableBytes();
     }
 
     int status() {
@@ -107,10 +108,9 @@
      * Processes a decoded part of an answer.
      *
      * @param part the part; the caller releases it
-     * @param isEnding whether the input has ended
-     * @param isOrderlyEnd whether the input ended with an orderly close
+     * @param end how the input ended, if it has ended
      */
-    void accept(HttpObject part, boolean isEnding, boolean isOrderlyEnd) {
+    void accept(HttpObject part, InputEnd end) {
         if (part.decoderResult().isFailure()) {
             mState = State.BAD;
         }
@@ -122,7 +122,7 @@
                 collect(content.content());
             }
             if (part instanceof LastHttpContent) {
-                finish(isEnding, isOrderlyEnd);
+                finish(end);
             }
         }
     }
@@ -185,44 +185,32 @@
         mState = State.COLLECTING;
         List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (mMatch.isForHead() || isBodiless(head.status())) {
-            mFraming = Framing.WITHOUT_BODY;
+            mFraming = AnswerFraming.WITHOUT_BODY;
         } else if (!encodings.isEmpty()) {
-            mFraming = Framing.CHUNKS;
+            mFraming = AnswerFraming.CHUNKS;
             if (encodings.size() > 1
                     || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0))) {
                 mState = State.BAD;
             }
         } else if (head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            mFraming = Framing.LENGTH;
+            mFraming = AnswerFraming.LENGTH;
             mStatedLength = HttpUtil.getContentLength(head, -1L);
             if (mStatedLength < 0 || mStatedLength > mOptions.maximumAnswerBytes()) {
                 mState = State.BAD;
             }
         } else {
-            mFraming = Framing.UNTIL_END;
+            mFraming = AnswerFraming.UNTIL_END;
         }
         if (mState == State.COLLECTING) {
-            mReading.begin(expectedBytes());
+            mReading.begin(mFraming.expectedBytes(mStatedLength));
         }
     }
 
-    private long expectedBytes() {
-        return switch (mFraming) {
-            case WITHOUT_BODY -> 0;
-            case LENGTH -> mStatedLength;
-            case CHUNKS, UNTIL_END -> ResponseAdmission.UNSTATED;
-        };
-    }
-
-    private long collectedBytes() {
-        return mBody == null ? 0 : mBody.readableBytes();
-    }
-
     private void collect(ByteBuf content) {
         if (!content.isReadable()) {
             return;
         }
-        if (collectedBytes() + content.readableBytes() > mOptions.maximumAnswerBytes()) {
+        if (bodyBytes() + content.readableBytes() > mOptions.maximumAnswerBytes()) {
             mState = State.BAD;
             return;
         }
@@ -233,21 +221,14 @@
         mReading.received(content.readableBytes());
     }
 
-    private void finish(boolean isEnding, boolean isOrderlyEnd) {
+    private void finish(InputEnd end) {
         if (mState == State.SKIPPING) {
             mState = State.AWAITING;
         }
         if (mState != State.COLLECTING) {
             return;
         }
-        boolean isComplete =
-                switch (mFraming) {
-                    case WITHOUT_BODY -> collectedBytes() == 0;
-                    case LENGTH -> collectedBytes() == mStatedLength;
-                    case CHUNKS -> !isEnding;
-                    case UNTIL_END -> isEnding && isOrderlyEnd;
-                };
-        if (isComplete) {
+        if (mFraming.isComplete(bodyBytes(), mStatedLength, end)) {
             mState = State.COMPLETE;
         }
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerDecoder.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerDecoder.java
@@ -60,14 +60,14 @@
             super.userEventTriggered(context, event);
             return;
         }
-        mConnection.inputEnding(true);
+        mConnection.inputEnding(InputEnd.ORDERLY);
         super.userEventTriggered(context, event);
         mConnection.inputEnded();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-        mConnection.inputEnding(false);
+        mConnection.inputEnding(InputEnd.BROKEN);
         super.channelInactive(context);
         mConnection.inputEnded();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -41,8 +41,7 @@
     private boolean mIdleStated;
     private Future<?> mFlushTimer;
     private boolean mWriteStarting;
-    private boolean mInputEnding;
-    private boolean mOrderlyEnd;
+    private InputEnd mInputEnd = InputEnd.NONE;
 
     BackendConnection(ServerPool pool, Channel channel) {
         mPool = pool;
@@ -193,6 +192,10 @@
                     mPool.nowNanos() - mStartedNanos,
                     mRoundTripNanos);
         }
+        if (mState == State.BUSY && mAssembler.hasHead()) {
+            mPool.answerIncomplete();
+            ExchangeLog.ended(mPool.address(), mLastRequestId, mAssembler, mInputEnd, mWrite);
+        }
         abandon();
         if (call != null) {
             call.fail(kind);
@@ -231,7 +234,7 @@
         try {
             if (expectsBytes() && message instanceof HttpObject part) {
                 boolean hadHead = mAssembler.hasHead();
-                mAssembler.accept(part, mInputEnding, mOrderlyEnd);
+                mAssembler.accept(part, mInputEnd);
                 if (!hadHead && mAssembler.hasHead()) {
                     mCall.answerBegan(mAssembler.status(), mAssembler.headers());
                 }
@@ -256,10 +259,9 @@
     /**
      * Called when the server has ended its output; bytes read before are decoded after this call.
      */
-    void inputEnding(boolean isOrderlyEnd) {
+    void inputEnding(InputEnd end) {
         mReusable = false;
-        mInputEnding = true;
-        mOrderlyEnd = isOrderlyEnd;
+        mInputEnd = end;
     }
 
     /** Called when all bytes read before the end of the input have been decoded. */
@@ -267,10 +269,10 @@
         if (mState == State.BUSY && mAssembler.isComplete()) {
             finish();
         }
-        if (mState == State.IDLE && mOrderlyEnd && !mIdleStated) {
+        if (mState == State.IDLE && mInputEnd == InputEnd.ORDERLY && !mIdleStated) {
             mPool.closedWhenIdle(idleNanos());
         }
-        boolean isIdleReset = mState == State.IDLE && !mOrderlyEnd;
+        boolean isIdleReset = mState == State.IDLE && mInputEnd != InputEnd.ORDERLY;
         boolean isMismatched = mState == State.BUSY && mAssembler.hasMismatchedAnswer();
         fail(isMismatched ? CallFailure.Kind.BAD_ANSWER : CallFailure.Kind.BROKEN_OFF);
         if (isIdleReset) {
@@ -281,6 +283,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         boolean isIdleReset = mState == State.IDLE && cause instanceof IOException;
+        inputEnding(InputEnd.BROKEN);
         fail(
                 cause instanceof IOException
                         ? CallFailure.Kind.BROKEN_OFF
@@ -295,6 +298,7 @@
         mCall = null;
         mReusable &= mAssembler.canKeepConnection() && !mAssembler.hasMismatchedAnswer();
         readIdleLimit();
+        ExchangeLog.ended(mPool.address(), mLastRequestId, mAssembler, mInputEnd, mWrite);
         BackendAnswer answer = mAssembler.takeAnswer();
         mState = State.FLUSHING;
         if (mWrite.isFlushed() || mWrite.isFailed()) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
@@ -10,6 +10,7 @@
     private long mOpened;
     private long mOpen;
     private long mIdle;
+    private long mIncompleteAnswers;
 
     /**
      * Returns the number of connection attempts since the start, including failed ones.
@@ -38,6 +39,15 @@
         return mIdle;
     }
 
+    /**
+     * Returns the number of answers since the start that ended before they were complete.
+     *
+     * @return the number
+     */
+    public long incompleteAnswers() {
+        return mIncompleteAnswers;
+    }
+
     void begun() {
         mOpened++;
         mOpen++;
@@ -50,4 +60,8 @@
     void idleChanged(int difference) {
         mIdle += difference;
     }
+
+    void answerIncomplete() {
+        mIncompleteAnswers++;
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/RequestWrite.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/RequestWrite.java
@@ -12,7 +12,9 @@
     private final PendingCall mCall;
     private final Runnable mEndHandler;
     private boolean mFlushed;
-    private boolean mFailed;
+
+    /** Null unless the write failed. */
+    private Throwable mFailure;
 
     RequestWrite(PendingCall call, Runnable endHandler) {
         mCall = call;
@@ -28,9 +30,9 @@
         if (request.body().isReadable()) {
             channel.write(head, headWritten);
             channel.writeAndFlush(request.body().retainedDuplicate())
-                    .addListener(future -> ended(future.isSuccess()));
+                    .addListener(future -> ended(future.cause()));
         } else {
-            headWritten.addListener(future -> ended(future.isSuccess()));
+            headWritten.addListener(future -> ended(future.cause()));
             channel.writeAndFlush(head, headWritten);
         }
     }
@@ -41,7 +43,7 @@
     }
 
     boolean isFailed() {
-        return mFailed;
+        return mFailure != null;
     }
 
     @Override
@@ -58,9 +60,25 @@
         }
     }
 
-    private void ended(boolean isSuccess) {
-        mFlushed = isSuccess;
-        mFailed = !isSuccess;
+    @Override
+    public String toString() {
+        if (mFailure != null) {
+            return "failed (" + rootCause(mFailure).getMessage() + ")";
+        }
+        return mFlushed ? "written" : "not written whole";
+    }
+
+    private void ended(Throwable failure) {
+        mFlushed = failure == null;
+        mFailure = failure;
         mEndHandler.run();
     }
+
+    private static Throwable rootCause(Throwable failure) {
+        Throwable cause = failure;
+        while (cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return cause;
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -189,6 +189,11 @@
         mContext.idleReusePolicy().brokenOff(idleNanos, elapsedNanos, roundTripNanos, nowNanos());
     }
 
+    /** Records that an answer ended before it was complete. */
+    void answerIncomplete() {
+        mContext.counts().answerIncomplete();
+    }
+
     /** Records that a connection did not open in time. */
     void openTimedOut() {
         mContext.idleReusePolicy().openTimedOut(nowNanos());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -18,6 +18,8 @@
     /** Total number of connections to backend servers that were begun. */
     BACKEND_CONNECTIONS_OPENED(
             "backend_connections_opened", "Connections to backend servers ever begun.", true),
+    /** Answers of backend servers that ended before they were complete. */
+    INCOMPLETE_ANSWERS("incomplete_answers", "Answers that ended before they were complete.", true),
     /** Version of the routes in force. */
     ROUTING_VERSION("routing_version", "Version of the routes in force.", false),
     /** Revision of the store that the snapshot is based on. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -66,9 +66,7 @@
     private volatile Traffic mTraffic =
             new Traffic(
                     0,
-                    0,
-                    0,
-                    0,
+                    ConnectionMetrics.NONE,
                     0,
                     0,
                     0,
@@ -194,9 +192,7 @@
     /** The metrics of the traffic thread. */
     private record Traffic(
             int open,
-            long connections,
-            long idle,
-            long opened,
+            ConnectionMetrics connections,
             long loadsReported,
             long loadsReceived,
             long serverEnds,
@@ -246,9 +242,7 @@
         mTraffic =
                 new Traffic(
                         mFlow.openRequests(),
-                        mConnections.open(),
-                        mConnections.idle(),
-                        mConnections.opened(),
+                        ConnectionMetrics.of(mConnections),
                         mFlow.placer().sharedLoads().reportedCount(),
                         mFlow.placer().sharedLoads().receivedCount(),
                         mFlow.crashGuard().serverEnds(),
@@ -302,9 +296,7 @@
                                                 values.setRegionWeight(service, region, weight)));
         values.set(EntryValue.OPEN_REQUESTS, traffic.open());
         values.set(EntryValue.CLIENT_CONNECTIONS, mListeners.entry().openConnections());
-        values.set(EntryValue.BACKEND_CONNECTIONS, traffic.connections());
-        values.set(EntryValue.IDLE_BACKEND_CONNECTIONS, traffic.idle());
-        values.set(EntryValue.BACKEND_CONNECTIONS_OPENED, traffic.opened());
+        traffic.connections().set(values);
         values.set(EntryValue.LOADS_REPORTED, traffic.loadsReported());
         values.set(EntryValue.LOADS_RECEIVED, traffic.loadsReceived());
         values.set(EntryValue.SERVER_ENDS, traffic.serverEnds());
