Take no end of the stream after a failed write for an orderly end

The client got 200 with the seal and a part of the body, framed as whole.

Cause: a socket reports a reset to one read or write alone. While a part of the upload is unwritten, the selector reports the connection as writable and readable, and Netty writes first. The write takes the report, and the read after it returns the end of the stream as after an orderly close, which is what completes a body without a length. The state of the write was noted and read by nobody.

Why it works: what an end of the stream means now depends on the write before it. After a failed write it proves nothing, unless that write reported EPIPE: the first failed write does so only if the server had closed its output before the reset. Five places decided the end of an exchange from four flags; BackendExchange.outcome decides it now, from the parts of the answer, the end of the input and the write. An idempotent request is tried elsewhere; any other fails as one that may have run.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerDecoder.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerDecoder.java
@@ -62,13 +62,13 @@
         }
         mConnection.inputEnding(InputEnd.ORDERLY);
         super.userEventTriggered(context, event);
-        mConnection.inputEnded();
+        mConnection.inputEnded(InputEnd.ORDERLY);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         mConnection.inputEnding(InputEnd.BROKEN);
         super.channelInactive(context);
-        mConnection.inputEnded();
+        mConnection.inputEnded(InputEnd.BROKEN);
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -29,8 +29,10 @@
     private State mState = State.OPENING;
     private PendingCall mCall;
     private Consumer<ServerReachability> mReachabilityListener = reachability -> {};
-    private RequestWrite mWrite;
-    private AnswerAssembler mAssembler;
+
+    /** Null before the first call and while no call is in progress. */
+    private BackendExchange mExchange;
+
     private String mLastRequestId = "";
     private long mIdleSinceNanos;
     private long mIdleSinceWallMillis;
@@ -41,7 +43,6 @@
     private boolean mIdleStated;
     private Future<?> mFlushTimer;
     private boolean mWriteStarting;
-    private InputEnd mInputEnd = InputEnd.NONE;
 
     BackendConnection(ServerPool pool, Channel channel) {
         mPool = pool;
@@ -131,17 +132,17 @@
         mStartedNanos = mPool.nowNanos();
         call.setConnection(this);
         mLastRequestId = call.request().requestId();
-        mAssembler =
+        AnswerAssembler answer =
                 new AnswerAssembler(
                         mPool.options(),
                         call.request(),
                         mChannel.alloc(),
                         mPool.newReading(mChannel));
-        mWrite = new RequestWrite(call, this::writeEnded);
+        mExchange = new BackendExchange(call, answer, this::writeEnded);
         mWriteStarting = true;
-        mWrite.start(mChannel);
+        mExchange.start(mChannel);
         mWriteStarting = false;
-        if (mWrite.isFailed() && !call.isWritten()) {
+        if (mExchange.isUnsent()) {
             abandon();
             return false;
         }
@@ -177,8 +178,8 @@
         boolean wasIdle = mState == State.IDLE;
         mState = State.CLOSED;
         mPool.closed(this, wasIdle);
-        if (mAssembler != null) {
-            mAssembler.release();
+        if (mExchange != null) {
+            mExchange.answer().release();
         }
         mChannel.close();
     }
@@ -186,15 +187,15 @@
     /** Closes the connection and fails its call, if any. */
     void fail(CallFailure.Kind kind) {
         PendingCall call = mCall;
-        if (mState == State.BUSY && kind == CallFailure.Kind.BROKEN_OFF && !mAssembler.hasBegun()) {
+        if (mState == State.BUSY && kind == CallFailure.Kind.BROKEN_OFF && !answer().hasBegun()) {
             mPool.brokenOffAfterIdle(
                     mStartedNanos - mIdleSinceNanos,
                     mPool.nowNanos() - mStartedNanos,
                     mRoundTripNanos);
         }
-        if (mState == State.BUSY && mAssembler.hasHead()) {
+        if (mState == State.BUSY && answer().hasHead()) {
             mPool.answerIncomplete();
-            ExchangeLog.ended(mPool.address(), mLastRequestId, mAssembler, mInputEnd, mWrite);
+            mExchange.log(mPool.address());
         }
         abandon();
         if (call != null) {
@@ -208,20 +209,20 @@
 
     /** Returns whether the head of the current answer has been received. */
     boolean isReadingBody() {
-        return mState == State.BUSY && mAssembler.hasHead();
+        return mState == State.BUSY && answer().hasHead();
     }
 
     /** Returns whether the answer waits for room in the body budget and is not read. */
     boolean isReadingPaused() {
-        return mState == State.BUSY && mAssembler.isPaused();
+        return mState == State.BUSY && answer().isPaused();
     }
 
     boolean expectsBytes() {
-        return mState == State.BUSY && !mAssembler.isComplete();
+        return mState == State.BUSY && !answer().isComplete();
     }
 
     boolean isAnswerWithoutBody(HttpResponse response) {
-        return mState == State.BUSY && mAssembler.isAnswerWithoutBody(response);
+        return mState == State.BUSY && answer().isAnswerWithoutBody(response);
     }
 
     /** Handles bytes that belong to no request. */
@@ -233,10 +234,10 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (expectsBytes() && message instanceof HttpObject part) {
-                boolean hadHead = mAssembler.hasHead();
-                mAssembler.accept(part, mInputEnd);
-                if (!hadHead && mAssembler.hasHead()) {
-                    mCall.answerBegan(mAssembler.status(), mAssembler.headers());
+                boolean hadHead = answer().hasHead();
+                answer().accept(part, mExchange.inputEnd());
+                if (!hadHead && answer().hasHead()) {
+                    mCall.answerBegan(answer().status(), answer().headers());
                 }
             }
         } finally {
@@ -246,35 +247,36 @@
 
     /** Called when all bytes of a read have been decoded. */
     void readDone() {
-        if (mState != State.BUSY) {
-            return;
-        }
-        if (mAssembler.isComplete()) {
-            finish();
-        } else if (mAssembler.isBad()) {
-            fail(CallFailure.Kind.BAD_ANSWER);
-        }
+        settle();
     }
 
     /**
-     * Called when the server has ended its output; bytes read before are decoded after this call.
+     * Called when the input has ended; bytes read before are decoded after this call.
+     *
+     * @param end the end as the channel reports it
      */
     void inputEnding(InputEnd end) {
         mReusable = false;
-        mInputEnd = end;
+        if (mExchange != null) {
+            mExchange.endInput(end);
+        }
     }
 
-    /** Called when all bytes read before the end of the input have been decoded. */
-    void inputEnded() {
-        if (mState == State.BUSY && mAssembler.isComplete()) {
-            finish();
+    /**
+     * Called when all bytes read before the end of the input have been decoded.
+     *
+     * @param end the end as the channel reports it
+     */
+    void inputEnded(InputEnd end) {
+        if (mState == State.BUSY) {
+            mExchange.inputDecoded();
+            settle();
         }
-        if (mState == State.IDLE && mInputEnd == InputEnd.ORDERLY && !mIdleStated) {
+        if (mState == State.IDLE && end == InputEnd.ORDERLY && !mIdleStated) {
             mPool.closedWhenIdle(idleNanos());
         }
-        boolean isIdleReset = mState == State.IDLE && mInputEnd != InputEnd.ORDERLY;
-        boolean isMismatched = mState == State.BUSY && mAssembler.hasMismatchedAnswer();
-        fail(isMismatched ? CallFailure.Kind.BAD_ANSWER : CallFailure.Kind.BROKEN_OFF);
+        boolean isIdleReset = mState == State.IDLE && end != InputEnd.ORDERLY;
+        fail(CallFailure.Kind.BROKEN_OFF);
         if (isIdleReset) {
             mPool.resetWhenIdle();
         }
@@ -282,26 +284,40 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        boolean isIdleReset = mState == State.IDLE && cause instanceof IOException;
-        inputEnding(InputEnd.BROKEN);
-        fail(
-                cause instanceof IOException
-                        ? CallFailure.Kind.BROKEN_OFF
-                        : CallFailure.Kind.BAD_ANSWER);
-        if (isIdleReset) {
-            mPool.resetWhenIdle();
+        if (cause instanceof IOException) {
+            inputEnding(InputEnd.BROKEN);
+            inputEnded(InputEnd.BROKEN);
+        } else {
+            fail(CallFailure.Kind.BAD_ANSWER);
+        }
+    }
+
+    /** Ends the call if the outcome of its exchange is known. */
+    private void settle() {
+        if (mState != State.BUSY) {
+            return;
+        }
+        switch (mExchange.outcome()) {
+            case ANSWERED -> finish();
+            case BAD_ANSWER -> fail(CallFailure.Kind.BAD_ANSWER);
+            case BROKEN_OFF -> fail(CallFailure.Kind.BROKEN_OFF);
+            default -> {}
         }
     }
 
+    private AnswerAssembler answer() {
+        return mExchange.answer();
+    }
+
     private void finish() {
         PendingCall call = mCall;
         mCall = null;
-        mReusable &= mAssembler.canKeepConnection() && !mAssembler.hasMismatchedAnswer();
+        mReusable &= answer().canKeepConnection() && !answer().hasMismatchedAnswer();
         readIdleLimit();
-        ExchangeLog.ended(mPool.address(), mLastRequestId, mAssembler, mInputEnd, mWrite);
-        BackendAnswer answer = mAssembler.takeAnswer();
+        mExchange.log(mPool.address());
+        BackendAnswer answer = answer().takeAnswer();
         mState = State.FLUSHING;
-        if (mWrite.isFlushed() || mWrite.isFailed()) {
+        if (mExchange.write().isFlushed() || mExchange.write().isFailed()) {
             completeExchange();
         } else {
             long remainingNanos = call.deadlineNanos() - mPool.nowNanos();
@@ -313,7 +329,7 @@
     }
 
     private void readIdleLimit() {
-        long statedNanos = IdleTimes.statedTimeoutNanos(mAssembler.headers());
+        long statedNanos = IdleTimes.statedTimeoutNanos(answer().headers());
         mIdleStated = statedNanos != IdleTimes.UNSTATED;
         mIdleLimitNanos =
                 mIdleStated ? IdleTimes.withMargin(statedNanos) : mPool.unstatedIdleNanos();
@@ -326,8 +342,8 @@
         }
         if (mState == State.FLUSHING) {
             completeExchange();
-        } else if (mWrite.isFailed() && !mCall.isWritten()) {
-            fail(CallFailure.Kind.BROKEN_OFF);
+        } else {
+            settle();
         }
     }
 
@@ -336,7 +352,7 @@
             mFlushTimer.cancel(false);
             mFlushTimer = null;
         }
-        if (mReusable && mWrite.isFlushed() && !mPool.isAboveMaximum()) {
+        if (mReusable && mExchange.write().isFlushed() && !mPool.isAboveMaximum()) {
             becomeIdle();
         } else {
             abandon();
@@ -349,8 +365,7 @@
             return;
         }
         mState = State.IDLE;
-        mAssembler = null;
-        mWrite = null;
+        mExchange = null;
         restartIdleTime();
         mPool.addIdle(this);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/InputEnd.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/InputEnd.java
@@ -6,6 +6,11 @@
     NONE,
     /** The server closed its output in order. */
     ORDERLY,
+    /**
+     * A read returned the end of the stream after a write had failed. This proves no orderly end,
+     * as the write may have taken the report of a reset.
+     */
+    UNKNOWN,
     /** The connection broke off, or was closed here. */
     BROKEN
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/RequestWrite.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/RequestWrite.java
@@ -9,6 +9,9 @@
 /** Write of one request to one connection, which tracks whether any byte has been written. */
 final class RequestWrite implements ChannelProgressiveFutureListener {
 
+    /** Message of the system's error EPIPE. */
+    private static final String BROKEN_PIPE = "Broken pipe";
+
     private final PendingCall mCall;
     private final Runnable mEndHandler;
     private boolean mFlushed;
@@ -46,6 +49,18 @@
         return mFailure != null;
     }
 
+    /**
+     * Returns what the end of the stream means if a read returns it now. The system reports a reset
+     * to one read or write alone. If a write took it, the reads after it return the end of the
+     * stream as they do after an orderly close. The first failed write reports EPIPE only if the
+     * server had closed its output before the reset.
+     */
+    InputEnd endOfStream() {
+        boolean isOrderly =
+                mFailure == null || BROKEN_PIPE.equals(rootCause(mFailure).getMessage());
+        return isOrderly ? InputEnd.ORDERLY : InputEnd.UNKNOWN;
+    }
+
     @Override
     public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
         if (progress > 0) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/BackendFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/BackendFixture.java
@@ -66,7 +66,7 @@
         return request(id, method, body, timeoutNanos, true);
     }
 
-    private static BackendRequest request(
+    static BackendRequest request(
             String id, HttpMethod method, ByteBuf body, long timeoutNanos, boolean repeatable) {
         HttpHeaders headers = new DefaultHttpHeaders().set("Host", "host").set("X-Request-Id", id);
         return new BackendRequest(id, method, "/path?q=1", headers, body, timeoutNanos, repeatable);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/RecordingCallListener.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/RecordingCallListener.java
@@ -14,6 +14,7 @@
     /** Answer with its body as text. */
     record Answer(int status, HttpHeaders headers, String body) {}
 
+    private final CompletableFuture<Integer> mStatus = new CompletableFuture<>();
     private final CompletableFuture<Object> mEnd = new CompletableFuture<>();
     private int mEnds;
 
@@ -25,6 +26,11 @@
         return mMayBegin;
     }
 
+    @Override
+    public void answerBegan(int status, HttpHeaders headers) {
+        mStatus.complete(status);
+    }
+
     @Override
     public void answered(BackendAnswer answer) {
         String body = answer.body().toString(StandardCharsets.ISO_8859_1);
@@ -41,6 +47,11 @@
         return mEnd.isDone();
     }
 
+    /** Waits until the head of the answer has been received. */
+    void awaitHead() throws Exception {
+        mStatus.get(60, TimeUnit.SECONDS);
+    }
+
     Answer answer() throws Exception {
         Object end = mEnd.get(60, TimeUnit.SECONDS);
         assertThat(end).isInstanceOf(Answer.class);
