Leave room to other bodies beside answers without end

What callers saw: none on record. Several such answers took all of the room for responses; others above 8 KB were then read one at a time, each only once the client had read the one before, and uploads were refused.

Cause: a response without a stated length reserved room step by step like any other, up to the whole part of responses, and one of them went on alone beyond it up to the limit of an answer.

Change: a large response without a stated length is read only while half of the part of responses is free, or alone, and after all others that wait. Bodies of a stated length are charged half of the part for such responses at most.

Evidence: responsesOfUnknownLengthLeaveRoomToOthers failed before (the second answer of 1 MB waited; the first too, behind the queue of the endless ones).

Ruled out: closing an endless answer when its part is full. Known limit: answers without a stated length share one half.

--- a/masticpond-core/src/main/java/io/masticpond/core/body/BodyBudget.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/body/BodyBudget.java
@@ -180,12 +180,15 @@
         onReleased();
     }
 
-    /** Returns the bytes left of the total, without the reserve for small request bodies. */
+    /**
+     * Returns the bytes left of the total, without the reserve for small request bodies. Responses
+     * count as charged.
+     */
     long commonRoom() {
         return mSettings.totalBytes()
                 - mSettings.reserveBytes()
                 - mRequestBytes
-                - mResponses.held();
+                - mResponses.charged();
     }
 
     /** Admits what waits for room. Must be called after each release. */
--- a/masticpond-core/src/main/java/io/masticpond/core/body/ResponseAdmission.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/body/ResponseAdmission.java
@@ -1,13 +1,16 @@
 package io.masticpond.core.body;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Admission of the responses of backend servers to a {@link BodyBudget}. A response without room
  * waits unread, in the order of the heads. A response that is larger than the part of a connection
- * lets all others go first. Confined to the thread of the budget.
+ * lets all others go first. If its head stated no length it may never end: a large one is read only
+ * while half of the room is free or all others wait, and responses whose heads stated their lengths
+ * always have that half. Confined to the thread of the budget.
  *
  * @since 0.3
  */
@@ -25,8 +28,15 @@
     private final BodyBudget mBudget;
     private final Set<ResponseBytes> mWaiting = new LinkedHashSet<>();
     private final Set<ResponseBytes> mWaitingLarge = new LinkedHashSet<>();
+
+    /** Large responses whose heads stated no length. */
+    private final Set<ResponseBytes> mWaitingUnstated = new LinkedHashSet<>();
+
+    private final List<Set<ResponseBytes>> mQueues =
+            List.of(mWaiting, mWaitingLarge, mWaitingUnstated);
     private long mHeldBytes;
     private long mWaitingBytes;
+    private long mUnstatedBytes;
     private boolean mIsAdmitting;
 
     ResponseAdmission(BodyBudget budget) {
@@ -54,7 +64,7 @@
      * @return whether reading of a response is stopped
      */
     public boolean isAnyWaiting() {
-        return !mWaiting.isEmpty() || !mWaitingLarge.isEmpty();
+        return waiting() > 0;
     }
 
     /**
@@ -63,7 +73,7 @@
      * @return the count
      */
     public int waiting() {
-        return mWaiting.size() + mWaitingLarge.size();
+        return mWaiting.size() + mWaitingLarge.size() + mWaitingUnstated.size();
     }
 
     /**
@@ -73,8 +83,7 @@
      * @param nowNanos the current monotonic time
      */
     public void admitUrgent(long nowNanos) {
-        mWaiting.forEach(each -> each.updateUrgency(nowNanos));
-        mWaitingLarge.forEach(each -> each.updateUrgency(nowNanos));
+        mQueues.forEach(queue -> queue.forEach(each -> each.updateUrgency(nowNanos)));
         mBudget.onReleased();
     }
 
@@ -82,8 +91,20 @@
         return mHeldBytes;
     }
 
-    void add(long bytes) {
+    /**
+     * Returns the bytes held that count for bodies of a stated length: of those without one, half
+     * of the room at most.
+     */
+    long charged() {
+        return mHeldBytes - Math.max(0, mUnstatedBytes - halfOfRoom());
+    }
+
+    /** Records a change of the bytes that a response holds. */
+    void add(ResponseBytes response, long bytes) {
         mHeldBytes += bytes;
+        if (response.isUnstated()) {
+            mUnstatedBytes += bytes;
+        }
     }
 
     /** Returns whether the response fits now, so that it needs not wait. */
@@ -96,8 +117,7 @@
      * that was being read.
      */
     void wait(ResponseBytes response) {
-        boolean isLarge = response.wanted() > mBudget.settings().connectionBytes();
-        (isLarge ? mWaitingLarge : mWaiting).add(response);
+        queueOf(response).add(response);
         mWaitingBytes += response.held();
         mBudget.exhausted(BodyDirection.RESPONSES);
         admitWaiting();
@@ -105,8 +125,7 @@
 
     void stopWaiting(ResponseBytes response) {
         mWaitingBytes -= response.held();
-        mWaiting.remove(response);
-        mWaitingLarge.remove(response);
+        mQueues.forEach(queue -> queue.remove(response));
     }
 
     /** Records bytes of a waiting response that were in the same read as its head. */
@@ -132,26 +151,30 @@
         }
     }
 
+    private Set<ResponseBytes> queueOf(ResponseBytes response) {
+        if (!isLarge(response)) {
+            return mWaiting;
+        }
+        return response.isUnstated() ? mWaitingUnstated : mWaitingLarge;
+    }
+
+    private boolean isLarge(ResponseBytes response) {
+        return response.wanted() > mBudget.settings().connectionBytes();
+    }
+
     /** Returns the next response to read, or null if none of those that wait fits. */
     private ResponseBytes next() {
         boolean isBlocked = false;
-        for (ResponseBytes each : mWaiting) {
-            if (isBlocked && !each.isUrgent()) {
-                break;
-            }
-            if (fits(each)) {
-                return each;
+        for (Set<ResponseBytes> queue : mQueues) {
+            for (ResponseBytes each : queue) {
+                if (isBlocked && !each.isUrgent()) {
+                    break;
+                }
+                if (fits(each)) {
+                    return each;
+                }
+                isBlocked = true;
             }
-            isBlocked = true;
-        }
-        for (ResponseBytes each : mWaitingLarge) {
-            if (isBlocked && !each.isUrgent()) {
-                break;
-            }
-            if (fits(each)) {
-                return each;
-            }
-            isBlocked = true;
         }
         return null;
     }
@@ -166,9 +189,17 @@
         }
         long bytes = response.wanted() - response.held();
         BodyBudgetSettings settings = mBudget.settings();
+        if (response.isUnstated() && isLarge(response)) {
+            return mHeldBytes + bytes <= halfOfRoom() && bytes <= mBudget.commonRoom();
+        }
+        long held = response.isUnstated() ? mHeldBytes : charged();
         if (response.isUrgent()) {
-            return mBudget.held() + bytes <= settings.totalBytes();
+            return mBudget.held(BodyDirection.REQUESTS) + held + bytes <= settings.totalBytes();
         }
-        return mHeldBytes + bytes <= settings.directionBytes() && bytes <= mBudget.commonRoom();
+        return held + bytes <= settings.directionBytes() && bytes <= mBudget.commonRoom();
+    }
+
+    private long halfOfRoom() {
+        return mBudget.settings().directionBytes() / 2;
     }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/body/ResponseBytes.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/body/ResponseBytes.java
@@ -52,7 +52,7 @@
         if (mIsReleased) {
             return;
         }
-        mAdmission.add(held() - before);
+        mAdmission.add(this, held() - before);
         if (mIsWaiting) {
             mAdmission.addWaiting(held() - before);
         } else if (mStatedBytes < 0 && mReceivedBytes > mReservedBytes) {
@@ -68,7 +68,7 @@
         long before = held();
         stopWaiting();
         mReservedBytes = 0;
-        mAdmission.add(held() - before);
+        mAdmission.add(this, held() - before);
         mAdmission.onReleased();
     }
 
@@ -79,7 +79,7 @@
         }
         stopWaiting();
         mIsReleased = true;
-        mAdmission.add(-held());
+        mAdmission.add(this, -held());
         mAdmission.onReleased();
     }
 
@@ -105,6 +105,11 @@
         mIsUrgent |= nowNanos - mWaitingSinceNanos >= ResponseAdmission.URGENT_NANOS;
     }
 
+    /** Returns whether the head of the response stated no length. */
+    boolean isUnstated() {
+        return mStatedBytes < 0;
+    }
+
     boolean isUrgent() {
         return mIsUrgent;
     }
@@ -126,7 +131,7 @@
     private void take() {
         long before = held();
         mReservedBytes = Math.max(mReservedBytes, wanted());
-        mAdmission.add(held() - before);
+        mAdmission.add(this, held() - before);
     }
 
     private void stopWaiting() {
--- a/masticpond-core/src/test/java/io/masticpond/core/body/BodyBudgetTest.java
+++ b/masticpond-core/src/test/java/io/masticpond/core/body/BodyBudgetTest.java
@@ -126,6 +126,27 @@
         assertThat(mBudget.held()).isZero();
     }
 
+    /** Guards against bodies without end that use up the room of other bodies. */
+    @Example
+    void responsesOfUnknownLengthLeaveRoomToOthers() {
+        List<ResponseBytes> endless = new ArrayList<>();
+        for (int each = 0; each < 4; each++) {
+            endless.add(begin("endless" + each, ResponseAdmission.UNSTATED, 0));
+        }
+        for (int round = 0; round < 320; round++) {
+            for (ResponseBytes each : endless) {
+                if (!each.isWaiting()) {
+                    each.received(64 * KB, 0);
+                }
+            }
+        }
+        assertThat(mBudget.held()).isGreaterThan(10 * MB);
+        assertThat(begin("other", MB, 0).isWaiting()).isFalse();
+        assertThat(begin("another", MB, 0).isWaiting()).isFalse();
+        request(MB, RequestReservation.RESERVED);
+        endless.forEach(ResponseBytes::release);
+    }
+
     @Example
     void responseThatCompletesWhileItWaitsLeavesTheQueue() {
         for (int each = 0; each < 6; each++) {
