Copy small parts of a response body together

What callers saw: none on record. A server in trouble that sends its body in chunks of one byte made the instance hold a component of the composite buffer and the read buffer behind it for each byte, over a hundred bytes for one, while the body budget counts one. 8 MB on the wire were enough to use up the heap of an instance (worked out, not run).

Change: behind the first 16 parts of a body, parts below 1 KB are copied into buffers of 8 KB. Answers of up to 16 parts are held as before, without a copy.

Evidence: smallChunksAreNotHeldOneByOne, 100,000 chunks of one byte, failed before with 100,000 components; now below 100.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
@@ -88,7 +88,7 @@
 
     /** Returns the bytes of the body that were received, 0 once the answer was taken. */
     long bodyBytes() {
-        return mBody == null ? 0 : mBody.readableBytes();
+        return mBody == null ? 0 : mBody.appendedBytes();
     }
 
     int status() {
@@ -136,6 +136,8 @@
         if (mBody == null) {
             mReading.release();
             body = Unpooled.EMPTY_BUFFER;
+        } else {
+            mBody.addCopies();
         }
         mBody = null;
         return new BackendAnswer(mHead.status().code(), mHead.headers(), body);
@@ -217,7 +219,7 @@
         if (mBody == null) {
             mBody = new HeldBody(mAllocator, mReading.bytes());
         }
-        mBody.addComponent(true, content.retain());
+        mBody.append(content);
         mReading.received(content.readableBytes());
     }
 
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/RecordingCallListener.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/RecordingCallListener.java
@@ -16,6 +16,8 @@
 
     private final CompletableFuture<Integer> mStatus = new CompletableFuture<>();
     private final CompletableFuture<Object> mEnd = new CompletableFuture<>();
+    private volatile int mBodyComponents;
+    private volatile boolean mKeepsBody;
     private int mEnds;
 
     /** Whether the request may still be written once a connection is available. */
@@ -34,7 +36,10 @@
     @Override
     public void answered(BackendAnswer answer) {
         String body = answer.body().toString(StandardCharsets.ISO_8859_1);
-        answer.body().release();
+        mBodyComponents = answer.body().nioBufferCount();
+        if (!mKeepsBody) {
+            answer.body().release();
+        }
         end(new Answer(answer.status(), answer.headers(), body));
     }
 
@@ -52,6 +57,16 @@
         mStatus.get(60, TimeUnit.SECONDS);
     }
 
+    /** Leaves the bytes of the body held, as for a client that does not read. */
+    void keepBody() {
+        mKeepsBody = true;
+    }
+
+    /** Returns of how many buffers the body of the answer consisted. */
+    int bodyComponents() {
+        return mBodyComponents;
+    }
+
     Answer answer() throws Exception {
         Object end = mEnd.get(60, TimeUnit.SECONDS);
         assertThat(end).isInstanceOf(Answer.class);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/ResponseBudgetTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/ResponseBudgetTest.java
@@ -188,4 +188,17 @@
                 && mAnswers.isEmpty()
                 && mFixture.onLoop(() -> mFixture.mConnections.counts().open()) == 0;
     }
+
+    // Guards against a body of small chunks that takes many times its size in memory.
+    @Example
+    void smallChunksAreNotHeldOneByOne() throws Exception {
+        int bytes = 100_000;
+        RecordingCallListener recorder = mFixture.send("a");
+        RawServer.Connection connection = mFixture.mServer.accept();
+        connection.readHead();
+        connection.send(Answers.head("a", "Transfer-Encoding: chunked\r\n"));
+        connection.send("1\r\nx\r\n".repeat(bytes) + "0\r\n\r\n");
+        assertThat(recorder.answer().body()).isEqualTo("x".repeat(bytes));
+        assertThat(recorder.bodyComponents()).isLessThan(bytes / 1000);
+    }
 }
