Bound the bytes that a backend server may send without an end

What callers saw: none on record. They were read at full speed until the deadline in seven places: before the status line, in interim answers, in late answers to other requests, in extensions of chunks, in chunks of one byte, and behind a whole answer while its upload was still being written.

Cause: each parser bounds its own line or head, and nobody counted across them. Bytes behind an answer were dropped without a count.

Change: ReceivedBytes counts what a server sends in one exchange. Outside the bodies it may send 192 KB (a head, trailers, and as much for interim and late answers) and 16 bytes for each part of a body; in sum that and the largest body. Beyond it the connection is closed and the answer is bad, which counts against the server; the request ends as one that may have run. The server is logged once with its bytes, and counted (exceeded_answers_total).

Ruled out: the limit of the body for everything. 64 MB of line ends occupy the traffic thread; what is outside the bodies is small in any answer.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerDecoder.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerDecoder.java
@@ -16,15 +16,14 @@
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
-    private static final int MAXIMUM_HEADER_BYTES = 65_536;
-    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
+    static final int MAXIMUM_CHUNK_BYTES = 65_536;
 
     private final BackendConnection mConnection;
 
     AnswerDecoder(BackendConnection connection) {
         super(
                 new HttpDecoderConfig()
-                        .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+                        .setMaxHeaderSize(ReceivedBytes.MAXIMUM_HEADER_BYTES)
                         .setMaxChunkSize(MAXIMUM_CHUNK_BYTES));
         mConnection = connection;
     }
@@ -49,7 +48,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        mConnection.bytesReceived();
+        mConnection.bytesReceived(((ByteBuf) message).readableBytes());
         super.channelRead(context, message);
         mConnection.readDone();
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -138,7 +138,9 @@
                         call.request(),
                         mChannel.alloc(),
                         mPool.newReading(mChannel));
-        mExchange = new BackendExchange(call, answer, this::writeEnded);
+        mExchange =
+                new BackendExchange(
+                        call, answer, mPool.options().maximumAnswerBytes(), this::writeEnded);
         mWriteStarting = true;
         mExchange.start(mChannel);
         mWriteStarting = false;
@@ -203,8 +205,11 @@
         }
     }
 
-    void bytesReceived() {
-        mPool.bytesReceived();
+    void bytesReceived(int bytes) {
+        mPool.bytesReceived(bytes);
+        if (mExchange != null) {
+            mExchange.received().received(bytes);
+        }
     }
 
     /** Returns whether the head of the current answer has been received. */
@@ -235,7 +240,7 @@
         try {
             if (expectsBytes() && message instanceof HttpObject part) {
                 boolean hadHead = answer().hasHead();
-                answer().accept(part, mExchange.inputEnd());
+                mExchange.accept(part);
                 if (!hadHead && answer().hasHead()) {
                     mCall.answerBegan(answer().status(), answer().headers());
                 }
@@ -247,7 +252,15 @@
 
     /** Called when all bytes of a read have been decoded. */
     void readDone() {
-        settle();
+        boolean isExceeded = mExchange != null && mExchange.received().isExceeded();
+        if (isExceeded && (mState == State.BUSY || mState == State.FLUSHING)) {
+            mPool.answerExceeded(mExchange.received().count());
+        }
+        if (isExceeded && mState == State.FLUSHING) {
+            abandon();
+        } else {
+            settle();
+        }
     }
 
     /**
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendExchange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendExchange.java
@@ -2,6 +2,8 @@
 
 import io.masticpond.core.fleet.ServerAddress;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 
 /**
  * Exchange of one request and its answer on a connection. Its outcome follows from the parts of the
@@ -24,12 +26,26 @@
     private final PendingCall mCall;
     private final AnswerAssembler mAnswer;
     private final RequestWrite mWrite;
+    private final ReceivedBytes mReceived;
     private InputEnd mInputEnd = InputEnd.NONE;
     private boolean mIsInputDecoded;
 
-    BackendExchange(PendingCall call, AnswerAssembler answer, Runnable writeEndHandler) {
+    /**
+     * Creates an exchange of which nothing was written or received.
+     *
+     * @param call the call
+     * @param answer the assembler of its answer
+     * @param maximumAnswerBytes the limit of the body of the answer
+     * @param writeEndHandler runs when the request was written or could not be
+     */
+    BackendExchange(
+            PendingCall call,
+            AnswerAssembler answer,
+            long maximumAnswerBytes,
+            Runnable writeEndHandler) {
         mCall = call;
         mAnswer = answer;
+        mReceived = new ReceivedBytes(maximumAnswerBytes);
         mWrite = new RequestWrite(call, writeEndHandler);
     }
 
@@ -45,9 +61,17 @@
         return mWrite;
     }
 
-    /** Returns how the input has ended, if it has. */
-    InputEnd inputEnd() {
-        return mInputEnd;
+    /** Returns the count of all bytes that the server sent. */
+    ReceivedBytes received() {
+        return mReceived;
+    }
+
+    /** Processes a decoded part of an answer, which the caller releases. */
+    void accept(HttpObject part) {
+        if (part instanceof HttpContent content && content.content().isReadable()) {
+            mReceived.bodyDecoded(content.content().readableBytes());
+        }
+        mAnswer.accept(part, mInputEnd);
     }
 
     /** Records an end of the input; bytes read before it may still have to be decoded. */
@@ -72,7 +96,7 @@
         if (mIsInputDecoded) {
             return mAnswer.hasMismatchedAnswer() ? Outcome.BAD_ANSWER : Outcome.BROKEN_OFF;
         }
-        if (mAnswer.isBad()) {
+        if (mAnswer.isBad() || mReceived.isExceeded()) {
             return Outcome.BAD_ANSWER;
         }
         return isUnsent() ? Outcome.BROKEN_OFF : Outcome.OPEN;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
@@ -11,6 +11,8 @@
     private long mOpen;
     private long mIdle;
     private long mIncompleteAnswers;
+    private long mExceededAnswers;
+    private long mReceivedBytes;
 
     /**
      * Returns the number of connection attempts since the start, including failed ones.
@@ -48,6 +50,25 @@
         return mIncompleteAnswers;
     }
 
+    /**
+     * Returns the number of times since the start that a server sent more bytes than any answer may
+     * have.
+     *
+     * @return the number
+     */
+    public long exceededAnswers() {
+        return mExceededAnswers;
+    }
+
+    /**
+     * Returns the number of bytes received from servers since the start.
+     *
+     * @return the number
+     */
+    public long receivedBytes() {
+        return mReceivedBytes;
+    }
+
     void begun() {
         mOpened++;
         mOpen++;
@@ -64,4 +85,12 @@
     void answerIncomplete() {
         mIncompleteAnswers++;
     }
+
+    void received(int bytes) {
+        mReceivedBytes += bytes;
+    }
+
+    void answerExceeded() {
+        mExceededAnswers++;
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Pool of the connections to one backend server. */
 final class ServerPool {
@@ -34,6 +35,7 @@
     private long mUnstatedIdleNanos;
     private long mLastReceivedNanos;
     private long mRoundTripNanos;
+    private boolean mExceeded;
 
     ServerPool(RegisteredServer server, PoolContext context) {
         mServer = server;
@@ -163,8 +165,9 @@
         }
     }
 
-    void bytesReceived() {
+    void bytesReceived(int bytes) {
         mLastReceivedNanos = nowNanos();
+        mContext.counts().received(bytes);
     }
 
     /**
@@ -189,6 +192,19 @@
         mContext.idleReusePolicy().brokenOff(idleNanos, elapsedNanos, roundTripNanos, nowNanos());
     }
 
+    /** Records that a server sent more bytes than any answer may have. */
+    void answerExceeded(long bytes) {
+        mContext.counts().answerExceeded();
+        sLogger.atLevel(mExceeded ? Level.DEBUG : Level.WARN)
+                .log(
+                        "BACKEND  {} of {} sent {} bytes without an end of its answer. Further"
+                                + " ones are counted only.",
+                        mServer.id(),
+                        address(),
+                        bytes);
+        mExceeded = true;
+    }
+
     /** Records that an answer ended before it was complete. */
     void answerIncomplete() {
         mContext.counts().answerIncomplete();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ConnectionMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ConnectionMetrics.java
@@ -5,13 +5,24 @@
 import io.masticpond.entry.metrics.EntryValues;
 
 /** The metrics of the connections to backend servers and of the answers received on them. */
-record ConnectionMetrics(long open, long idle, long opened, long incompleteAnswers) {
+record ConnectionMetrics(
+        long open,
+        long idle,
+        long opened,
+        long incompleteAnswers,
+        long exceededAnswers,
+        long receivedBytes) {
 
-    static final ConnectionMetrics NONE = new ConnectionMetrics(0, 0, 0, 0);
+    static final ConnectionMetrics NONE = new ConnectionMetrics(0, 0, 0, 0, 0, 0);
 
     static ConnectionMetrics of(ConnectionCounts counts) {
         return new ConnectionMetrics(
-                counts.open(), counts.idle(), counts.opened(), counts.incompleteAnswers());
+                counts.open(),
+                counts.idle(),
+                counts.opened(),
+                counts.incompleteAnswers(),
+                counts.exceededAnswers(),
+                counts.receivedBytes());
     }
 
     void set(EntryValues values) {
@@ -19,5 +30,7 @@
         values.set(EntryValue.IDLE_BACKEND_CONNECTIONS, idle);
         values.set(EntryValue.BACKEND_CONNECTIONS_OPENED, opened);
         values.set(EntryValue.INCOMPLETE_ANSWERS, incompleteAnswers);
+        values.set(EntryValue.EXCEEDED_ANSWERS, exceededAnswers);
+        values.set(EntryValue.BACKEND_BYTES_RECEIVED, receivedBytes);
     }
 }
