Reject answers of the platform that do not state their end

The daemon's store client kept the value of an object as raw bytes, so an answer without a length that was cut was read as a whole object.

The client takes the end of the stream as the end of a body without a length; it reads an answer after a failed write too, where that end does not prove an orderly close. The client of backend servers rejects such answers, that of the store did not.

Change: one rule for both, ResponseFraming.hasKnownEnd. It looks at the headers as received, since the HTTP client removes the length of a response that it decompresses (longListsAreCompleteAndOrdered failed without that).

Evidence: readsFailIfTheValueEndsWithTheConnection failed before, the value "val" was returned as an object.

--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/backend/BackendClient.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/backend/BackendClient.java
@@ -7,6 +7,7 @@
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.daemon.header.HeaderNames;
 import io.masticpond.daemon.http.HttpClients;
+import io.masticpond.daemon.http.ResponseFraming;
 import io.masticpond.daemon.steering.BackendDispatcher;
 import io.masticpond.daemon.steering.HeaderField;
 import io.masticpond.daemon.steering.RequestCompletion;
@@ -46,8 +47,6 @@
     private static final int MAXIMUM_IDLE_CONNECTIONS = 512;
     private static final int SERVER_ERROR = 500;
     private static final int SERVICE_UNAVAILABLE = 503;
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_MODIFIED = 304;
     private static final long MAXIMUM_RESPONSE_BYTES = 16L << 20;
 
     private final TimeSource mTimeSource;
@@ -208,7 +207,7 @@
             if (echoed != null && !echoed.equals(mRequest.head().id().value())) {
                 throw new IOException("The answer is to another request, " + echoed + ".");
             }
-            if (!hasKnownEnd(response)) {
+            if (!ResponseFraming.hasKnownEnd(response)) {
                 throw new IOException("The answer does not say where it ends.");
             }
             byte[] body = readWhole(response);
@@ -239,14 +238,6 @@
                     isLeaving);
         }
 
-        private boolean hasKnownEnd(Response response) {
-            return mRequest.method().equals("HEAD")
-                    || response.code() == NO_CONTENT
-                    || response.code() == NOT_MODIFIED
-                    || response.header("Content-Length") != null
-                    || "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
-        }
-
         private static byte[] readWhole(Response response) throws IOException {
             if (response.body().contentLength() > MAXIMUM_RESPONSE_BYTES) {
                 throw new IOException("The answer is larger than " + MAXIMUM_RESPONSE_BYTES + ".");
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/platform/HttpTransport.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/platform/HttpTransport.java
@@ -1,6 +1,7 @@
 package io.masticpond.daemon.platform;
 
 import io.masticpond.daemon.http.HttpClients;
+import io.masticpond.daemon.http.ResponseFraming;
 import io.masticpond.daemon.platform.TransportResult.Answered;
 import io.masticpond.daemon.platform.TransportResult.Broken;
 import io.masticpond.daemon.platform.TransportResult.NotSent;
@@ -75,6 +76,9 @@
 
     private static TransportResult read(Response response) {
         try (response) {
+            if (!ResponseFraming.hasKnownEnd(response)) {
+                return new Broken("The answer does not state where it ends.");
+            }
             if (response.body().source().request(MAXIMUM_ANSWER_BYTES + 1L)) {
                 return new Broken("The answer is larger than an object may be.");
             }
