--- a/masticpond-entry/src/test/java/io/masticpond/entry/json/JsonTreeTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/json/JsonTreeTest.java
@@ -39,6 +39,16 @@
         }
     }
 
+    // Guards against a list of the store that ends early and is read as a whole one.
+    @Example
+    void noCutDocumentIsReadAsWhole() {
+        String list = "{\"items\":[{\"metadata\":{\"name\":\"a\"}}],\"store-revision\":7}";
+        for (int length = 1; length < list.length(); length++) {
+            String cut = list.substring(0, length);
+            assertThatThrownBy(() -> read(cut)).as(cut).isInstanceOf(IOException.class);
+        }
+    }
+
     @Example
     void rejectsDeepNestingWithoutStackOverflow() throws IOException {
         assertThat(read("[".repeat(100) + "]".repeat(100)).isArray()).isTrue();
