Send once-only requests on no connection with a refusal without an id

Cause: a refusal may omit the id of its request. A server that sends one a second time, late, sends it when the next request is on the connection, and nothing tells it from a refusal of that request.

Why it works: after such a refusal, once-only requests use another connection; one that never had such a refusal cannot have a late one. Requests that may be repeated still use it, as a late refusal costs them a repeat at most, so a server that sheds load is not met with a new connection for each of them.

Ruled out: closing each connection with such a refusal (a full server would get a new connection for each refusal), and a check of arrival times (a late answer may come at any time).

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerAssembler.java
@@ -77,6 +77,11 @@
         return mSawMismatch;
     }
 
+    /** Returns whether the answer is a refusal that names no request. */
+    boolean isAnonymousRefusal() {
+        return mMatch.isAnonymousRefusal(mHead);
+    }
+
     /** Returns whether the server keeps the connection open after this answer. */
     boolean canKeepConnection() {
         return mFraming != AnswerFraming.UNTIL_END && HttpUtil.isKeepAlive(mHead);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerMatch.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/AnswerMatch.java
@@ -42,9 +42,20 @@
                 : Result.FOREIGN;
     }
 
+    /**
+     * Returns whether a response is a refusal that names no request. If the server sends it a
+     * second time, it cannot be told from a refusal of the next request.
+     */
+    boolean isAnonymousRefusal(HttpResponse response) {
+        return isRefusal(response) && !response.headers().contains(mOptions.requestIdHeader());
+    }
+
     private boolean mayOmitId(HttpResponse response) {
-        return mRequest.answerMayOmitId()
-                || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+        return mRequest.answerMayOmitId() || isRefusal(response);
+    }
+
+    private boolean isRefusal(HttpResponse response) {
+        return response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
                 || response.headers().contains(mOptions.notExecutedHeader());
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -41,6 +41,7 @@
     private long mStartedNanos;
     private boolean mReusable = true;
     private boolean mIdleStated;
+    private boolean mHadAnonymousRefusal;
     private Future<?> mFlushTimer;
     private boolean mWriteStarting;
 
@@ -63,6 +64,14 @@
         return mLastRequestId.equals(requestId);
     }
 
+    /**
+     * Returns whether a late second answer on this connection could be mistaken for a refusal of
+     * any request.
+     */
+    boolean hadAnonymousRefusal() {
+        return mHadAnonymousRefusal;
+    }
+
     /** Returns whether this connection has been idle for too long to be reused. */
     boolean isExpired() {
         return idleNanos() >= mIdleLimitNanos;
@@ -326,6 +335,7 @@
         PendingCall call = mCall;
         mCall = null;
         mReusable &= answer().canKeepConnection() && !answer().hasMismatchedAnswer();
+        mHadAnonymousRefusal |= answer().isAnonymousRefusal();
         readIdleLimit();
         mExchange.log(mPool.address());
         BackendAnswer answer = answer().takeAnswer();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -279,10 +279,7 @@
         Iterator<BackendConnection> connections = mIdle.iterator();
         while (connections.hasNext()) {
             BackendConnection connection = connections.next();
-            // A late second answer with the same id would be mistaken for the answer to this
-            // attempt.
-            if (!connection.hasLastServed(request.requestId())
-                    && connection.idleNanos() < limitNanos) {
+            if (isUnambiguous(connection, request) && connection.idleNanos() < limitNanos) {
                 connections.remove();
                 mContext.counts().idleChanged(-1);
                 return connection;
@@ -291,6 +288,16 @@
         return null;
     }
 
+    /**
+     * Returns whether no late second answer on a connection could be mistaken for the answer to a
+     * request. One with the id of the request could, and a refusal without an id; the latter does
+     * no harm to a request that may be repeated.
+     */
+    private static boolean isUnambiguous(BackendConnection connection, BackendRequest request) {
+        return !connection.hasLastServed(request.requestId())
+                && (request.repeatable() || !connection.hadAnonymousRefusal());
+    }
+
     private void open(PendingCall call) {
         BackendConnection connection;
         try {
