--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendConnection.java
@@ -261,11 +261,11 @@
 
     /** Called when all bytes of a read have been decoded. */
     void readDone() {
-        boolean isExceeded = mExchange != null && mExchange.received().isExceeded();
-        if (isExceeded && (mState == State.BUSY || mState == State.FLUSHING)) {
-            mPool.answerExceeded(mExchange.received().count());
+        boolean isOversized = mExchange != null && mExchange.received().isLimitExceeded();
+        if (isOversized && (mState == State.BUSY || mState == State.FLUSHING)) {
+            mPool.answerOversized(mExchange.received().count());
         }
-        if (isExceeded && mState == State.FLUSHING) {
+        if (isOversized && mState == State.FLUSHING) {
             abandon();
         } else {
             settle();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendExchange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/BackendExchange.java
@@ -96,7 +96,7 @@
         if (mIsInputDecoded) {
             return mAnswer.hasMismatchedAnswer() ? Outcome.BAD_ANSWER : Outcome.BROKEN_OFF;
         }
-        if (mAnswer.isBad() || mReceived.isExceeded()) {
+        if (mAnswer.isBad() || mReceived.isLimitExceeded()) {
             return Outcome.BAD_ANSWER;
         }
         return isUnsent() ? Outcome.BROKEN_OFF : Outcome.OPEN;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ConnectionCounts.java
@@ -11,7 +11,7 @@
     private long mOpen;
     private long mIdle;
     private long mIncompleteAnswers;
-    private long mExceededAnswers;
+    private long mOversizedAnswers;
     private long mReceivedBytes;
 
     /**
@@ -56,8 +56,8 @@
      *
      * @return the number
      */
-    public long exceededAnswers() {
-        return mExceededAnswers;
+    public long oversizedAnswers() {
+        return mOversizedAnswers;
     }
 
     /**
@@ -90,7 +90,7 @@
         mReceivedBytes += bytes;
     }
 
-    void answerExceeded() {
-        mExceededAnswers++;
+    void answerOversized() {
+        mOversizedAnswers++;
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ReceivedBytes.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ReceivedBytes.java
@@ -44,7 +44,7 @@
     }
 
     /** Returns whether the server sent more than any answer may have. */
-    boolean isExceeded() {
+    boolean isLimitExceeded() {
         long framingBytes = mBytes - mBodyBytes;
         return mBytes > mMaximumBytes
                 || framingBytes > MAXIMUM_FRAMING_BYTES + mBodyParts * CHUNK_FRAMING_BYTES;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -35,7 +35,7 @@
     private long mUnstatedIdleNanos;
     private long mLastReceivedNanos;
     private long mRoundTripNanos;
-    private boolean mExceeded;
+    private boolean mOversizedLogged;
 
     ServerPool(RegisteredServer server, PoolContext context) {
         mServer = server;
@@ -193,16 +193,16 @@
     }
 
     /** Records that a server sent more bytes than any answer may have. */
-    void answerExceeded(long bytes) {
-        mContext.counts().answerExceeded();
-        sLogger.atLevel(mExceeded ? Level.DEBUG : Level.WARN)
+    void answerOversized(long bytes) {
+        mContext.counts().answerOversized();
+        sLogger.atLevel(mOversizedLogged ? Level.DEBUG : Level.WARN)
                 .log(
                         "BACKEND  {} of {} sent {} bytes without an end of its answer. Further"
                                 + " ones are counted only.",
                         mServer.id(),
                         address(),
                         bytes);
-        mExceeded = true;
+        mOversizedLogged = true;
     }
 
     /** Records that an answer ended before it was complete. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -21,9 +21,9 @@
     /** Answers of backend servers that ended before they were complete. */
     INCOMPLETE_ANSWERS("incomplete_answers", "Answers that ended before they were complete.", true),
     /** Answers of backend servers with more bytes than any answer may have. */
-    EXCEEDED_ANSWERS("exceeded_answers", "Answers with more bytes than any may have.", true),
+    OVERSIZED_ANSWERS("oversized_answers", "Answers with more bytes than any may have.", true),
     /** Bytes received from backend servers. */
-    BACKEND_BYTES_RECEIVED("backend_bytes_received", "Bytes of backend servers.", true),
+    BACKEND_BYTES_RECEIVED("backend_bytes_received", "Bytes received from backend servers.", true),
     /** Version of the routes in force. */
     ROUTING_VERSION("routing_version", "Version of the routes in force.", false),
     /** Revision of the store that the snapshot is based on. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ConnectionMetrics.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ConnectionMetrics.java
@@ -10,7 +10,7 @@
         long idle,
         long opened,
         long incompleteAnswers,
-        long exceededAnswers,
+        long oversizedAnswers,
         long receivedBytes) {
 
     static final ConnectionMetrics NONE = new ConnectionMetrics(0, 0, 0, 0, 0, 0);
@@ -21,7 +21,7 @@
                 counts.idle(),
                 counts.opened(),
                 counts.incompleteAnswers(),
-                counts.exceededAnswers(),
+                counts.oversizedAnswers(),
                 counts.receivedBytes());
     }
 
@@ -30,7 +30,7 @@
         values.set(EntryValue.IDLE_BACKEND_CONNECTIONS, idle);
         values.set(EntryValue.BACKEND_CONNECTIONS_OPENED, opened);
         values.set(EntryValue.INCOMPLETE_ANSWERS, incompleteAnswers);
-        values.set(EntryValue.EXCEEDED_ANSWERS, exceededAnswers);
+        values.set(EntryValue.OVERSIZED_ANSWERS, oversizedAnswers);
         values.set(EntryValue.BACKEND_BYTES_RECEIVED, receivedBytes);
     }
 }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/backend/CutAnswerTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/backend/CutAnswerTest.java
@@ -73,7 +73,7 @@
         recorder.assertFailed(CallFailure.Kind.BROKEN_OFF, Verdict.MAY_HAVE_RUN);
     }
 
-    // Guards against a mend that takes each failed write for a broken answer.
+    // Guards against a whole answer that is dropped because its upload failed after the end.
     @Property(tries = 16, seed = "58")
     void anOrderlyEndBeforeTheUploadFailsCompletesAnAnswerWithoutLength(
             @ForAll @IntRange(max = BUFFERED_BYTES) int bodyBytes,
