--- /dev/null
+++ b/review/src-2/io/masticpond/platform/day/SilentLink.java
@@ -0,0 +1,108 @@
+package io.masticpond.platform.day;
+
+import io.masticpond.core.fleet.ServerAddress;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * TCP proxy before the store whose open connections can go silent for good, without a reset or an
+ * end, while new ones work.
+ */
+final class SilentLink {
+
+    private static final int BACKLOG = 100;
+    private static final int BUFFER_BYTES = 65_536;
+
+    /** A connection of an instance, and its continuation to the store. */
+    private static final class Link {
+        private volatile boolean mIsSilent;
+        private volatile long mLastBytesNanos = System.nanoTime();
+    }
+
+    private final ServerAddress mStore;
+    private final ServerSocket mListener;
+    private final Set<Link> mLinks = ConcurrentHashMap.newKeySet();
+
+    SilentLink(ServerAddress store) throws IOException {
+        mStore = store;
+        mListener = new ServerSocket(0, BACKLOG, InetAddress.getByName(store.ip()));
+        DayThreads.daemon(this::accept).start();
+    }
+
+    ServerAddress address() {
+        return new ServerAddress(mStore.ip(), mListener.getLocalPort());
+    }
+
+    int open() {
+        return mLinks.size();
+    }
+
+    /**
+     * Makes the open connections silent that have carried nothing for some time.
+     *
+     * @param idleNanos time without bytes, in nanoseconds; 0 for all open connections
+     * @return number of connections that are silent now
+     */
+    int silence(long idleNanos) {
+        long now = System.nanoTime();
+        int count = 0;
+        for (Link link : mLinks) {
+            if (now - link.mLastBytesNanos >= idleNanos) {
+                link.mIsSilent = true;
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private void accept() {
+        while (true) {
+            try {
+                Socket instanceSocket = mListener.accept();
+                Socket storeSocket = new Socket(mStore.ip(), mStore.port());
+                instanceSocket.setTcpNoDelay(true);
+                storeSocket.setTcpNoDelay(true);
+                Link link = new Link();
+                mLinks.add(link);
+                DayThreads.daemon(() -> relay(link, instanceSocket, storeSocket)).start();
+                DayThreads.daemon(() -> relay(link, storeSocket, instanceSocket)).start();
+            } catch (IOException exception) {
+                return;
+            }
+        }
+    }
+
+    private void relay(Link link, Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream input = from.getInputStream();
+            for (int length = input.read(buffer); length >= 0; length = input.read(buffer)) {
+                if (!link.mIsSilent) {
+                    link.mLastBytesNanos = System.nanoTime();
+                    to.getOutputStream().write(buffer, 0, length);
+                }
+            }
+        } catch (IOException exception) {
+            // The connection ends below.
+        }
+        mLinks.remove(link);
+        close(from);
+        // A silent connection passes on no end either.
+        if (!link.mIsSilent) {
+            close(to);
+        }
+    }
+
+    private static void close(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException exception) {
+            System.err.println("A connection could not be closed: " + exception);
+        }
+    }
+}
