--- a/review/src-2/io/masticpond/platform/day/GreyServer.java
+++ b/review/src-2/io/masticpond/platform/day/GreyServer.java
@@ -44,6 +44,9 @@
             Executors.newSingleThreadScheduledExecutor(DayThreads::daemon);
     private final Map<String, Long> mArrivals = new ConcurrentHashMap<>();
     private volatile boolean mIsLeaving;
+    private volatile ObjectNode mLateStatus;
+    private volatile long mLateNanos;
+    private volatile long mLateExecutedNanos;
     private volatile double mFailedShare;
     private volatile int mFailureStatus;
 
@@ -101,14 +104,17 @@
      * Sends the report of this moment to a store that gives no answer and executes it later. The
      * report has no condition, as those of servers.
      *
-     * @param delayMillis time after which the store executes it, in milliseconds
+     * @param delayMillis time in milliseconds after which the store executes it, as soon as the
+     *     server has reported again
      */
     void reportLate(long delayMillis) {
-        ObjectNode status = status();
-        mReporter.schedule(
-                () -> mStore.report(StoredObjects.SERVERS, mId, status),
-                delayMillis,
-                TimeUnit.MILLISECONDS);
+        mLateNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+        mLateStatus = status();
+    }
+
+    /** Returns the monotonic time in nanoseconds at which the late report was executed, or 0. */
+    long lateExecutedNanos() {
+        return mLateExecutedNanos;
     }
 
     /** Returns the monotonic time in nanoseconds at which each request began to run, by id. */
@@ -151,6 +157,11 @@
     private void tryReport() {
         try {
             report();
+            if (mLateStatus != null && System.nanoTime() - mLateNanos >= 0) {
+                mStore.report(StoredObjects.SERVERS, mId, mLateStatus);
+                mLateStatus = null;
+                mLateExecutedNanos = System.nanoTime();
+            }
         } catch (IOException exception) {
             System.err.println("Server " + mId + " could not report: " + exception);
         }
