--- a/review/src-2/io/masticpond/platform/day/SilentLink.java
+++ b/review/src-2/io/masticpond/platform/day/SilentLink.java
@@ -8,10 +8,12 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 /**
  * TCP proxy before the store whose open connections can go silent for good, without a reset or an
- * end, while new ones work.
+ * end, while new ones work. It can also play a store that loses power and starts again: it sends
+ * nothing on connections from before, and resets one as soon as bytes arrive on it.
  */
 final class SilentLink {
 
@@ -21,12 +23,14 @@
     /** A connection of an instance, and its continuation to the store. */
     private static final class Link {
         private volatile boolean mIsSilent;
+        private volatile boolean mIsForgotten;
         private volatile long mLastBytesNanos = System.nanoTime();
     }
 
     private final ServerAddress mStore;
     private final ServerSocket mListener;
     private final Set<Link> mLinks = ConcurrentHashMap.newKeySet();
+    private volatile boolean mIsDown;
 
     SilentLink(ServerAddress store) throws IOException {
         mStore = store;
@@ -60,6 +64,23 @@
         return count;
     }
 
+    /**
+     * Plays a loss of power of the store. All connections that are open at its end, those opened
+     * meanwhile included, are forgotten.
+     *
+     * @param downMillis duration in milliseconds
+     * @return number of connections that were forgotten
+     */
+    int restart(long downMillis) throws InterruptedException {
+        mIsDown = true;
+        silence(0);
+        TimeUnit.MILLISECONDS.sleep(downMillis);
+        int count = silence(0);
+        mLinks.forEach(link -> link.mIsForgotten = true);
+        mIsDown = false;
+        return count;
+    }
+
     private void accept() {
         while (true) {
             try {
@@ -68,6 +89,7 @@
                 instanceSocket.setTcpNoDelay(true);
                 storeSocket.setTcpNoDelay(true);
                 Link link = new Link();
+                link.mIsSilent = mIsDown;
                 mLinks.add(link);
                 DayThreads.daemon(() -> relay(link, instanceSocket, storeSocket)).start();
                 DayThreads.daemon(() -> relay(link, storeSocket, instanceSocket)).start();
@@ -82,7 +104,9 @@
         try {
             InputStream input = from.getInputStream();
             for (int length = input.read(buffer); length >= 0; length = input.read(buffer)) {
-                if (!link.mIsSilent) {
+                if (link.mIsForgotten && from.getPort() != mStore.port()) {
+                    SoakLink.reset(from);
+                } else if (!link.mIsSilent) {
                     link.mLastBytesNanos = System.nanoTime();
                     to.getOutputStream().write(buffer, 0, length);
                 }
--- a/review/src-2/io/masticpond/platform/day/SilentStoreConnections.java
+++ b/review/src-2/io/masticpond/platform/day/SilentStoreConnections.java
@@ -33,6 +33,13 @@
             TimeUnit.MILLISECONDS.toNanos(
                     Long.parseLong(System.getenv().getOrDefault("IDLE_MILLIS", "2000")));
 
+    /**
+     * Duration in milliseconds of a loss of power of the store, after which it knows none of its
+     * connections, as {@code RESTART_MILLIS} states; it is played instead of the silence unless 0.
+     */
+    private static final long RESTART_MILLIS =
+            Long.parseLong(System.getenv().getOrDefault("RESTART_MILLIS", "0"));
+
     private static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(6);
 
     /** After {@code stability-window} (3 s) all machines are in touch again. */
@@ -89,9 +96,7 @@
         sleepUntil(System.nanoTime() + QUIET_NANOS);
         long silentNanos = System.nanoTime();
         if (mIsDisrupted) {
-            int open = link.open();
-            int silent = link.silence(IDLE_NANOS);
-            report("%d of %d open connections to the store are silent", silent, open);
+            disrupt(link);
         }
         sleepUntil(silentNanos + CHANGE_AFTER_NANOS);
         routing.route("/plates/", "ledger-new", false, ROUTE_MILLIS).writeTo(platform.operator());
@@ -107,6 +112,19 @@
         return evaluate(platform, leaving, acknowledgedNanos);
     }
 
+    private void disrupt(SilentLink link) throws InterruptedException {
+        int open = link.open();
+        if (RESTART_MILLIS > 0) {
+            int forgotten = link.restart(RESTART_MILLIS);
+            report(
+                    "the store was without power for %d ms and forgot %d connections",
+                    RESTART_MILLIS, forgotten);
+        } else {
+            int silent = link.silence(IDLE_NANOS);
+            report("%d of %d open connections to the store are silent", silent, open);
+        }
+    }
+
     private void send(LocalPlatform platform, int instance, String path) {
         byte[] body = "order".getBytes(StandardCharsets.UTF_8);
         for (int count = 0; !mIsFinished; count++) {
