--- a/review/src-2/io/masticpond/platform/day/SilentLink.java
+++ b/review/src-2/io/masticpond/platform/day/SilentLink.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +25,7 @@
     private static final class Link {
         private volatile boolean mIsSilent;
         private volatile boolean mIsForgotten;
+        private volatile String mLastRequest = "";
         private volatile long mLastBytesNanos = System.nanoTime();
     }
 
@@ -64,6 +66,23 @@
         return count;
     }
 
+    /**
+     * Makes the open connections silent on which a request waits for its answer.
+     *
+     * @param requestLine beginning of the request line
+     * @return number of connections that are silent now
+     */
+    int silence(String requestLine) {
+        int count = 0;
+        for (Link link : mLinks) {
+            if (link.mLastRequest.startsWith(requestLine)) {
+                link.mIsSilent = true;
+                count++;
+            }
+        }
+        return count;
+    }
+
     /**
      * Plays a loss of power of the store. All connections that are open at its end, those opened
      * meanwhile included, are forgotten.
@@ -104,6 +123,10 @@
         try {
             InputStream input = from.getInputStream();
             for (int length = input.read(buffer); length >= 0; length = input.read(buffer)) {
+                link.mLastRequest =
+                        from.getPort() == mStore.port()
+                                ? ""
+                                : new String(buffer, 0, length, StandardCharsets.ISO_8859_1);
                 if (link.mIsForgotten && from.getPort() != mStore.port()) {
                     SoakLink.reset(from);
                 } else if (!link.mIsSilent) {
--- a/review/src-2/io/masticpond/platform/day/SilentStoreConnections.java
+++ b/review/src-2/io/masticpond/platform/day/SilentStoreConnections.java
@@ -1,5 +1,7 @@
 package io.masticpond.platform.day;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -40,6 +42,15 @@
     private static final long RESTART_MILLIS =
             Long.parseLong(System.getenv().getOrDefault("RESTART_MILLIS", "0"));
 
+    /**
+     * Whether only one connection of one instance goes silent, that of its watch of the routing
+     * configuration, as {@code ONE=1} states; servers come and go meanwhile.
+     */
+    private static final boolean IS_ONE = "1".equals(System.getenv("ONE"));
+
+    private static final String ROUTING_WATCH = "GET /v1/objects/config?watch=";
+    private static final long ROLL_MILLIS = 700;
+
     private static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(6);
 
     /** After {@code stability-window} (3 s) all machines are in touch again. */
@@ -76,9 +87,11 @@
                         .route("/lists/", "lists", true, ROUTE_MILLIS);
         routing.writeTo(platform.operator());
         SilentLink link = new SilentLink(platform.store().address());
+        SilentLink others = IS_ONE ? new SilentLink(platform.store().address()) : link;
         for (int number = 0; number < INSTANCES_PER_ZONE; number++) {
             for (String zone : ZONES) {
-                platform.startInstance(zone, link.address());
+                boolean isFirst = platform.instances().isEmpty();
+                platform.startInstance(zone, (isFirst ? link : others).address());
             }
         }
         for (InstanceProcess instance : platform.instances()) {
@@ -93,6 +106,9 @@
             }
         }
         clients.forEach(Thread::start);
+        if (IS_ONE) {
+            DayThreads.daemon(() -> roll(platform)).start();
+        }
         sleepUntil(System.nanoTime() + QUIET_NANOS);
         long silentNanos = System.nanoTime();
         if (mIsDisrupted) {
@@ -112,9 +128,33 @@
         return evaluate(platform, leaving, acknowledgedNanos);
     }
 
+    /** Adds and removes the entries of servers of another service, one after the other. */
+    private void roll(LocalPlatform platform) {
+        ObjectNode entry = JsonNodeFactory.instance.objectNode();
+        entry.put("address", platform.store().address().toString());
+        entry.putObject("info")
+                .put("service", "rolled")
+                .put("version", "v1")
+                .put("zone", ZONES.get(0))
+                .put("slots", SLOTS);
+        try {
+            for (int number = 0; !mIsFinished; number++) {
+                platform.operator().write(StoredObjects.SERVERS, "rolled-" + number, entry);
+                TimeUnit.MILLISECONDS.sleep(ROLL_MILLIS);
+            }
+        } catch (IOException exception) {
+            System.err.println("A server could not register: " + exception);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void disrupt(SilentLink link) throws InterruptedException {
         int open = link.open();
-        if (RESTART_MILLIS > 0) {
+        if (IS_ONE) {
+            int silent = link.silence(ROUTING_WATCH);
+            report("%d connection of the first instance is silent", silent);
+        } else if (RESTART_MILLIS > 0) {
             int forgotten = link.restart(RESTART_MILLIS);
             report(
                     "the store was without power for %d ms and forgot %d connections",
