Report watches of the store that are given up, and the age of the proof of each copy

Change: a line with the age and the revision of a watch or list that ends without an answer; the time since the request of the newest answer of each kind as a metric and in the status of an instance. No decision changes.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -75,6 +75,7 @@
                     .put("revision", StoreRevision.revision(each.revision()))
                     .put("source", JsonFormat.toName(each.source()))
                     .put("ageMillis", each.age().toMillis())
+                    .put("proofAgeMillis", each.proofAge().toMillis())
                     .put("documents", each.documents());
         }
         return document;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -34,6 +34,19 @@
     ROUTING_AGE("routing_age_seconds", "Time since the routes were confirmed.", false),
     /** Time since the list of backend servers was confirmed. */
     REGISTRY_AGE("registry_age_seconds", "Time since the backend servers were confirmed.", false),
+    /** Age of the newest proof that no change of the routes was missed. */
+    ROUTING_PROOF_AGE(
+            "routing_proof_age_seconds",
+            "Age of the proof that no route change is missing.",
+            false),
+    /** Age of the newest proof that no change of the backend servers was missed. */
+    REGISTRY_PROOF_AGE(
+            "registry_proof_age_seconds", "Age of the proof that no server is missing.", false),
+    /** Age of the newest proof that no change of the evacuations was missed. */
+    EVACUATIONS_PROOF_AGE(
+            "evacuations_proof_age_seconds",
+            "Age of the proof that no evacuation is missing.",
+            false),
     /** Whether the store is unavailable. */
     STORE_LOST("store_lost", "1 while no call to the store succeeds, else 0.", false),
     /** Registered backend servers. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
@@ -1,6 +1,7 @@
 package io.masticpond.entry.replica;
 
 import io.masticpond.core.fleet.StoreRevision;
+import io.masticpond.core.time.Moment;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -39,6 +41,7 @@
     private long mHorizon;
     private long mConfirmedNanos;
     private CopySource mSource = CopySource.NONE;
+    private Optional<Moment> mProof = Optional.empty();
 
     /**
      * Creates an empty copy.
@@ -83,8 +86,26 @@
         return mSource;
     }
 
+    /**
+     * Records that the copy contains all changes that the store had made by a moment.
+     *
+     * @param moment the moment, at the latest that of the request whose answer was applied
+     * @param now the current moment
+     */
+    void recordProof(Moment moment, Moment now) {
+        boolean isYounger =
+                mProof.filter(proof -> proof.nanosUntil(now) <= moment.nanosUntil(now)).isEmpty();
+        mProof = isYounger ? Optional.of(moment) : mProof;
+    }
+
+    /** Returns the newest moment at which the copy is known to have missed no change. */
+    Optional<Moment> proof() {
+        return mProof;
+    }
+
     /** Returns how current the copy is. */
-    CategoryStatus status(long nowNanos) {
+    CategoryStatus status(Moment now) {
+        long nowNanos = now.monotonicNanos();
         boolean isKnown = mSource != CopySource.NONE;
         return new CategoryStatus(
                 mCategory,
@@ -92,6 +113,7 @@
                 mRevision,
                 mSource,
                 isKnown ? Duration.ofNanos(nowNanos - mConfirmedNanos) : Duration.ZERO,
+                Duration.ofNanos(mProof.map(proof -> proof.nanosUntil(now)).orElse(0L)),
                 mDocuments.size());
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.replica;
 
+import io.masticpond.core.fleet.StoreRevision;
 import io.masticpond.core.time.Moment;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.replica.CategoryCopy.TimestampedDocument;
@@ -7,6 +8,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Follower of one category in the store that lists it and then watches for changes, one call at a
@@ -17,6 +20,8 @@
  */
 final class CategoryFollower {
 
+    private static final Logger sLogger = LoggerFactory.getLogger(CategoryFollower.class);
+
     private static final Duration SHORT_WAIT = Duration.ofMillis(1);
 
     private final StoreFeed mFeed;
@@ -30,6 +35,7 @@
     private final Runnable mApplied;
     private final Consumer<Moment> mListed;
     private int mCall;
+    private long mCallStartNanos;
     private int mFailures;
     private int mInterruptions;
     private int mHistoryGoneCount;
@@ -161,6 +167,7 @@
                 CopySource.STORE,
                 nowNanos);
         mApplied.run();
+        mCopy.recordProof(start, Moment.of(mTime));
         mListed.accept(start);
         scheduleNext(Duration.ZERO, this::follow);
     }
@@ -171,31 +178,32 @@
 
     private void watch(Duration wait) {
         int call = begin(wait, mSettings.callTimeout());
-        long startNanos = mTime.monotonicNanos();
+        Moment start = Moment.of(mTime);
         Runnable cancel =
                 mFeed.watch(
                         mCopy.category(),
                         mCopy.revision(),
                         wait,
-                        result -> endWatch(call, startNanos, wait, result));
+                        result -> endWatch(call, start, wait, result));
         if (call == mCall) {
             mCancelCall = cancel;
         }
     }
 
     private void endWatch(
-            int call, long startNanos, Duration wait, Either<FeedError, FeedResult> result) {
+            int call, Moment start, Duration wait, Either<FeedError, FeedResult> result) {
         if (call != mCall) {
             return;
         }
         end();
-        Duration held = Duration.ofNanos(mTime.monotonicNanos() - startNanos);
+        Duration held = Duration.ofNanos(mTime.monotonicNanos() - start.monotonicNanos());
         if (result.isRight()) {
             watchAnswered(result.get(), wait, held);
+            mCopy.recordProof(start, Moment.of(mTime));
         } else if (result.getLeft() == FeedError.HISTORY_GONE) {
             historyGone();
         } else if (wait.equals(SHORT_WAIT)) {
-            failed(startNanos);
+            failed(start.monotonicNanos());
         } else {
             watchInterrupted(held);
         }
@@ -255,7 +263,8 @@
     private int begin(Duration wait, Duration timeout) {
         mTimer.run();
         int call = ++mCall;
-        long dueNanos = mTime.monotonicNanos() + wait.toNanos();
+        mCallStartNanos = mTime.monotonicNanos();
+        long dueNanos = mCallStartNanos + wait.toNanos();
         mTimer = mScheduler.schedule(wait.plus(timeout), () -> expire(call, dueNanos));
         return call;
     }
@@ -264,10 +273,21 @@
         if (call != mCall) {
             return;
         }
+        logGivenUp("it had no answer in time");
         stopCall();
         failed(dueNanos);
     }
 
+    private void logGivenUp(String reason) {
+        sLogger.warn(
+                "STORE  {} of {} since revision {} is given up after {} ms: {}",
+                mListing ? "list" : "watch",
+                mCopy.category(),
+                StoreRevision.revision(mCopy.revision()),
+                Duration.ofNanos(mTime.monotonicNanos() - mCallStartNanos).toMillis(),
+                reason);
+    }
+
     private void end() {
         mCall++;
         mListing = false;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryStatus.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryStatus.java
@@ -10,6 +10,8 @@
  * @param revision the revision up to which the copy is complete
  * @param source the source that confirmed it last
  * @param age how long ago that was; zero if never
+ * @param proofAge the age of the newest proof that no change is missing, that is the time since the
+ *     request of the newest answer of the store; zero if there is none
  * @param documents the number of documents in the copy
  * @since 0.2
  */
@@ -19,4 +21,5 @@
         long revision,
         CopySource source,
         Duration age,
+        Duration proofAge,
         int documents) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -297,9 +297,10 @@
      * @return the status
      */
     public ReplicaStatus status() {
-        long nowNanos = mTime.monotonicNanos();
+        Moment now = Moment.of(mTime);
+        long nowNanos = now.monotonicNanos();
         List<CategoryStatus> categories =
-                mCopies.values().stream().map(copy -> copy.status(nowNanos)).toList();
+                mCopies.values().stream().map(copy -> copy.status(now)).toList();
         return new ReplicaStatus(
                 mUsable,
                 mHealth.isLost(),
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -373,10 +373,15 @@
         values.set(EntryValue.UNREADABLE_SEEN, status.unreadableSeen());
         for (CategoryStatus category : status.categories()) {
             double age = category.age().toMillis() / MILLIS_PER_SECOND;
+            double proofAge = category.proofAge().toMillis() / MILLIS_PER_SECOND;
             if (category.category() == Category.ROUTING) {
                 values.set(EntryValue.ROUTING_AGE, age);
+                values.set(EntryValue.ROUTING_PROOF_AGE, proofAge);
             } else if (category.category() == Category.BACKEND_SERVERS) {
                 values.set(EntryValue.REGISTRY_AGE, age);
+                values.set(EntryValue.REGISTRY_PROOF_AGE, proofAge);
+            } else if (category.category() == Category.EVACUATIONS) {
+                values.set(EntryValue.EVACUATIONS_PROOF_AGE, proofAge);
             }
         }
     }
