Verify the copies of the store by reads on new connections

Cause: a watch is held for 30 s, and nothing but its own end says that it lives. The probe of the store uses another connection, and a peer's revision is compared over all kinds at once, so one kind hides another.

Evidence: "watch of ROUTING since revision 20 is given up after 31000 ms" at all instances, 20 s after the change, then 1 s more for a watch sent on an idle connection that was silent as well. Ruled out: a change that arrived and was not applied (the line that it is in force follows the new watch), and shared watching (zones of two instances do not share).

Change: each copy needs a proof of its own, a read on a new connection. One instance reads for all, the others request its proof and replace a watch that has not reported a known change.

Why it works: the read does not share the connection of the watch, and its age is bounded by the settings' bounds less one second, at each kind and each instance; what follows takes at most about half a second.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -47,6 +47,9 @@
             "evacuations_proof_age_seconds",
             "Age of the proof that no evacuation is missing.",
             false),
+    /** Watches and lists of the store that were given up without an answer. */
+    STORE_CALLS_GIVEN_UP(
+            "store_calls_given_up", "Watches and lists given up without an answer.", true),
     /** Whether the store is unavailable. */
     STORE_LOST("store_lost", "1 while no call to the store succeeds, else 0.", false),
     /** Registered backend servers. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
@@ -73,6 +73,11 @@
         return mRevision;
     }
 
+    /** Returns whether the copy contains all changes up to a revision. */
+    boolean isCompleteUpTo(long revision) {
+        return mListed && mRevision >= revision;
+    }
+
     /** Returns the revision of the newest document or deletion that is known. */
     long contentRevision() {
         return mContentRevision;
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
@@ -22,7 +22,7 @@
 
     private static final Logger sLogger = LoggerFactory.getLogger(CategoryFollower.class);
 
-    private static final Duration SHORT_WAIT = Duration.ofMillis(1);
+    private static final int MAXIMUM_DOUBLINGS = 3;
 
     private final StoreFeed mFeed;
     private final CategoryCopy mCopy;
@@ -42,6 +42,13 @@
     private boolean mHistoryGone;
     private boolean mPaused;
     private boolean mListing;
+    private boolean mIsCalling;
+    private long mCallRevision;
+    private boolean mIsChangeMissing;
+    private long mMissingSinceNanos;
+    private int mReplacements;
+    private long mNextReplacementNanos;
+    private long mGivenUp;
     private Runnable mCancelCall = () -> {};
     private Runnable mTimer = () -> {};
 
@@ -131,11 +138,74 @@
         }
     }
 
+    /** Returns whether a list is in progress. */
+    boolean isListing() {
+        return mListing;
+    }
+
+    /** Returns the number of watches and lists that were given up without an answer. */
+    long givenUpCount() {
+        return mGivenUp;
+    }
+
+    /** Returns whether the call in progress has not reported a change that is known. */
+    boolean isChangeMissing() {
+        return mIsChangeMissing;
+    }
+
+    /**
+     * Records that a change is known from another source, so that the call in progress must report
+     * it soon.
+     *
+     * @param revision the revision of the change
+     */
+    void expectChange(long revision) {
+        if (mIsCalling && !mIsChangeMissing && revision > mCallRevision) {
+            mIsChangeMissing = true;
+            mMissingSinceNanos = mTime.monotonicNanos();
+        }
+    }
+
+    /**
+     * Replaces the call in progress if it should have reported a known change by now. The pause
+     * between replacements grows until a watch reports a change, so that a slow store does not
+     * receive ever more calls.
+     *
+     * @param grace how long a watch may take to report a change
+     */
+    void replaceIfChangeMissing(Duration grace) {
+        if (!mIsChangeMissing) {
+            return;
+        }
+        long nowNanos = mTime.monotonicNanos();
+        long sinceNanos = mListing ? mCallStartNanos : mMissingSinceNanos;
+        Duration patience = mListing ? mSettings.callTimeout() : grace;
+        boolean isOverdue = nowNanos - sinceNanos >= patience.toNanos();
+        boolean isTooSoon = mReplacements > 0 && nowNanos - mNextReplacementNanos < 0;
+        if (!isOverdue || isTooSoon) {
+            return;
+        }
+        int doublings = Math.min(mReplacements, MAXIMUM_DOUBLINGS);
+        mNextReplacementNanos = nowNanos + (mSettings.lastRetry().toNanos() << doublings);
+        mReplacements++;
+        logGivenUp("it has not reported a change that is known");
+        stopCall();
+        catchUp();
+    }
+
+    /** Lists again, since the store no longer has the history from which this copy continues. */
+    void listAgain() {
+        if (!mPaused && !mListing) {
+            stopCall();
+            historyGone();
+        }
+    }
+
     private void catchUp() {
         if (!mCopy.isListed() || mHistoryGone) {
             list();
         } else {
-            watch(SHORT_WAIT);
+            watch(StoreFeed.NOT_HELD);
         }
     }
 
@@ -202,7 +272,7 @@
             mCopy.recordProof(start, Moment.of(mTime));
         } else if (result.getLeft() == FeedError.HISTORY_GONE) {
             historyGone();
-        } else if (wait.equals(SHORT_WAIT)) {
+        } else if (wait.equals(StoreFeed.NOT_HELD)) {
             failed(start.monotonicNanos());
         } else {
             watchInterrupted(held);
@@ -213,8 +283,10 @@
         mHealth.succeeded();
         mFailures = 0;
         mHistoryGoneCount = 0;
-        boolean isShort = wait.equals(SHORT_WAIT);
+        boolean isShort = wait.equals(StoreFeed.NOT_HELD);
         mInterruptions = isShort ? mInterruptions : 0;
+        boolean isReported = !isShort && !changes.documents().isEmpty();
+        mReplacements = isReported ? 0 : mReplacements;
         long nowNanos = mTime.monotonicNanos();
         mCopy.applyChanges(
                 timestamped(changes, nowNanos),
@@ -263,6 +335,9 @@
     private int begin(Duration wait, Duration timeout) {
         mTimer.run();
         int call = ++mCall;
+        mIsCalling = true;
+        mIsChangeMissing = false;
+        mCallRevision = mCopy.revision();
         mCallStartNanos = mTime.monotonicNanos();
         long dueNanos = mCallStartNanos + wait.toNanos();
         mTimer = mScheduler.schedule(wait.plus(timeout), () -> expire(call, dueNanos));
@@ -279,6 +354,7 @@
     }
 
     private void logGivenUp(String reason) {
+        mGivenUp++;
         sLogger.warn(
                 "STORE  {} of {} since revision {} is given up after {} ms: {}",
                 mListing ? "list" : "watch",
@@ -290,6 +366,8 @@
 
     private void end() {
         mCall++;
+        mIsCalling = false;
+        mIsChangeMissing = false;
         mListing = false;
         mCancelCall = () -> {};
         mTimer.run();
@@ -297,6 +375,8 @@
 
     private void stopCall() {
         mCall++;
+        mIsCalling = false;
+        mIsChangeMissing = false;
         mListing = false;
         Runnable cancel = mCancelCall;
         mCancelCall = () -> {};
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -44,12 +44,14 @@
     private final RelayService mRelayService;
     private final RelayedCopies mRelayed;
     private final RoutingReader mRoutingReader;
+    private final WatchVerifier mVerifier;
+    private final ExpiryGracePeriod mGracePeriod;
     private Optional<RelayFallback> mFallback = Optional.empty();
     private Optional<PeerLag> mLag = Optional.empty();
     private Optional<RelayFollower> mRelay = Optional.empty();
+    private Optional<ProofPeers> mProofPeers = Optional.empty();
     private boolean mLeaving;
     private long mWatchingSinceNanos;
-    private Runnable mGraceTimer = () -> {};
     private Runnable mWarmUpTimer = () -> {};
     private final StoreRestoreTracker mRestoreTracker;
     private boolean mStopped;
@@ -80,7 +82,15 @@
         mProber = new StoreProber(context, probe, mHealth, this::checkLag);
         mRouting = new RoutingTable(translator);
         mServers = new ServerDocuments(translator);
+        mGracePeriod = new ExpiryGracePeriod(context, mServers, () -> publish(CopySource.NONE));
         mHealth.addListener(this);
+        mVerifier =
+                new WatchVerifier(
+                        context,
+                        mHealth,
+                        this::onStoreUpdate,
+                        this::isFollowing,
+                        () -> mRelay.ifPresent(RelayFollower::suspend));
         follow(context, Category.ROUTING, mRouting);
         follow(context, Category.EVACUATIONS, mEvacuations);
         follow(context, Category.BACKEND_SERVERS, mServers);
@@ -110,8 +120,10 @@
                         mRoutingReader.listed(requested);
                     }
                 };
-        mFollowers.add(
-                new CategoryFollower(context, copy, settle, mHealth, this::onStoreUpdate, listed));
+        CategoryFollower follower =
+                new CategoryFollower(context, copy, settle, mHealth, this::onStoreUpdate, listed);
+        mFollowers.add(follower);
+        mVerifier.add(copy, follower);
     }
 
     /** The report of a new server follows its entry and must not wait for a burst to settle. */
@@ -175,6 +187,18 @@
         }
     }
 
+    /**
+     * Verifies that the copies miss no change because a watch delivers nothing. Must be called
+     * before {@link #start}.
+     *
+     * @param peers the instances whose proofs are requested
+     * @return the verifier, which receives those proofs, confined to the control thread
+     */
+    public WatchVerifier verifyWatches(ProofPeers peers) {
+        mProofPeers = Optional.of(peers);
+        return mVerifier;
+    }
+
     /** Notifies the instances that follow this one that it will stop. */
     public void leave() {
         mLeaving = true;
@@ -227,6 +251,7 @@
         mFollowers.forEach(CategoryFollower::start);
         mProber.start();
         mRelay.ifPresent(RelayFollower::start);
+        mProofPeers.ifPresent(mVerifier::start);
     }
 
     /**
@@ -256,10 +281,11 @@
         mStopped = true;
         mFollowers.forEach(CategoryFollower::pause);
         mProber.stop();
+        mVerifier.stop();
         mRelay.ifPresent(RelayFollower::stop);
         mRelayService.changed();
         mFallback.ifPresent(RelayFallback::stop);
-        mGraceTimer.run();
+        mGracePeriod.stop();
         mRestoreTracker.stop();
     }
 
@@ -308,6 +334,7 @@
                 mServers.unconfirmed(),
                 mServers.unreadable().held(),
                 mServers.unreadable().seen(),
+                mFollowers.stream().mapToLong(CategoryFollower::givenUpCount).sum(),
                 categories);
     }
 
@@ -319,8 +346,7 @@
         mRelay.ifPresent(RelayFollower::suspend);
         mFollowers.forEach(CategoryFollower::pause);
         mRelayService.changed();
-        mGraceTimer.run();
-        mServers.setRetainsRemoved(false);
+        mGracePeriod.storeLost();
         mProber.probeNow();
         mFallback.ifPresent(RelayFallback::start);
     }
@@ -330,26 +356,11 @@
         if (mStopped) {
             return;
         }
-        boolean mayHaveExpired = outage.compareTo(mSettings.expiryAfter()) >= 0;
         mFallback.ifPresent(RelayFallback::stop);
-        mServers.setRetainsRemoved(mayHaveExpired);
-        if (mayHaveExpired || mServers.unconfirmed() > 0) {
-            mGraceTimer.run();
-            mGraceTimer = mScheduler.schedule(mSettings.confirmWithin(), this::endGracePeriod);
-        }
+        mGracePeriod.storeRegained(outage);
         mFollowers.forEach(CategoryFollower::resume);
     }
 
-    private void endGracePeriod() {
-        mServers.setRetainsRemoved(false);
-        int missing = mServers.unconfirmed();
-        if (missing > 0) {
-            sLogger.info("STORE  {} servers have not registered again after the outage", missing);
-            mServers.dropUnconfirmed();
-            publish(CopySource.NONE);
-        }
-    }
-
     private void onStoreUpdate() {
         publish(CopySource.STORE);
     }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ReplicaSettings.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ReplicaSettings.java
@@ -1,5 +1,6 @@
 package io.masticpond.entry.replica;
 
+import io.masticpond.core.freshness.VerificationSchedule;
 import io.masticpond.core.support.Assert;
 import java.time.Duration;
 
@@ -10,9 +11,11 @@
  * @param outage the settings for outages of the store
  * @param relay the settings of requests to peers
  * @param watching the settings of shared watching within an availability zone
+ * @param verification the schedules by which the copies are verified
  * @since 0.2
  */
-public record ReplicaSettings(Calls calls, Outage outage, Relay relay, Watching watching) {
+public record ReplicaSettings(
+        Calls calls, Outage outage, Relay relay, Watching watching, Verification verification) {
 
     /** Default settings, for a store that answers within some milliseconds. */
     public static final ReplicaSettings DEFAULT =
@@ -44,7 +47,9 @@
                             Duration.ofMillis(400),
                             Duration.ofMillis(250),
                             Duration.ofSeconds(1),
-                            Duration.ofSeconds(3)));
+                            Duration.ofSeconds(3)),
+                    Verification.within(
+                            Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(3)));
 
     /** Checks that no component is {@code null}. */
     public ReplicaSettings {
@@ -52,6 +57,7 @@
         Assert.notNull(outage, "The times of outages");
         Assert.notNull(relay, "The times of the relay");
         Assert.notNull(watching, "The sharing of watches");
+        Assert.notNull(verification, "The verification of copies");
     }
 
     /**
@@ -69,7 +75,17 @@
                         watching.checkEvery(),
                         watching.avoidFor(),
                         watching.ownWatchFor());
-        return new ReplicaSettings(calls, outage, relay, changed);
+        return new ReplicaSettings(calls, outage, relay, changed, verification);
+    }
+
+    /**
+     * Returns a copy of the settings with other schedules of verification.
+     *
+     * @param changed the schedules
+     * @return the settings
+     */
+    public ReplicaSettings withVerification(Verification changed) {
+        return new ReplicaSettings(calls, outage, relay, watching, changed);
     }
 
     /**
@@ -210,4 +226,49 @@
             Assert.positive(ownWatchFor.toMillis(), "The time of watching by itself");
         }
     }
+
+    /**
+     * Schedules by which the instances verify that their copies miss no change.
+     *
+     * @param routing the schedule of the routing configuration
+     * @param servers the schedule of backend servers
+     * @param evacuations the schedule of evacuations
+     * @since 0.3
+     */
+    public record Verification(
+            VerificationSchedule routing,
+            VerificationSchedule servers,
+            VerificationSchedule evacuations) {
+
+        /** Checks that no component is {@code null}. */
+        public Verification {
+            Assert.notNull(routing, "The schedule of routing");
+            Assert.notNull(servers, "The schedule of servers");
+            Assert.notNull(evacuations, "The schedule of evacuations");
+        }
+
+        /**
+         * Returns the schedules under which missed changes are in force within given bounds.
+         *
+         * @param routing the bound of a routing configuration
+         * @param leaving the bound of a leaving backend server
+         * @param evacuation the bound of an evacuation
+         * @return the schedules
+         */
+        public static Verification within(Duration routing, Duration leaving, Duration evacuation) {
+            return new Verification(
+                    VerificationSchedule.within(routing),
+                    VerificationSchedule.within(leaving),
+                    VerificationSchedule.within(evacuation));
+        }
+
+        /** Returns the schedule of a category. */
+        VerificationSchedule schedule(Category category) {
+            return switch (category) {
+                case ROUTING -> routing;
+                case EVACUATIONS -> evacuations;
+                case BACKEND_SERVERS, INSTANCES -> servers;
+            };
+        }
+    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/ReplicaStatus.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/ReplicaStatus.java
@@ -12,6 +12,8 @@
  * @param unconfirmedServers the number of servers that are kept although their entries were removed
  * @param unreadableEntries the number of server entries that are currently unreadable
  * @param unreadableSeen the number of unreadable changes of entries since the start
+ * @param callsGivenUp the number of watches and lists that were given up without an answer since
+ *     the start
  * @param categories the status of each copy
  * @since 0.2
  */
@@ -22,4 +24,5 @@
         int unconfirmedServers,
         int unreadableEntries,
         long unreadableSeen,
+        long callsGivenUp,
         List<CategoryStatus> categories) {}
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreFeed.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/StoreFeed.java
@@ -13,6 +13,12 @@
  */
 public interface StoreFeed {
 
+    /**
+     * The wait of a watch that only reads the changes so far. It is made on a new connection, since
+     * an existing one may have gone silent.
+     */
+    Duration NOT_HELD = Duration.ofMillis(1);
+
     /**
      * Returns the era of the store.
      *
@@ -36,7 +42,8 @@
      *
      * @param category the kind
      * @param afterRevision the revision seen last
-     * @param wait how long the store may hold the call when nothing changes
+     * @param wait how long the store may hold the call when nothing changes; {@link #NOT_HELD} or
+     *     more
      * @param result receives the changes, possibly none, or the reason for the failure
      * @return cancels the watch when run; no result is then delivered
      */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ControlModule.java
@@ -70,7 +70,12 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(self.incarnation()),
                 ReplicaSettings.DEFAULT
                         .withWatchersInZone(settings.store().watchersInZone())
-                        .within(settings.bounds().shortest()));
+                        .within(settings.bounds().shortest())
+                        .withVerification(
+                                ReplicaSettings.Verification.within(
+                                        settings.bounds().configurationApply(),
+                                        settings.bounds().leave(),
+                                        settings.bounds().evacuation())));
     }
 
     @Provides
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryInstance.java
@@ -34,6 +34,7 @@
     private final SettingsReloader mSettings;
     private final LoadSharing mLoadSharing;
     private final CrashSharing mCrashSharing;
+    private final CopyProofSharing mCopyProofSharing;
     private final ProofSharing mProofSharing;
     private final RateSharing mRateSharing;
     private final LimitSharing mLimitSharing;
@@ -56,6 +57,7 @@
             SettingsReloader settings,
             LoadSharing loadSharing,
             CrashSharing crashSharing,
+            CopyProofSharing copyProofSharing,
             ProofSharing proofSharing,
             RateSharing rateSharing,
             LimitSharing limitSharing,
@@ -75,6 +77,7 @@
         mSettings = settings;
         mLoadSharing = loadSharing;
         mCrashSharing = crashSharing;
+        mCopyProofSharing = copyProofSharing;
         mProofSharing = proofSharing;
         mRateSharing = rateSharing;
         mLimitSharing = limitSharing;
@@ -89,6 +92,7 @@
         mProcessChanges.log(ProcessChange.Kind.STARTED);
         mLoadSharing.start();
         mCrashSharing.start();
+        mCopyProofSharing.start();
         mProofSharing.start();
         mRateSharing.start();
         mLimitSharing.start();
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -371,6 +371,7 @@
         values.set(EntryValue.UNCONFIRMED_SERVERS, status.unconfirmedServers());
         values.set(EntryValue.UNREADABLE_ENTRIES, status.unreadableEntries());
         values.set(EntryValue.UNREADABLE_SEEN, status.unreadableSeen());
+        values.set(EntryValue.STORE_CALLS_GIVEN_UP, status.callsGivenUp());
         for (CategoryStatus category : status.categories()) {
             double age = category.age().toMillis() / MILLIS_PER_SECOND;
             double proofAge = category.proofAge().toMillis() / MILLIS_PER_SECOND;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/CategoryCopyTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/CategoryCopyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.masticpond.core.time.Moment;
 import io.masticpond.entry.replica.CategoryCopy.CopyPart;
 import io.masticpond.entry.replica.CategoryCopy.TimestampedDocument;
 import java.util.ArrayList;
@@ -41,7 +42,7 @@
         mCopy.applyList(List.of(live("a", 5)), 10, CopySource.STORE, 0);
         mCopy.applyChanges(List.of(deletion("a", 12)), 12, CopySource.STORE, 0);
         mCopy.applyChanges(List.of(live("a", 11)), 12, CopySource.PEER, 0);
-        assertThat(mCopy.status(0).documents()).isZero();
+        assertThat(mCopy.status(new Moment(0, 0)).documents()).isZero();
         mCopy.applyChanges(List.of(live("a", 13)), 13, CopySource.STORE, 0);
         assertThat(mReceived).containsExactly("a@5", "-a", "a@13");
     }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/FakeStore.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/FakeStore.java
@@ -154,6 +154,11 @@
             mWatches.clear();
         }
 
+        /** Lets the held watch of one category go silent, without an answer. */
+        void dropWatch(Category category) {
+            mWatches.removeIf(watch -> watch.category() == category);
+        }
+
         @Override
         public long era() {
             return mKnownEra;
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/ReplicaFixture.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/ReplicaFixture.java
@@ -6,6 +6,7 @@
 import io.masticpond.core.id.InstanceId;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ZoneId;
+import io.masticpond.core.time.Moment;
 import io.masticpond.entry.replica.FakeStore.Fault;
 import io.masticpond.entry.replica.FakeStore.Feed;
 import io.masticpond.protocol.generated.relay.RelayAnswer;
@@ -25,6 +26,9 @@
 /** Fixture with replicas of one store that are linked with each other in memory. */
 final class ReplicaFixture {
 
+    /** One way between regions. */
+    private static final Duration PROOF_DELAY = Duration.ofMillis(21);
+
     final ManualScheduler mScheduler = new ManualScheduler();
     final FakeStore mStore = new FakeStore(mScheduler);
     private final Map<ServerAddress, Instance> mInstances = new LinkedHashMap<>();
@@ -63,6 +67,21 @@
         return instances;
     }
 
+    /** Starts instances of one zone that verify their copies and exchange their proofs. */
+    List<Instance> startVerifying(int count, int watchers) {
+        List<Instance> instances = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            ServerAddress address = new ServerAddress("10.0.1.1", 1_000 + mInstances.size());
+            Instance instance = new Instance(address, true, watchers);
+            instance.share();
+            instance.verify(instances, number);
+            mInstances.put(address, instance);
+            instances.add(instance);
+        }
+        instances.forEach(instance -> instance.mReplica.start());
+        return instances;
+    }
+
     Instance start() {
         Instance instance = start(FakeStore.Fault.NONE);
         pass(100);
@@ -83,6 +102,7 @@
         final List<String> mOutages = new ArrayList<>();
         final List<ServerAddress> mRequestedPeers = new ArrayList<>();
         private final InstanceId mId;
+        private WatchVerifier mVerifier;
         private final List<Runnable> mPendingFailures = new ArrayList<>();
         boolean mReady = true;
         Fault mRelayFault = Fault.NONE;
@@ -137,6 +157,34 @@
                     (RelayLink) this::request);
         }
 
+        private void verify(List<Instance> all, int rank) {
+            ProofPeers peers =
+                    new ProofPeers() {
+                        @Override
+                        public int rank() {
+                            return rank;
+                        }
+
+                        @Override
+                        public void request(int attempt) {
+                            if (all.size() > 1) {
+                                requestProofs(all.get(rank == 0 ? 1 : attempt % 2));
+                            }
+                        }
+                    };
+            mVerifier = mReplica.verifyWatches(peers);
+        }
+
+        private void requestProofs(Instance peer) {
+            Moment sent = Moment.of(mScheduler.time());
+            mScheduler.schedule(
+                    PROOF_DELAY,
+                    () -> {
+                        List<CopyProof> proofs = peer.mVerifier.proofs();
+                        mScheduler.schedule(PROOF_DELAY, () -> mVerifier.received(sent, proofs));
+                    });
+        }
+
         private void request(
                 ServerAddress address,
                 RelayAsk request,
