Tell a silent connection from a lost store when a held watch ends without an answer

Cause: a held watch without an answer counted as a failure of the store since the moment at which the answer was due, a second before, which is longer than an outage takes to be reported.

Change: if the store has answered any call since then, the failure counts from now, and the next read shows whether the store answers.

Result: SilentWatchTest.aSilentWatchIsNotTakenForALostStore fails without the change and passes with it.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
@@ -350,7 +350,8 @@
         }
         logGivenUp("it had no answer in time");
         stopCall();
-        failed(dueNanos);
+        boolean hasAnsweredOthers = mHealth.succeededNanos() - dueNanos > 0;
+        failed(hasAnsweredOthers ? mTime.monotonicNanos() : dueNanos);
     }
 
     private void logGivenUp(String reason) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/replica/SilentWatchTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/replica/SilentWatchTest.java
@@ -147,6 +147,16 @@
         assertThat(mAll).allMatch(instance -> instance.version() == 7);
     }
 
+    /** Guards against an outage that is reported since one connection is silent. */
+    @Example
+    void aSilentWatchIsNotTakenForALostStore() {
+        start(COUNT, 0);
+        mAll.forEach(instance -> instance.mFeed.dropWatches());
+        mFixture.pass(40_000);
+        assertThat(mAll).allMatch(instance -> instance.mOutages.isEmpty());
+        assertThat(mAll).allMatch(instance -> instance.mReplica.status().callsGivenUp() == 3);
+    }
+
     /** Guards against verification that costs calls in proportion to the instances. */
     @Property(tries = 5)
     void calmInstancesVerifyWithAsManyCallsAsOneAlone(@ForAll @IntRange(min = 1, max = 12) int n) {
