State the numbers of routes, workspaces and keys of a version in force

Change: the line of a version in force has its numbers of routes, workspaces and keys. No decision changes.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
@@ -74,7 +74,12 @@
         }
         mRouting = read.get();
         mChanged = true;
-        sLogger.info("STORE  routing version {} is in force", mRouting.version());
+        sLogger.info(
+                "STORE  routing version {} is in force: {} routes, {} workspaces, {} keys",
+                mRouting.version(),
+                mRouting.routes().size(),
+                mRouting.workspaces().all().size(),
+                mRouting.workspaces().keyCount());
     }
 
     @Override
