Tell an empty table of workspaces from an absent one

Cause: a table without workspaces meant that requests need no key, and the translation of a document made the same table of one whose table is empty and of one that has none.

Evidence: "routing version 2 is in force: 1 routes, 0 workspaces, 0 keys" at all instances within 0.1 s, and requests without a workspace after it. Ruled out: a version that is not in force, and the proof of the keys, which is not reached.

Change: a configuration holds an optional table.

Why it works: absence is the only state in which no key is needed, and the type makes each reader decide on it; the compiler found the seven places that had not.

--- a/masticpond-core/src/main/java/io/masticpond/core/capacity/CapacityGate.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/capacity/CapacityGate.java
@@ -285,16 +285,18 @@
             mWeights.clear();
             Set<Integer> priorities = new TreeSet<>();
             configuration.routes().forEach(route -> priorities.add(route.priority()));
-            for (Workspace workspace : configuration.workspaces().all()) {
-                workspace.priority().ifPresent(priorities::add);
-                mWeights.merge(
-                        WorkspaceHash.of(Optional.of(workspace.id())),
-                        workspace.weight(),
-                        Double::sum);
-            }
+            configuration.workspaces().stream()
+                    .flatMap(table -> table.all().stream())
+                    .forEach(workspace -> apply(workspace, priorities));
             mPriorities = priorities;
         }
 
+        private void apply(Workspace workspace, Set<Integer> priorities) {
+            workspace.priority().ifPresent(priorities::add);
+            mWeights.merge(
+                    WorkspaceHash.of(Optional.of(workspace.id())), workspace.weight(), Double::sum);
+        }
+
         LoadControlActivation activation() {
             return mActivation;
         }
--- a/masticpond-core/src/main/java/io/masticpond/core/routing/RoutingConfiguration.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/routing/RoutingConfiguration.java
@@ -5,6 +5,7 @@
 import io.masticpond.core.workspace.WorkspaceTable;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Immutable version of the routes, services, request limits and workspaces.
@@ -13,7 +14,8 @@
  * @param routes the routes
  * @param services the rules of each service by its id
  * @param limits the limits of client requests
- * @param workspaces the workspaces whose requests are accepted; without any, requests need no key
+ * @param workspaces the workspaces whose requests are accepted; if the table is absent, requests
+ *     need no key, and if it is present and has no workspaces, no key is valid
  * @since 0.2
  */
 public record RoutingConfiguration(
@@ -21,7 +23,7 @@
         List<Route> routes,
         Map<ServiceId, ServiceRules> services,
         RequestLimits limits,
-        WorkspaceTable workspaces) {
+        Optional<WorkspaceTable> workspaces) {
 
     /** Validates the components and copies the collections. */
     public RoutingConfiguration {
@@ -29,11 +31,11 @@
         routes = List.copyOf(routes);
         services = Map.copyOf(services);
         Assert.notNull(limits, "Request limits");
-        Assert.notNull(workspaces, "A table of workspaces");
+        Assert.notNull(workspaces, "An optional table of workspaces");
     }
 
     /**
-     * Creates a configuration without workspaces.
+     * Creates a configuration without a table of workspaces.
      *
      * @param version the version
      * @param routes the routes
@@ -45,6 +47,6 @@
             List<Route> routes,
             Map<ServiceId, ServiceRules> services,
             RequestLimits limits) {
-        this(version, routes, services, limits, WorkspaceTable.EMPTY);
+        this(version, routes, services, limits, Optional.empty());
     }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/workspace/WorkspaceTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/workspace/WorkspaceTable.java
@@ -5,20 +5,17 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * Immutable index, by key, of the workspaces of one configuration version.
+ * Immutable index, by key, of the workspaces of one configuration version. A table without
+ * workspaces accepts no key; that requests need none is stated by the absence of a table.
  *
  * @since 0.2
  */
 public final class WorkspaceTable {
 
-    /** The table without workspaces: requests need no key. */
-    public static final WorkspaceTable EMPTY = new WorkspaceTable(List.of());
-
     private final Map<WorkspaceId, Workspace> mWorkspaces = new HashMap<>();
     private final Map<KeyDigest, Workspace> mByKey = new HashMap<>();
 
@@ -42,15 +39,6 @@
         }
     }
 
-    /**
-     * Determines whether the table contains no workspaces, so that requests need no keys.
-     *
-     * @return {@code true} if there is no workspace
-     */
-    public boolean isEmpty() {
-        return mWorkspaces.isEmpty();
-    }
-
     /**
      * Returns the workspace to which a key belongs.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/WorkspaceSnapshot.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/WorkspaceSnapshot.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.masticpond.core.limit.SharedRates;
 import io.masticpond.core.workspace.Workspace;
+import io.masticpond.core.workspace.WorkspaceTable;
 import io.masticpond.entry.log.RequestRecord;
 import io.masticpond.entry.request.WorkspaceAuthenticator;
 import java.util.ArrayList;
@@ -18,11 +19,12 @@
  *     {@link RequestRecord#UNKNOWN}
  * @param workspaces the workspaces, ordered by name
  */
-record WorkspaceSnapshot(boolean proven, long proofAgeNanos, List<WorkspaceState> workspaces) {
+record WorkspaceSnapshot(
+        boolean keysRequired, boolean proven, long proofAgeNanos, List<WorkspaceState> workspaces) {
 
     /** Snapshot without workspaces. */
     static final WorkspaceSnapshot NONE =
-            new WorkspaceSnapshot(true, RequestRecord.UNKNOWN, List.of());
+            new WorkspaceSnapshot(false, true, RequestRecord.UNKNOWN, List.of());
 
     /**
      * State of a workspace. Credit and demand are those of all instances, in this instance's view.
@@ -33,7 +35,8 @@
     static WorkspaceSnapshot take(WorkspaceAuthenticator authenticator, long nowNanos) {
         List<WorkspaceState> states = new ArrayList<>();
         SharedRates rates = authenticator.rates();
-        for (Workspace each : authenticator.workspaces().all()) {
+        for (Workspace each :
+                authenticator.workspaces().map(WorkspaceTable::all).orElse(List.of())) {
             boolean isLimited = rates.isLimited(each.id());
             states.add(
                     new WorkspaceState(
@@ -43,10 +46,14 @@
         }
         states.sort(Comparator.comparing(state -> state.workspace().id()));
         return new WorkspaceSnapshot(
-                authenticator.isProven(), authenticator.proofAgeNanos(), states);
+                authenticator.workspaces().isPresent(),
+                authenticator.isProven(),
+                authenticator.proofAgeNanos(),
+                states);
     }
 
     void write(ObjectNode document) {
+        document.put("keysRequired", keysRequired);
         document.put("proven", proven);
         if (proofAgeNanos != RequestRecord.UNKNOWN) {
             document.put("proofAgeMillis", JsonFormat.millis(proofAgeNanos));
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.workspace.WorkspaceTable;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
@@ -75,11 +76,14 @@
         mRouting = read.get();
         mChanged = true;
         sLogger.info(
-                "STORE  routing version {} is in force: {} routes, {} workspaces, {} keys",
+                "STORE  routing version {} is in force: {} routes, {}",
                 mRouting.version(),
                 mRouting.routes().size(),
-                mRouting.workspaces().all().size(),
-                mRouting.workspaces().keyCount());
+                mRouting.workspaces().map(RoutingTable::describe).orElse("no key required"));
+    }
+
+    private static String describe(WorkspaceTable table) {
+        return String.format("%d workspaces, %d keys", table.all().size(), table.keyCount());
     }
 
     @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
@@ -17,6 +17,7 @@
 import io.masticpond.entry.settings.WorkspaceSettings;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -32,6 +33,7 @@
 public final class WorkspaceAuthenticator {
 
     private static final String UNPROVEN = "unproven-keys";
+    private static final String UNKNOWN_KEY = "unknown-key";
 
     /**
      * Retry delay without a current proof. Another instance may have a proof, so the client need
@@ -57,7 +59,7 @@
     private final SharedRates mRates;
     private final DoubleSupplier mRandom;
     private WorkspaceSettings mSettings;
-    private WorkspaceTable mWorkspaces = WorkspaceTable.EMPTY;
+    private Optional<WorkspaceTable> mWorkspaces = Optional.empty();
     private Moment mProof;
 
     /**
@@ -88,11 +90,13 @@
      * @param routing the configuration
      */
     public void update(RoutingConfiguration routing) {
-        if (routing.workspaces() == mWorkspaces) {
+        if (routing.workspaces().equals(mWorkspaces)) {
             return;
         }
         mWorkspaces = routing.workspaces();
-        mRates.update(mWorkspaces.all(), mTimeSource.monotonicNanos());
+        mRates.update(
+                mWorkspaces.map(WorkspaceTable::all).orElse(List.of()),
+                mTimeSource.monotonicNanos());
     }
 
     /**
@@ -117,9 +121,9 @@
     /**
      * Returns the workspaces in force.
      *
-     * @return the workspaces
+     * @return the workspaces, or empty if requests need no key
      */
-    public WorkspaceTable workspaces() {
+    public Optional<WorkspaceTable> workspaces() {
         return mWorkspaces;
     }
 
@@ -159,15 +163,22 @@
     /** Returns the caller of a request, or why the request is not admitted. */
     Either<Rejection, Caller> authenticate(
             IncomingRequest request, Route route, RequestRecord facts) {
-        if (mWorkspaces.isEmpty() || route.keyless()) {
+        if (route.keyless()) {
             return Either.right(new AnonymousCaller(route));
         }
         String credential = request.headers().get(mNames.credential());
-        if (credential == null || credential.isBlank()) {
+        boolean hasKey = credential != null && !credential.isBlank();
+        if (mWorkspaces.isEmpty()) {
+            // A key that is presented may have been taken away together with the table.
+            return hasKey
+                    ? Either.left(Rejection.unauthorized(UNKNOWN_KEY))
+                    : Either.right(new AnonymousCaller(route));
+        }
+        if (!hasKey) {
             return Either.left(Rejection.unauthorized("no-key"));
         }
         KeyDigest key = KeyDigest.of(credential);
-        Optional<Workspace> workspace = mWorkspaces.findByKey(key);
+        Optional<Workspace> workspace = findByKey(key);
         long ageNanos = proofAgeNanos();
         recordCaller(facts, workspace.orElse(null), ageNanos);
         if (!isProven(ageNanos)) {
@@ -184,10 +195,11 @@
      * unknown key may be one that this instance does not know yet.
      */
     Either<Rejection, Caller> authenticateForwarded(Optional<KeyDigest> key, Route route) {
-        if (mWorkspaces.isEmpty() || route.keyless()) {
+        boolean isKeyRequired = mWorkspaces.isPresent() || key.isPresent();
+        if (route.keyless() || !isKeyRequired) {
             return Either.right(new AnonymousCaller(route));
         }
-        Optional<Workspace> workspace = key.flatMap(mWorkspaces::findByKey);
+        Optional<Workspace> workspace = key.flatMap(this::findByKey);
         if (!isProven() || workspace.isEmpty()) {
             return Either.left(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
         }
@@ -199,6 +211,10 @@
         return Either.right(new KnownCaller(restrictedRoute.get(), id, key.get(), nowNanos -> {}));
     }
 
+    private Optional<Workspace> findByKey(KeyDigest key) {
+        return mWorkspaces.flatMap(table -> table.findByKey(key));
+    }
+
     private Either<Rejection, Caller> admit(Workspace workspace, KeyDigest key, Route route) {
         Optional<Route> restrictedRoute = route.restrictTo(workspace);
         if (restrictedRoute.isEmpty()) {
@@ -221,7 +237,7 @@
         boolean isConclusive =
                 ageNanos != RequestRecord.UNKNOWN && ageNanos <= MAXIMUM_DENIAL_PROOF_AGE_NANOS;
         return isConclusive
-                ? Rejection.unauthorized("unknown-key")
+                ? Rejection.unauthorized(UNKNOWN_KEY)
                 : Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY);
     }
 
@@ -296,12 +312,8 @@
                 return Optional.of(Rejection.unavailable(UNPROVEN, UNPROVEN_RETRY_DELAY));
             }
             boolean isValid =
-                    mWorkspaces
-                            .findByKey(mKey)
-                            .map(Workspace::id)
-                            .filter(mWorkspace::equals)
-                            .isPresent();
-            return isValid ? Optional.empty() : Optional.of(Rejection.unauthorized("unknown-key"));
+                    findByKey(mKey).map(Workspace::id).filter(mWorkspace::equals).isPresent();
+            return isValid ? Optional.empty() : Optional.of(Rejection.unauthorized(UNKNOWN_KEY));
         }
 
         @Override
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -17,6 +17,7 @@
 import io.masticpond.core.spending.SpendingView;
 import io.masticpond.core.statement.WithdrawalView;
 import io.masticpond.core.time.TimeSource;
+import io.masticpond.core.workspace.WorkspaceTable;
 import io.masticpond.entry.backend.ConnectionCounts;
 import io.masticpond.entry.backend.NettyBackendConnections;
 import io.masticpond.entry.control.ServiceSpeedView;
@@ -89,8 +90,8 @@
 
         static Keys of(WorkspaceAuthenticator authenticator) {
             return new Keys(
-                    authenticator.workspaces().all().size(),
-                    authenticator.workspaces().keyCount(),
+                    authenticator.workspaces().map(table -> table.all().size()).orElse(0),
+                    authenticator.workspaces().map(WorkspaceTable::keyCount).orElse(0),
                     authenticator.proofAgeNanos(),
                     authenticator.isProven());
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProofSharing.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/ProofSharing.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.freshness.FreshnessProof;
 import io.masticpond.core.freshness.FreshnessTracker;
+import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.time.Moment;
 import io.masticpond.core.time.TimeSource;
 import io.masticpond.entry.log.DecisionLog;
@@ -126,10 +127,7 @@
 
     private void check() {
         boolean needed =
-                mReplica.snapshot()
-                        .routing()
-                        .filter(routing -> !routing.workspaces().isEmpty())
-                        .isPresent();
+                mReplica.snapshot().routing().flatMap(RoutingConfiguration::workspaces).isPresent();
         if (!needed) {
             return;
         }
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
@@ -22,6 +22,7 @@
 import io.masticpond.entry.settings.WorkspaceSettings;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -59,8 +60,6 @@
             Set<RegionId> routeRegions,
             Set<RegionId> workspaceRegions,
             String... keys) {
-        FleetSnapshot plain = FakeSnapshot.of(true, 2, false, Set.of());
-        RoutingConfiguration routing = plain.routing().orElseThrow();
         Workspace shop =
                 new Workspace(
                         new WorkspaceId("shop"),
@@ -68,6 +67,13 @@
                         limit,
                         OptionalInt.empty(),
                         workspaceRegions);
+        applyTable(flow, routeRegions, Optional.of(new WorkspaceTable(List.of(shop))));
+    }
+
+    private void applyTable(
+            RequestFlow flow, Set<RegionId> routeRegions, Optional<WorkspaceTable> table) {
+        FleetSnapshot plain = FakeSnapshot.of(true, 2, false, Set.of());
+        RoutingConfiguration routing = plain.routing().orElseThrow();
         FleetSnapshot stated =
                 new FleetSnapshot(
                         plain.revision(),
@@ -79,7 +85,7 @@
                                                 .toList(),
                                         routing.services(),
                                         routing.limits(),
-                                        new WorkspaceTable(List.of(shop)))),
+                                        table)),
                         plain.servers(),
                         plain.evacuatedZones());
         flow.update(EntryState.of(stated, flow.state()));
@@ -217,6 +223,54 @@
         assertThat(last().status()).isEqualTo(401);
     }
 
+    /** Guards against keys that stay of use since their table has no workspace any more. */
+    @Example
+    void aTableWithoutWorkspacesAcceptsNoKey() {
+        RequestFlow flow = flow();
+        recordProof();
+        applyTable(flow, Set.of(), Optional.of(new WorkspaceTable(List.of())));
+        for (String key : Arrays.asList(KEY, "guessed", null)) {
+            sendRequest(flow, key);
+            assertThat(last().status()).isEqualTo(401);
+        }
+        assertThat(sendForwarded(flow, KEY).status()).isEqualTo(503);
+        assertThat(mConnections.mCalls).isEmpty();
+    }
+
+    /** Guards against keys that stay of use since their table is gone. */
+    @Example
+    void withoutATableOnlyRequestsWithoutAKeyRun() {
+        RequestFlow flow = flow();
+        recordProof();
+        applyTable(flow, Set.of(), Optional.empty());
+        for (String key : List.of(KEY, "guessed")) {
+            sendRequest(flow, key);
+            assertThat(last().status()).isEqualTo(401);
+        }
+        assertThat(sendForwarded(flow, KEY).status()).isEqualTo(503);
+        assertThat(mConnections.mCalls).isEmpty();
+        sendRequest(flow, null);
+        assertThat(mConnections.mCalls).hasSize(1);
+    }
+
+    /** Guards against a second send of a request whose key has gone with the last workspace. */
+    @Example
+    void removalOfTheLastWorkspaceStopsRetry() {
+        for (Optional<WorkspaceTable> table :
+                List.of(
+                        Optional.<WorkspaceTable>empty(),
+                        Optional.of(new WorkspaceTable(List.of())))) {
+            RequestFlow flow = flow();
+            recordProof();
+            sendRequest(flow, KEY);
+            int sent = mConnections.mCalls.size();
+            applyTable(flow, Set.of(), table);
+            mConnections.last().answer(503, "Not-Run", "1");
+            assertThat(mConnections.mCalls).hasSize(sent);
+            assertThat(last().status()).isEqualTo(401);
+        }
+    }
+
     @Example
     void rejectsRequestsOverRateWithRetryAfter() {
         RequestFlow flow = flow(true, 2);
