Accept any name of the platform's objects

Cause: names of the platform were held to the form of this project's own identifiers (64 letters of ASCII), and one that is refused makes the whole document unreadable.

Evidence: "routing main at revision ... is unreadable, keeping the last valid one: ... in route réservation, A route id must have only letters ..." at all instances, 0.1 s after the acknowledgement. Ruled out: damaged text (the line has the whole name) and a version taken for an older one.

Change: names of routes, services, workspaces, regions, zones and servers may have any text. The daemon, whose operators choose names for this project, keeps the form. Where names travel: as UTF-8 in headers to servers (a name that no header can carry is an error), percent-encoded in headers between instances, as UTF-8 in datagrams (zones and regions at most 200 bytes, checked at the start), cut to 128 characters in log lines.

Why it works: inside the request path a name is only a key of a map.

--- a/masticpond-core/src/main/java/io/masticpond/core/id/BackendServerId.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/id/BackendServerId.java
@@ -3,7 +3,7 @@
 /**
  * Identifier of a backend server.
  *
- * @param value the text, at most 64 letters, digits, dots, underscores and hyphens
+ * @param value the text, as the platform or an operator states it; not empty
  * @since 0.1
  */
 public record BackendServerId(String value) implements Comparable<BackendServerId> {
@@ -11,10 +11,10 @@
     /**
      * Validates the text.
      *
-     * @throws IllegalArgumentException if the text is not an identifier
+     * @throws IllegalArgumentException if the text is empty
      */
     public BackendServerId {
-        Identifiers.check(value, "A backend server id");
+        Identifiers.checkName(value, "A backend server id");
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/id/RegionId.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/id/RegionId.java
@@ -3,7 +3,7 @@
 /**
  * Identifier of a region, which contains availability zones.
  *
- * @param value the text, at most 64 letters, digits, dots, underscores and hyphens
+ * @param value the text, as the platform or an operator states it; not empty
  * @since 0.1
  */
 public record RegionId(String value) implements Comparable<RegionId> {
@@ -11,10 +11,10 @@
     /**
      * Validates the text.
      *
-     * @throws IllegalArgumentException if the text is not an identifier
+     * @throws IllegalArgumentException if the text is empty
      */
     public RegionId {
-        Identifiers.check(value, "A region id");
+        Identifiers.checkName(value, "A region id");
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/id/RouteId.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/id/RouteId.java
@@ -10,7 +10,7 @@
 
     /** Validates the name. */
     public RouteId {
-        Identifiers.check(value, "A route id");
+        Identifiers.checkName(value, "A route id");
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/id/ServiceId.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/id/ServiceId.java
@@ -3,7 +3,7 @@
 /**
  * Identifier of a service that operators created.
  *
- * @param value the text, at most 64 letters, digits, dots, underscores and hyphens
+ * @param value the text, as the platform or an operator states it; not empty
  * @since 0.1
  */
 public record ServiceId(String value) implements Comparable<ServiceId> {
@@ -11,10 +11,10 @@
     /**
      * Validates the text.
      *
-     * @throws IllegalArgumentException if the text is not an identifier
+     * @throws IllegalArgumentException if the text is empty
      */
     public ServiceId {
-        Identifiers.check(value, "A service id");
+        Identifiers.checkName(value, "A service id");
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/id/WorkspaceId.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/id/WorkspaceId.java
@@ -3,7 +3,7 @@
 /**
  * Identifier of a workspace, which is a caller's account with its own keys, rate and regions.
  *
- * @param value the text, at most 64 letters, digits, dots, underscores and hyphens
+ * @param value the text, as the platform or an operator states it; not empty
  * @since 0.2
  */
 public record WorkspaceId(String value) implements Comparable<WorkspaceId> {
@@ -11,10 +11,10 @@
     /**
      * Validates the text.
      *
-     * @throws IllegalArgumentException if the text is not an identifier
+     * @throws IllegalArgumentException if the text is empty
      */
     public WorkspaceId {
-        Identifiers.check(value, "A workspace id");
+        Identifiers.checkName(value, "A workspace id");
     }
 
     /**
--- a/masticpond-core/src/main/java/io/masticpond/core/id/ZoneId.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/id/ZoneId.java
@@ -3,7 +3,7 @@
 /**
  * Identifier of an availability zone.
  *
- * @param value the text, at most 64 letters, digits, dots, underscores and hyphens
+ * @param value the text, as the platform or an operator states it; not empty
  * @since 0.1
  */
 public record ZoneId(String value) implements Comparable<ZoneId> {
@@ -11,10 +11,10 @@
     /**
      * Validates the text.
      *
-     * @throws IllegalArgumentException if the text is not an identifier
+     * @throws IllegalArgumentException if the text is empty
      */
     public ZoneId {
-        Identifiers.check(value, "An availability zone id");
+        Identifiers.checkName(value, "An availability zone id");
     }
 
     /**
--- a/masticpond-daemon/src/main/java/io/masticpond/daemon/configuration/ConfigurationMapper.java
+++ b/masticpond-daemon/src/main/java/io/masticpond/daemon/configuration/ConfigurationMapper.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.ConfigurationVersion;
+import io.masticpond.core.id.Identifiers;
 import io.masticpond.core.id.OperationName;
 import io.masticpond.core.id.PlanId;
 import io.masticpond.core.id.RegionId;
@@ -53,13 +54,22 @@
 
     private static SimpleModule identifierModule() {
         SimpleModule module = new SimpleModule("masticpond-identifiers");
-        addTextType(module, BackendServerId.class, BackendServerId::new);
+        addTextType(
+                module,
+                BackendServerId.class,
+                text -> new BackendServerId(Identifiers.check(text, "A backend server id")));
         addTextType(module, OperationName.class, OperationName::new);
         addTextType(module, PlanId.class, PlanId::new);
-        addTextType(module, RegionId.class, RegionId::new);
-        addTextType(module, ServiceId.class, ServiceId::new);
+        addTextType(
+                module,
+                RegionId.class,
+                text -> new RegionId(Identifiers.check(text, "A region id")));
+        addTextType(
+                module,
+                ServiceId.class,
+                text -> new ServiceId(Identifiers.check(text, "A service id")));
         addTextType(module, SiteId.class, SiteId::new);
-        addTextType(module, ZoneId.class, ZoneId::new);
+        addTextType(module, ZoneId.class, text -> new ZoneId(Identifiers.check(text, "A zone id")));
         addTextType(module, LocalTime.class, LocalTime::parse);
         addTextType(module, Instant.class, Instant::parse);
         module.addSerializer(ConfigurationVersion.class, new VersionSerializer());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/ForwardHeaders.java
@@ -8,6 +8,9 @@
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -54,7 +57,7 @@
      * @param headers the headers of the request
      */
     public void writeTerms(ForwardTerms terms, HttpHeaders headers) {
-        headers.set(SERVICE, terms.service().value());
+        headers.set(SERVICE, URLEncoder.encode(terms.service().value(), StandardCharsets.UTF_8));
         headers.set(ATTEMPTS, Integer.toString(terms.attempts()));
         headers.set(HttpHeaderNames.CONNECTION, ACCEPTS_STATEMENTS);
         headers.remove(KEY);
@@ -77,7 +80,7 @@
         try {
             return Optional.of(
                     new ForwardTerms(
-                            new ServiceId(service),
+                            new ServiceId(URLDecoder.decode(service, StandardCharsets.UTF_8)),
                             Optional.ofNullable(key).map(KeyDigest::parse),
                             Integer.parseInt(attempts)));
         } catch (IllegalArgumentException malformed) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/forward/StatementCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/forward/StatementCodec.java
@@ -7,6 +7,9 @@
 import io.masticpond.core.statement.PauseHeader;
 import io.masticpond.core.statement.ServerStatement;
 import java.math.BigDecimal;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,7 +37,9 @@
 
     static String encode(AttributedStatement attributed) {
         ServerStatement statement = attributed.statement();
-        StringBuilder text = new StringBuilder(attributed.server().value());
+        StringBuilder text =
+                new StringBuilder(
+                        URLEncoder.encode(attributed.server().value(), StandardCharsets.UTF_8));
         switch (statement.leaving()) {
             case LEAVING -> append(text, LEAVING, "1");
             case MALFORMED -> append(text, LEAVING, MALFORMED);
@@ -79,7 +84,8 @@
         String[] parts = text.split(SEPARATOR);
         BackendServerId server;
         try {
-            server = new BackendServerId(parts.length == 0 ? "" : parts[0].strip());
+            String id = parts.length == 0 ? "" : parts[0].strip();
+            server = new BackendServerId(URLDecoder.decode(id, StandardCharsets.UTF_8));
         } catch (IllegalArgumentException malformed) {
             return Optional.empty();
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/BodyChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/BodyChange.java
@@ -57,8 +57,8 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", server.value());
-            line.writeStringField("service", service.value());
+            line.writeStringField("server", LineText.of(server.value()));
+            line.writeStringField("service", LineText.of(service.value()));
             line.writeStringField("state", "learned");
             line.writeNumberField("inFlightBytes", inFlightBytes);
             line.writeNumberField("limitBytes", limitBytes);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/LineText.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/LineText.java
@@ -20,6 +20,11 @@
         if (text == null) {
             return "";
         }
-        return text.length() <= maximumLength ? text : text.substring(0, maximumLength) + ELLIPSIS;
+        if (text.length() <= maximumLength) {
+            return text;
+        }
+        // A pair of surrogates that is cut in half is no text that JSON can carry.
+        boolean isCutInPair = Character.isHighSurrogate(text.charAt(maximumLength - 1));
+        return text.substring(0, isCutInPair ? maximumLength - 1 : maximumLength) + ELLIPSIS;
     }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/LoadChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/LoadChange.java
@@ -27,7 +27,7 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("service", view.service().value());
+            line.writeStringField("service", LineText.of(view.service().value()));
             line.writeStringField("state", view.full() ? "full" : "not-full");
             line.writeNumberField("fullness", RequestLine.rounded(view.fullness()));
             line.writeNumberField("perSecond", RequestLine.rounded(view.capacityPerSecond()));
@@ -59,8 +59,8 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("service", service.value());
-            line.writeStringField("region", region.value());
+            line.writeStringField("service", LineText.of(service.value()));
+            line.writeStringField("region", LineText.of(region.value()));
             line.writeNumberField("steps", steps);
             line.writeNumberField("utilization", RequestLine.rounded(utilization));
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ReachabilityChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ReachabilityChange.java
@@ -21,7 +21,7 @@
 
     @Override
     public void write(JsonGenerator line) throws IOException {
-        line.writeStringField("service", view.service().value());
+        line.writeStringField("service", LineText.of(view.service().value()));
         line.writeStringField("state", EnumNames.toName(view.state()));
         line.writeStringField("evidence", EnumNames.toName(view.evidence()));
         line.writeNumberField("formerMillis", formerMillis);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RequestLine.java
@@ -60,10 +60,10 @@
             line.writeStringField("fingerprint", request.mFingerprint.toString());
         }
         if (request.mRoute != null) {
-            line.writeStringField("route", request.mRoute.value());
+            line.writeStringField("route", LineText.of(request.mRoute.value()));
         }
         if (request.mService != null) {
-            line.writeStringField("service", request.mService.value());
+            line.writeStringField("service", LineText.of(request.mService.value()));
         }
     }
 
@@ -111,9 +111,9 @@
             if (attempt.mPeer != null) {
                 line.writeStringField("peer", attempt.mPeer.value());
             } else {
-                line.writeStringField("server", attempt.mServer.value());
+                line.writeStringField("server", LineText.of(attempt.mServer.value()));
             }
-            line.writeStringField("zone", attempt.mZone.value());
+            line.writeStringField("zone", LineText.of(attempt.mZone.value()));
             if (attempt.mCold) {
                 line.writeBooleanField("cold", true);
             }
@@ -162,7 +162,7 @@
         CandidateServers candidates = request.mCandidates;
         for (int index = 0; index < candidates.kept(); index++) {
             line.writeStartObject();
-            line.writeStringField("server", candidates.server(index).value());
+            line.writeStringField("server", LineText.of(candidates.server(index).value()));
             CandidateFigures figures = candidates.figures(index);
             line.writeNumberField("inFlight", figures.inFlight());
             line.writeNumberField("slots", figures.slots());
@@ -204,7 +204,7 @@
 
     private static void writeCaller(JsonGenerator line, CallerInputs caller) throws IOException {
         if (caller.workspace() != null) {
-            line.writeStringField("workspace", caller.workspace().value());
+            line.writeStringField("workspace", LineText.of(caller.workspace().value()));
         }
         writeAge(line, "proofAgeMillis", caller.proofAgeNanos());
         if (caller.isLimited()) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/RetryLine.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/RetryLine.java
@@ -35,7 +35,7 @@
         RequestLine.writeHead(line, mRequest);
         line.writeNumberField("attempt", mAttempts);
         if (mFailed != null) {
-            line.writeStringField("server", mFailed.mServer.value());
+            line.writeStringField("server", LineText.of(mFailed.mServer.value()));
             line.writeStringField("result", EnumNames.of(mFailed.mResult));
             if (mFailed.mStatus != 0) {
                 line.writeNumberField("status", mFailed.mStatus);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ServerRestart.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ServerRestart.java
@@ -22,7 +22,7 @@
 
     @Override
     public void write(JsonGenerator line) throws IOException {
-        line.writeStringField("server", server.value());
+        line.writeStringField("server", LineText.of(server.value()));
         line.writeStringField("state", coldMillis > 0 ? "cold" : "warm");
         line.writeNumberField("coldMillis", coldMillis);
         line.writeNumberField("probes", probes);
--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/ViewChange.java
@@ -127,9 +127,9 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", server.value());
-            line.writeStringField("service", service.value());
-            line.writeStringField("zone", zone.value());
+            line.writeStringField("server", LineText.of(server.value()));
+            line.writeStringField("service", LineText.of(service.value()));
+            line.writeStringField("zone", LineText.of(zone.value()));
             line.writeStringField("state", EnumNames.toName(state));
             writeOrigin(line, revision, source);
         }
@@ -154,7 +154,7 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", server.value());
+            line.writeStringField("server", LineText.of(server.value()));
             line.writeStringField("state", ended ? "ended" : "not-known-to-have-ended");
             line.writeNumberField("requests", requests);
             line.writeNumberField("millis", millis);
@@ -204,8 +204,8 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", view.server().value());
-            line.writeStringField("service", view.service().value());
+            line.writeStringField("server", LineText.of(view.server().value()));
+            line.writeStringField("service", LineText.of(view.service().value()));
             line.writeStringField("state", view.isLimited() ? "limited" : "lifted");
             if (view.isLimited()) {
                 line.writeNumberField("perSecond", RequestLine.rounded(view.perSecond()));
@@ -231,7 +231,7 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", server.value());
+            line.writeStringField("server", LineText.of(server.value()));
             line.writeStringField("state", "malformed");
         }
     }
@@ -250,8 +250,8 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", view.server().value());
-            line.writeStringField("service", view.service().value());
+            line.writeStringField("server", LineText.of(view.server().value()));
+            line.writeStringField("service", LineText.of(view.service().value()));
             line.writeStringField("state", EnumNames.toName(view.state()));
             if (view.leftNanos() > 0) {
                 line.writeNumberField("leftMillis", RequestLine.millis(view.leftNanos()));
@@ -276,7 +276,7 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("server", server.value());
+            line.writeStringField("server", LineText.of(server.value()));
             line.writeStringField("state", "malformed");
             line.writeStringField("part", EnumNames.toName(part));
         }
@@ -300,7 +300,7 @@
 
         @Override
         public void write(JsonGenerator line) throws IOException {
-            line.writeStringField("zone", zone.value());
+            line.writeStringField("zone", LineText.of(zone.value()));
             line.writeStringField("state", evacuated ? "evacuated" : "returned");
             writeOrigin(line, revision, source);
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerMessageCodec.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/peer/PeerMessageCodec.java
@@ -6,7 +6,6 @@
 import io.masticpond.core.id.ZoneId;
 import io.masticpond.core.support.Assert;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.util.NetUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -18,9 +17,9 @@
  *
  * <p>A datagram is a version byte; the kind; the sender; in a list request, the id after which the
  * list is requested; and updates up to the end. Numbers are little-endian groups of 7 bits, texts
- * have a length byte, and flags state the address family. It is encoded by hand, unlike the frames
- * of the links: a heartbeat has five fields, is sent all the time, and must not cost a restarted
- * process the initialization of a message library.
+ * are in UTF-8 and have a length byte, and flags state the address family. It is encoded by hand,
+ * unlike the frames of the links: a heartbeat has five fields, is sent all the time, and must not
+ * cost a restarted process the initialization of a message library.
  */
 final class PeerMessageCodec {
 
@@ -38,6 +37,7 @@
     private static final int GROUP_MASK = 0x7f;
     private static final int MORE = 0x80;
     private static final int LONG_BITS = 64;
+    private static final int MAXIMUM_TEXT_BYTES = 255;
 
     private PeerMessageCodec() {}
 
@@ -143,12 +143,18 @@
     }
 
     private static void writeText(String text, ByteBuf out) {
-        out.writeByte(text.length());
-        ByteBufUtil.writeAscii(out, text);
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        Assert.isTrue(
+                bytes.length <= MAXIMUM_TEXT_BYTES,
+                "A text must have at most %d bytes, but had %d.",
+                MAXIMUM_TEXT_BYTES,
+                bytes.length);
+        out.writeByte(bytes.length);
+        out.writeBytes(bytes);
     }
 
     private static String readText(ByteBuf in) {
-        return in.readCharSequence(in.readUnsignedByte(), StandardCharsets.US_ASCII).toString();
+        return in.readCharSequence(in.readUnsignedByte(), StandardCharsets.UTF_8).toString();
     }
 
     private static void writeNumber(long value, ByteBuf out) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardedHeaders.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/ForwardedHeaders.java
@@ -3,6 +3,7 @@
 import io.masticpond.core.id.BackendServerId;
 import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.entry.backend.ConnectionHeaders;
+import io.masticpond.entry.http.HeaderText;
 import io.masticpond.entry.settings.HeaderNames;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -32,11 +33,12 @@
     /** Returns the headers for one attempt at a backend server. */
     HttpHeaders to(BackendServerId server, long leftNanos) {
         HttpHeaders headers = forwardable();
-        mWorkspace.ifPresent(workspace -> headers.set(mNames.workspace(), workspace.value()));
+        mWorkspace.ifPresent(
+                workspace -> headers.set(mNames.workspace(), HeaderText.encode(workspace.value())));
         if (mHasDeadline) {
             setDeadline(headers, leftNanos);
         }
-        headers.set(mNames.expectedServer(), server.value());
+        headers.set(mNames.expectedServer(), HeaderText.encode(server.value()));
         return headers;
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/EntrySettingsReader.java
@@ -14,10 +14,12 @@
 import io.masticpond.core.reachability.ReachabilitySettings;
 import io.masticpond.core.serverlimit.ServerLimitSettings;
 import io.masticpond.core.statement.WithdrawalSettings;
+import io.masticpond.core.support.Assert;
 import io.masticpond.entry.json.JsonTree;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -37,6 +39,8 @@
 public final class EntrySettingsReader {
 
     private static final String NAME = "a name";
+    private static final int MAXIMUM_PLACE_BYTES = 200;
+    private static final String PLACE = "a name of at most " + MAXIMUM_PLACE_BYTES + " bytes";
     private static final int DEFAULT_LINES = 200;
     private static final int DEFAULT_CALLS = 100;
     private static final int DEFAULT_OBJECT_BYTES = 1024 * 1024;
@@ -125,8 +129,12 @@
 
     private static EntrySettings settings(SettingsFields root) {
         SettingsFields instance = root.object("instance");
-        ZoneId zone = instance.required("zone", NAME, new ZoneId("none"), ZoneId::new);
-        RegionId region = instance.required("region", NAME, new RegionId("none"), RegionId::new);
+        ZoneId zone =
+                instance.required(
+                        "zone", PLACE, new ZoneId("none"), text -> new ZoneId(place(text)));
+        RegionId region =
+                instance.required(
+                        "region", PLACE, new RegionId("none"), text -> new RegionId(place(text)));
         Map<ZoneId, RegionId> zones = zones(root.object("zones"));
         if (!instance.isGiven("zone") || !instance.isGiven("region")) {
             zones.put(zone, region);
@@ -155,6 +163,15 @@
                 spending(root, zones));
     }
 
+    /** Checks a name that each message between instances carries. */
+    private static String place(String name) {
+        Assert.isTrue(
+                name.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_PLACE_BYTES,
+                "A zone or region must be %s.",
+                PLACE);
+        return name;
+    }
+
     /** Reads the spending settings. Their reader is loaded only if they are given. */
     private static Optional<SpendingSettings> spending(
             SettingsFields root, Map<ZoneId, RegionId> zones) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/settings/SpendingSettingsReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/settings/SpendingSettingsReader.java
@@ -2,6 +2,7 @@
 
 import io.masticpond.core.configuration.ShiftSpecification;
 import io.masticpond.core.configuration.SpendingSpecification;
+import io.masticpond.core.id.Identifiers;
 import io.masticpond.core.id.RegionId;
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.spending.ShiftCalendar;
@@ -59,7 +60,10 @@
         long version = mFields.required("version", "a whole number from 1", 1L, this::version);
         String ledgers =
                 mFields.optional(
-                        "ledgers", NAME, DEFAULT_LEDGERS, text -> new ServiceId(text).value());
+                        "ledgers",
+                        NAME,
+                        DEFAULT_LEDGERS,
+                        text -> Identifiers.check(text, "A ledger name"));
         Duration clockError = mFields.time("clockError", DEFAULT_CLOCK_ERROR);
         Duration cover = mFields.time("cover", DEFAULT_COVER);
         if (cover.isZero()) {
--- a/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/log/RequestLineTest.java
@@ -59,6 +59,21 @@
         assertThat(mOutput.text().length()).isLessThan(400);
     }
 
+    /** Guards against a line as long as a name of the platform, or cut in a pair of surrogates. */
+    @Example
+    void truncatesLongNamesOfThePlatform() {
+        RequestRecord request = new RequestRecord("r1", 0);
+        request.routed(
+                new RouteId("x" + "\ud83d\ude9a".repeat(5_000)),
+                new ServiceId("y".repeat(10_000)),
+                400,
+                millis(1_000));
+        request.answered(200, millis(130));
+        write(request);
+        assertThat(mOutput.text().length()).isLessThan(1_500);
+        assertThat(mOutput.lines().get(0).path("service").asText()).endsWith("y...");
+    }
+
     @Example
     void writesInputsOfDecision() {
         RequestRecord request = retried();
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/RequestForwardFlowTest.java
@@ -3,10 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.masticpond.core.id.BackendServerId;
+import io.masticpond.core.id.WorkspaceId;
 import io.masticpond.core.reachability.ReachabilityMonitor;
 import io.masticpond.core.reachability.ReachabilitySettings;
 import io.masticpond.core.reachability.ReachabilityState;
 import io.masticpond.core.request.Verdict;
+import io.masticpond.core.routing.RoutingConfiguration;
+import io.masticpond.core.time.Moment;
+import io.masticpond.core.workspace.KeyDigest;
+import io.masticpond.core.workspace.Workspace;
+import io.masticpond.core.workspace.WorkspaceTable;
 import io.masticpond.entry.backend.CallFailure;
 import io.masticpond.entry.backend.ServerReachability;
 import io.masticpond.entry.forward.ForwardEndpoint;
@@ -17,7 +23,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
 import net.jqwik.api.Example;
 
 /**
@@ -32,6 +41,8 @@
     @Example
     void forwardsRequestWithoutTheKeyOfTheClientAndPassesTheAnswerOn() {
         RequestFlow flow = flowWithoutServers(false, 1);
+        mAuthenticator.update(configurationWithKey(flow, "secret"));
+        mAuthenticator.recordProof(Moment.of(mTime));
         IncomingRequest request = request();
         request.headers().set("Credential", "secret").set("Workspace", "forged");
         flow.handle(request, mResponder);
@@ -49,6 +60,23 @@
         assertThat(answer.contains(OUTCOME)).isFalse();
     }
 
+    private static RoutingConfiguration configurationWithKey(RequestFlow flow, String key) {
+        RoutingConfiguration plain = flow.state().snapshot().routing().orElseThrow();
+        Workspace workspace =
+                new Workspace(
+                        new WorkspaceId("shop"),
+                        Set.of(KeyDigest.of(key)),
+                        Optional.empty(),
+                        OptionalInt.empty(),
+                        Set.of());
+        return new RoutingConfiguration(
+                plain.version() + 1,
+                plain.routes(),
+                plain.services(),
+                plain.limits(),
+                Optional.of(new WorkspaceTable(List.of(workspace))));
+    }
+
     @Example
     void doesNotRefuseRequestThatMayHaveRunAtAnotherInstance() {
         RequestFlow flow = flowWithoutServers(false, 2);
--- a/masticpond-entry/src/test/java/io/masticpond/entry/settings/EntrySettingsReaderTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/settings/EntrySettingsReaderTest.java
@@ -163,6 +163,18 @@
                         "The availability zone a-1 of the instance must be listed in region a.");
     }
 
+    /** Guards against a place whose name no message between instances can carry. */
+    @Example
+    void reportsPlacesWithTooLongNames() {
+        String longest = "\u00e9".repeat(100);
+        assertThat(mReader.read(SETTINGS.replace("a-1", longest)).isRight()).isTrue();
+        assertThat(mReader.read(SETTINGS.replace("a-1", longest + "x")).getLeft())
+                .singleElement()
+                .asString()
+                .startsWith(
+                        "instance.zone must be a name of at most 200 bytes, but was '\u00e9\u00e9");
+    }
+
     @Example
     void reportsPositionOfJsonSyntaxErrors() {
         assertThat(mReader.read("{\"instance\":\n oops}").getLeft().get(0)).contains("line 2");
