Put the readable parts of a configuration in force and refuse the rest

What callers would see: one route, service or workspace with a value that cannot be read (another type, a field of a later version of the platform) kept the whole version out of force, so a key that it takes away stayed of use and a removed route went on running.

Cause: the translation of a document was all or nothing. Beside it, an optional field of another type passed for an absent one ("allowed-regions" as text: no restriction; "auth-exempt" as 1: no key needed).

Change: each route, service and workspace is read by itself. Requests of an unreadable route get 503, whatever shorter prefix matches; no key of an unreadable workspace is valid; a value of another type is unreadable. A document without a version or with another value in place of a table stays no configuration. One line, a gauge and the status name the parts.

--- a/masticpond-core/src/main/java/io/masticpond/core/routing/RouteTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/routing/RouteTable.java
@@ -21,6 +21,7 @@
     private static final String ROOT = "/";
 
     private final Map<String, HostRoutes> mHosts = new HashMap<>();
+    private final boolean mHasOtherRoutes;
 
     /**
      * Creates the table of a configuration.
@@ -32,8 +33,15 @@
         Assert.notNull(configuration, "A routing configuration");
         for (Route route : configuration.routes()) {
             String host = hostName(route.host());
-            mHosts.computeIfAbsent(host, ignored -> new HostRoutes()).add(route);
+            mHosts.computeIfAbsent(host, ignored -> new HostRoutes())
+                    .add(route.pathPrefix(), Optional.of(route));
         }
+        for (UnreadableRoute route : configuration.unreadable().routes()) {
+            String host = hostName(route.host());
+            mHosts.computeIfAbsent(host, ignored -> new HostRoutes())
+                    .add(route.pathPrefix(), Optional.empty());
+        }
+        mHasOtherRoutes = configuration.unreadable().hasOtherRoutes();
     }
 
     /**
@@ -43,9 +51,25 @@
      * @param hostHeader the host that the client specified, with or without a port
      * @param target the target of the request line; an absolute target specifies the host itself
      *     and takes precedence over the header
-     * @return the route, or empty if none matches
+     * @return the route, or empty if none matches or the one that does could not be read
      */
     public Optional<Route> match(String hostHeader, String target) {
+        return lookUp(hostHeader, target).flatMap(route -> route);
+    }
+
+    /**
+     * Determines whether a request without a route may have one that could not be read.
+     *
+     * @param hostHeader the host that the client specified, with or without a port
+     * @param target the target of the request line
+     * @return {@code false} if there is certainly no route for the request
+     */
+    public boolean mayHaveUnreadableRoute(String hostHeader, String target) {
+        return mHasOtherRoutes || lookUp(hostHeader, target).filter(Optional::isEmpty).isPresent();
+    }
+
+    /** Returns the entry with the longest prefix, which is empty if its route is unreadable. */
+    private Optional<Optional<Route>> lookUp(String hostHeader, String target) {
         Assert.notNull(hostHeader, "A host");
         Assert.notNull(target, "A target");
         if (target.startsWith(ROOT)) {
@@ -62,7 +86,7 @@
         return find(target.substring(hostStart, hostEnd), path);
     }
 
-    private Optional<Route> find(String host, String target) {
+    private Optional<Optional<Route>> find(String host, String target) {
         HostRoutes routes = mHosts.get(hostName(host));
         if (routes == null) {
             return Optional.empty();
@@ -95,18 +119,18 @@
     /** Routes of one host by prefix. */
     private static final class HostRoutes {
 
-        private final Map<String, Route> mByPrefix = new HashMap<>();
+        private final Map<String, Optional<Route>> mByPrefix = new HashMap<>();
         private int mLongestPrefix;
 
-        void add(Route route) {
-            mByPrefix.putIfAbsent(route.pathPrefix(), route);
-            mLongestPrefix = Math.max(mLongestPrefix, route.pathPrefix().length());
+        void add(String pathPrefix, Optional<Route> route) {
+            mByPrefix.putIfAbsent(pathPrefix, route);
+            mLongestPrefix = Math.max(mLongestPrefix, pathPrefix.length());
         }
 
-        Route findLongestPrefix(String target, int pathLength) {
+        Optional<Route> findLongestPrefix(String target, int pathLength) {
             int slash = target.lastIndexOf('/', Math.min(pathLength, mLongestPrefix) - 1);
             while (slash >= 0) {
-                Route route = mByPrefix.get(target.substring(0, slash + 1));
+                Optional<Route> route = mByPrefix.get(target.substring(0, slash + 1));
                 if (route != null) {
                     return route;
                 }
--- a/masticpond-core/src/main/java/io/masticpond/core/routing/RoutingConfiguration.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/routing/RoutingConfiguration.java
@@ -16,6 +16,7 @@
  * @param limits the limits of client requests
  * @param workspaces the workspaces whose requests are accepted; if the table is absent, requests
  *     need no key, and if it is present and has no workspaces, no key is valid
+ * @param unreadable the parts that could not be read
  * @since 0.2
  */
 public record RoutingConfiguration(
@@ -23,7 +24,8 @@
         List<Route> routes,
         Map<ServiceId, ServiceRules> services,
         RequestLimits limits,
-        Optional<WorkspaceTable> workspaces) {
+        Optional<WorkspaceTable> workspaces,
+        UnreadableParts unreadable) {
 
     /** Validates the components and copies the collections. */
     public RoutingConfiguration {
@@ -32,6 +34,7 @@
         services = Map.copyOf(services);
         Assert.notNull(limits, "Request limits");
         Assert.notNull(workspaces, "An optional table of workspaces");
+        Assert.notNull(unreadable, "The unreadable parts");
     }
 
     /**
@@ -49,4 +52,22 @@
             RequestLimits limits) {
         this(version, routes, services, limits, Optional.empty());
     }
+
+    /**
+     * Creates a configuration of which all parts could be read.
+     *
+     * @param version the version
+     * @param routes the routes
+     * @param services the rules of each service by its id
+     * @param limits the limits of client requests
+     * @param workspaces the workspaces whose requests are accepted
+     */
+    public RoutingConfiguration(
+            long version,
+            List<Route> routes,
+            Map<ServiceId, ServiceRules> services,
+            RequestLimits limits,
+            Optional<WorkspaceTable> workspaces) {
+        this(version, routes, services, limits, workspaces, UnreadableParts.NONE);
+    }
 }
--- a/masticpond-core/src/main/java/io/masticpond/core/workspace/WorkspaceTable.java
+++ b/masticpond-core/src/main/java/io/masticpond/core/workspace/WorkspaceTable.java
@@ -18,14 +18,28 @@
 
     private final Map<WorkspaceId, Workspace> mWorkspaces = new HashMap<>();
     private final Map<KeyDigest, Workspace> mByKey = new HashMap<>();
+    private final boolean mComplete;
 
     /**
-     * Creates a table of the given workspaces.
+     * Creates a complete table of the given workspaces.
      *
      * @param workspaces the workspaces
      * @throws IllegalArgumentException if two workspaces contain the same key
      */
     public WorkspaceTable(Collection<Workspace> workspaces) {
+        this(workspaces, true);
+    }
+
+    /**
+     * Creates a table of the given workspaces.
+     *
+     * @param workspaces the workspaces
+     * @param complete whether these are all; if not, an unknown key may belong to one that could
+     *     not be read
+     * @throws IllegalArgumentException if two workspaces contain the same key
+     */
+    public WorkspaceTable(Collection<Workspace> workspaces, boolean complete) {
+        mComplete = complete;
         for (Workspace workspace : workspaces) {
             mWorkspaces.put(workspace.id(), workspace);
             for (KeyDigest key : workspace.keys()) {
@@ -39,6 +53,15 @@
         }
     }
 
+    /**
+     * Determines whether a key that is not in the table belongs to no workspace.
+     *
+     * @return {@code false} if some workspaces could not be read
+     */
+    public boolean isComplete() {
+        return mComplete;
+    }
+
     /**
      * Returns the workspace to which a key belongs.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/control/ControlDocuments.java
@@ -21,6 +21,7 @@
 /** Builder of the control documents of one point in time. For the control thread only. */
 final class ControlDocuments {
 
+    private static final int MAXIMUM_PROBLEMS = 20;
     private static final int DEFAULT_VIEW_CHANGES = 50;
 
     private final ControlSources mSources;
@@ -67,6 +68,11 @@
         document.put("storeLost", replica.storeLost());
         document.put("storeStateMillis", replica.storeStateAge().toMillis());
         document.put("unconfirmedServers", replica.unconfirmedServers());
+        ArrayNode unreadable = document.putArray("unreadableParts");
+        mSources.replica().snapshot().routing().stream()
+                .flatMap(routing -> routing.unreadable().problems().stream())
+                .limit(MAXIMUM_PROBLEMS)
+                .forEach(unreadable::add);
         ArrayNode copies = document.putArray("copies");
         for (CategoryStatus each : replica.categories()) {
             copies.addObject()
--- a/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/metrics/EntryValue.java
@@ -66,6 +66,11 @@
             "unreadable_entries", "Entries of backend servers that cannot be read.", false),
     /** Changes of entries that could not be read. */
     UNREADABLE_SEEN("unreadable_entries_seen", "Changes of entries that could not be read.", true),
+    /** Parts of the configuration in force that could not be read. */
+    UNREADABLE_PARTS(
+            "unreadable_configuration_parts",
+            "Parts of the configuration in force that cannot be read.",
+            false),
     /** Zones whose backend servers receive no requests. */
     EVACUATED_ZONES("evacuated_zones", "Zones that are evacuated.", false),
     /** Instances that are alive, including this one. */
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingTable.java
@@ -3,9 +3,11 @@
 import io.masticpond.core.id.ServiceId;
 import io.masticpond.core.routing.RoutingConfiguration;
 import io.masticpond.core.routing.ServiceRules;
+import io.masticpond.core.routing.UnreadableParts;
 import io.masticpond.core.workspace.WorkspaceTable;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,6 +17,8 @@
 
     private static final Logger sLogger = LoggerFactory.getLogger(RoutingTable.class);
 
+    private static final int MAXIMUM_LOGGED_PROBLEMS = 5;
+
     private final DocumentTranslator mTranslator;
     private RoutingConfiguration mRouting;
     private boolean mChanged;
@@ -80,6 +84,18 @@
                 mRouting.version(),
                 mRouting.routes().size(),
                 mRouting.workspaces().map(RoutingTable::describe).orElse("no key required"));
+        logUnreadable(mRouting.unreadable());
+    }
+
+    private static void logUnreadable(UnreadableParts unreadable) {
+        List<String> problems = unreadable.problems();
+        if (!problems.isEmpty()) {
+            sLogger.warn(
+                    "STORE  {} parts of the configuration are unreadable and refuse their requests:"
+                            + " {}",
+                    problems.size(),
+                    problems.subList(0, Math.min(problems.size(), MAXIMUM_LOGGED_PROBLEMS)));
+        }
     }
 
     private static String describe(WorkspaceTable table) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/EntryState.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/EntryState.java
@@ -52,6 +52,17 @@
         return routes.flatMap(table -> table.match(host, target));
     }
 
+    /**
+     * Determines whether a request without a route may have one that could not be read.
+     *
+     * @param host the value of the {@code Host} header
+     * @param target the path and query
+     * @return {@code false} if there is certainly no route for the request
+     */
+    public boolean mayHaveUnreadableRoute(String host, String target) {
+        return routes.filter(table -> table.mayHaveUnreadableRoute(host, target)).isPresent();
+    }
+
     /**
      * Returns the rules of a service.
      *
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestAdmission.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/RequestAdmission.java
@@ -20,6 +20,9 @@
     private static final int NOT_FOUND = 404;
     private static final Duration UNCONFIGURED_RETRY_DELAY = Duration.ofMillis(300);
 
+    /** Only another version of the configuration helps, which is in force within 4 s. */
+    private static final Duration UNREADABLE_RETRY_DELAY = Duration.ofSeconds(5);
+
     private final RequestFlow mFlow;
     private final Function<Route, ServiceId> mSplit;
 
@@ -45,7 +48,7 @@
         String host = request.headers().get(HttpHeaderNames.HOST);
         Optional<Route> route = mFlow.state().match(host, request.target());
         if (route.isEmpty()) {
-            mFlow.refuse(request, responder, facts, Rejection.invalid("no-route", NOT_FOUND));
+            mFlow.refuse(request, responder, facts, withoutRoute(host, request.target()));
             return;
         }
         Either<Rejection, Caller> caller =
@@ -68,6 +71,12 @@
                         false));
     }
 
+    private Rejection withoutRoute(String host, String target) {
+        return mFlow.state().mayHaveUnreadableRoute(host, target)
+                ? Rejection.unavailable("unreadable-route", UNREADABLE_RETRY_DELAY)
+                : Rejection.invalid("no-route", NOT_FOUND);
+    }
+
     /** Starts a request that another instance forwarded. */
     void startForwarded(
             IncomingRequest request,
--- a/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/request/WorkspaceAuthenticator.java
@@ -43,10 +43,11 @@
     private static final Duration UNPROVEN_RETRY_DELAY = Duration.ofMillis(100);
 
     /**
-     * Retry delay if the workspace may use none of the regions of the route. Only a change of the
-     * configuration helps, which is in force within 4 s.
+     * Retry delay if the workspace may use none of the regions of the route, or if it may be one
+     * that could not be read. Only a change of the configuration helps, which is in force within 4
+     * s.
      */
-    private static final Duration NO_REGION_RETRY_DELAY = Duration.ofSeconds(5);
+    private static final Duration CONFIGURATION_RETRY_DELAY = Duration.ofSeconds(5);
 
     /**
      * Maximum age of the proof on which an unknown key is answered as unauthorized. With an older
@@ -218,7 +219,8 @@
     private Either<Rejection, Caller> admit(Workspace workspace, KeyDigest key, Route route) {
         Optional<Route> restrictedRoute = route.restrictTo(workspace);
         if (restrictedRoute.isEmpty()) {
-            return Either.left(Rejection.unavailable("no-allowed-region", NO_REGION_RETRY_DELAY));
+            return Either.left(
+                    Rejection.unavailable("no-allowed-region", CONFIGURATION_RETRY_DELAY));
         }
         long now = mTimeSource.monotonicNanos();
         if (!mRates.tryAdmit(workspace.id(), mRandom.getAsDouble(), now)) {
@@ -233,7 +235,10 @@
                         nowNanos -> mRates.sent(workspace.id(), nowNanos)));
     }
 
-    private static Rejection rejectUnknownKey(long ageNanos) {
+    private Rejection rejectUnknownKey(long ageNanos) {
+        if (mWorkspaces.filter(WorkspaceTable::isComplete).isEmpty()) {
+            return Rejection.unavailable("unreadable-workspace", CONFIGURATION_RETRY_DELAY);
+        }
         boolean isConclusive =
                 ageNanos != RequestRecord.UNKNOWN && ageNanos <= MAXIMUM_DENIAL_PROOF_AGE_NANOS;
         return isConclusive
--- a/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/wiring/EntryMetricsCollector.java
@@ -356,6 +356,11 @@
         snapshot.routing()
                 .map(RoutingConfiguration::version)
                 .ifPresent(version -> values.set(EntryValue.ROUTING_VERSION, version));
+        values.set(
+                EntryValue.UNREADABLE_PARTS,
+                snapshot.routing()
+                        .map(routing -> routing.unreadable().problems().size())
+                        .orElse(0));
         values.set(EntryValue.SERVERS, servers.size());
         values.set(EntryValue.LEAVING_SERVERS, count(servers, RegisteredServer::leaving));
         values.set(EntryValue.COLD_SERVERS, count(servers, server -> server.isCold(now)));
--- a/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
+++ b/masticpond-entry/src/test/java/io/masticpond/entry/request/WorkspaceAuthenticatorTest.java
@@ -253,6 +253,17 @@
         assertThat(mConnections.mCalls).hasSize(1);
     }
 
+    /** Guards against 401, after which no client comes again, for a key that could not be read. */
+    @Example
+    void unknownKeysAreUnavailableWhileAWorkspaceIsUnreadable() {
+        RequestFlow flow = flow();
+        recordProof();
+        applyTable(flow, Set.of(), Optional.of(new WorkspaceTable(List.of(), false)));
+        sendRequest(flow, KEY);
+        assertThat(last().status()).isEqualTo(503);
+        assertThat(mConnections.mCalls).isEmpty();
+    }
+
     /** Guards against a second send of a request whose key has gone with the last workspace. */
     @Example
     void removalOfTheLastWorkspaceStopsRetry() {
