Close connections to a server that were not used since a request without an answer began

What callers would see: where open connections to a server go silent while new ones work, each idle one of a pool costs one request its whole deadline.

Cause: a call that times out closed the idle connections only if the server had sent nothing on any connection since, and with new connections it has. A call that is cancelled closed none.

Change: after a call of one second or more without an answer, the idle connections that were not used since it began are closed.

Ruled out: closing all of them, as a slow server that answers other requests would lose its warm connections.

--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/PendingCall.java
@@ -18,6 +18,7 @@
     private Future<?> mTimer;
     private BackendConnection mConnection;
     private boolean mWritten;
+    private boolean mAnswerBegun;
     private boolean mEnded;
 
     PendingCall(
@@ -37,6 +38,7 @@
         if (mConnection != null) {
             mConnection.releaseCall();
         }
+        mPool.cancelled(this);
     }
 
     @Override
@@ -78,7 +80,13 @@
         return mListener.canBegin();
     }
 
+    /** Returns whether the head of an answer was received. */
+    boolean hasAnswerBegun() {
+        return mAnswerBegun;
+    }
+
     void answerBegan(int status, HttpHeaders headers) {
+        mAnswerBegun = true;
         if (!mEnded) {
             notifyListener(() -> mListener.answerBegan(status, headers));
         }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/backend/ServerPool.java
@@ -23,6 +23,9 @@
     private static final Logger sLogger = LoggerFactory.getLogger(ServerPool.class);
     private static final long MINIMUM_OBSERVED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** A server that is at work answers most requests sooner. */
+    private static final long MINIMUM_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final RegisteredServer mServer;
     private final InetSocketAddress mSocketAddress;
     private final PoolContext mContext;
@@ -216,12 +219,37 @@
     }
 
     /**
-     * Records that a call timed out, and closes the idle connections if its request was written and
-     * the server has sent nothing since the call began.
+     * Records that a call timed out. If it has no answer, its connection may have gone silent and
+     * others with it, so the idle connections that were not used since are closed: if the server
+     * has sent nothing on any connection, or if the call was a long one.
      */
     void timedOut(PendingCall call) {
-        if (call.isWritten() && mLastReceivedNanos - call.sentNanos() < 0) {
-            closeIdle();
+        boolean isServerSilent = mLastReceivedNanos - call.sentNanos() < 0;
+        if (isServerSilent || isLong(call)) {
+            closeUnusedSince(call);
+        }
+    }
+
+    /** Records that a call was cancelled, which shows a silent connection only after some time. */
+    void cancelled(PendingCall call) {
+        if (isLong(call)) {
+            closeUnusedSince(call);
+        }
+    }
+
+    private boolean isLong(PendingCall call) {
+        return nowNanos() - call.sentNanos() >= MINIMUM_SILENCE_NANOS;
+    }
+
+    private void closeUnusedSince(PendingCall call) {
+        if (!call.isWritten() || call.hasAnswerBegun()) {
+            return;
+        }
+        long elapsedNanos = nowNanos() - call.sentNanos();
+        for (BackendConnection connection : List.copyOf(mIdle)) {
+            if (connection.idleNanos() >= elapsedNanos) {
+                connection.abandon();
+            }
         }
     }
 
