--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryCopy.java
@@ -9,7 +9,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -41,7 +40,7 @@
     private long mHorizon;
     private long mConfirmedNanos;
     private CopySource mSource = CopySource.NONE;
-    private Optional<Moment> mProof = Optional.empty();
+    private final LatestProof mProof = new LatestProof();
 
     /**
      * Creates an empty copy.
@@ -91,20 +90,8 @@
         return mSource;
     }
 
-    /**
-     * Records that the copy contains all changes that the store had made by a moment.
-     *
-     * @param moment the moment, at the latest that of the request whose answer was applied
-     * @param now the current moment
-     */
-    void recordProof(Moment moment, Moment now) {
-        boolean isYounger =
-                mProof.filter(proof -> proof.nanosUntil(now) <= moment.nanosUntil(now)).isEmpty();
-        mProof = isYounger ? Optional.of(moment) : mProof;
-    }
-
-    /** Returns the newest moment at which the copy is known to have missed no change. */
-    Optional<Moment> proof() {
+    /** Returns the newest proof that this copy misses no change. */
+    LatestProof proof() {
         return mProof;
     }
 
@@ -118,7 +105,7 @@
                 mRevision,
                 mSource,
                 isKnown ? Duration.ofNanos(nowNanos - mConfirmedNanos) : Duration.ZERO,
-                Duration.ofNanos(mProof.map(proof -> proof.nanosUntil(now)).orElse(0L)),
+                Duration.ofNanos(mProof.ageNanos(now)),
                 mDocuments.size());
     }
 
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/CategoryFollower.java
@@ -237,7 +237,7 @@
                 CopySource.STORE,
                 nowNanos);
         mApplied.run();
-        mCopy.recordProof(start, Moment.of(mTime));
+        mCopy.proof().record(start, Moment.of(mTime));
         mListed.accept(start);
         scheduleNext(Duration.ZERO, this::follow);
     }
@@ -269,7 +269,7 @@
         Duration held = Duration.ofNanos(mTime.monotonicNanos() - start.monotonicNanos());
         if (result.isRight()) {
             watchAnswered(result.get(), wait, held);
-            mCopy.recordProof(start, Moment.of(mTime));
+            mCopy.proof().record(start, Moment.of(mTime));
         } else if (result.getLeft() == FeedError.HISTORY_GONE) {
             historyGone();
         } else if (wait.equals(StoreFeed.NOT_HELD)) {
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/FleetReplica.java
@@ -32,7 +32,7 @@
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final ReplicaSettings.Outage mSettings;
-    private final SnapshotListener mListener;
+    private final SnapshotPublisher mPublisher;
     private final StoreHealth mHealth;
     private final StoreProber mProber;
     private final RoutingTable mRouting;
@@ -52,10 +52,8 @@
     private Optional<ProofPeers> mProofPeers = Optional.empty();
     private boolean mLeaving;
     private long mWatchingSinceNanos;
-    private Runnable mWarmUpTimer = () -> {};
     private final StoreRestoreTracker mRestoreTracker;
     private boolean mStopped;
-    private volatile FleetSnapshot mSnapshot = FleetSnapshot.EMPTY;
     private volatile long mRevision;
     private volatile boolean mUsable;
 
@@ -77,11 +75,17 @@
         mTime = context.time();
         mWatchingSinceNanos = mTime.monotonicNanos();
         mSettings = context.settings().outage();
-        mListener = Assert.notNull(listener, "A listener");
         mHealth = new StoreHealth(mTime, mScheduler, mSettings.lostAfter());
         mProber = new StoreProber(context, probe, mHealth, this::checkLag);
         mRouting = new RoutingTable(translator);
         mServers = new ServerDocuments(translator);
+        mPublisher =
+                new SnapshotPublisher(
+                        context,
+                        mRouting,
+                        mServers,
+                        mEvacuations,
+                        Assert.notNull(listener, "A listener"));
         mGracePeriod = new ExpiryGracePeriod(context, mServers, () -> publish(CopySource.NONE));
         mHealth.addListener(this);
         mVerifier =
@@ -279,6 +283,7 @@
     /** Stops all calls; the snapshot stays as it is. */
     public void stop() {
         mStopped = true;
+        mPublisher.stop();
         mFollowers.forEach(CategoryFollower::pause);
         mProber.stop();
         mVerifier.stop();
@@ -295,7 +300,7 @@
      * @return the snapshot
      */
     public FleetSnapshot snapshot() {
-        return mSnapshot;
+        return mPublisher.snapshot();
     }
 
     /**
@@ -379,32 +384,8 @@
         mRevision = revision;
         mUsable |=
                 mRouting.routing().isPresent() && mCopies.get(Category.BACKEND_SERVERS).isListed();
-        boolean isChanged = mRouting.takeChanged();
-        isChanged |= mServers.takeChanged();
-        isChanged |= mEvacuations.takeChanged();
-        if (isChanged) {
-            notifyListener(source, nowNanos);
-        }
+        mPublisher.publishIfChanged(source, revision);
         mRelayService.changed();
         mRestoreTracker.checkEra();
     }
-
-    private void notifyListener(CopySource source, long nowNanos) {
-        mSnapshot =
-                new FleetSnapshot(
-                        mRevision,
-                        mRouting.routing(),
-                        mServers.servers(mRouting::warmUp, nowNanos),
-                        mEvacuations.zones());
-        mWarmUpTimer.run();
-        mServers.untilNextDue(mRouting::warmUp, nowNanos)
-                .ifPresent(left -> mWarmUpTimer = mScheduler.schedule(left, this::notifyWarmUp));
-        mListener.changed(mSnapshot, source);
-    }
-
-    private void notifyWarmUp() {
-        if (!mStopped) {
-            notifyListener(CopySource.NONE, mTime.monotonicNanos());
-        }
-    }
 }
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/RoutingReader.java
@@ -79,7 +79,7 @@
                             CopySource.STORE,
                             now);
                     mApplied.run();
-                    mCopy.recordProof(requested, Moment.of(mContext.time()));
+                    mCopy.proof().record(requested, Moment.of(mContext.time()));
                     listed(requested);
                 });
         completed.accept(result.isRight());
--- a/masticpond-entry/src/main/java/io/masticpond/entry/replica/WatchVerifier.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/replica/WatchVerifier.java
@@ -101,6 +101,7 @@
         for (Verification verification : mVerifications) {
             CategoryCopy copy = verification.mCopy;
             copy.proof()
+                    .moment()
                     .map(proof -> Duration.ofNanos(Math.max(0, proof.nanosUntil(now))))
                     .map(age -> new CopyProof(copy.category(), age, copy.contentRevision()))
                     .ifPresent(proofs::add);
@@ -186,7 +187,7 @@
         }
 
         private long ageNanos(Moment now) {
-            return mCopy.proof().orElse(mStart).nanosUntil(now);
+            return mCopy.proof().moment().orElse(mStart).nanosUntil(now);
         }
 
         /** Another instance has renewed the proof by now, or this one has not succeeded. */
@@ -236,7 +237,7 @@
         void received(Moment requested, CopyProof proof) {
             mNewestRevision = Math.max(mNewestRevision, proof.revision());
             if (mCopy.isCompleteUpTo(proof.revision())) {
-                mCopy.recordProof(requested.minusNanos(proof.age().toNanos()), now());
+                mCopy.proof().record(requested.minusNanos(proof.age().toNanos()), now());
             }
         }
 
@@ -294,7 +295,7 @@
                     changes.storeRevision(),
                     CopySource.STORE,
                     now.monotonicNanos());
-            mCopy.recordProof(requested, now);
+            mCopy.proof().record(requested, now);
             if (!changes.documents().isEmpty()) {
                 mApplied.run();
             }
