--- a/masticpond-entry/src/main/java/io/masticpond/entry/log/LineText.java
+++ b/masticpond-entry/src/main/java/io/masticpond/entry/log/LineText.java
@@ -23,7 +23,7 @@
         if (text.length() <= maximumLength) {
             return text;
         }
-        // A pair of surrogates that is cut in half is no text that JSON can carry.
+        // JSON cannot carry half of a surrogate pair.
         boolean isCutInPair = Character.isHighSurrogate(text.charAt(maximumLength - 1));
         return text.substring(0, isCutInPair ? maximumLength - 1 : maximumLength) + ELLIPSIS;
     }
